Serve a model request and apply a configuration over real sockets

Cause: an empty repository. Change: the design page, the Maven build with formatter and linter, a kernel, the HTTP server and client, the peer link, the platform client, the owner and entry sides of a model request, calls to plain services, and stand-ins for engine, platform and service. Conclusion: the path is complete and thin.

--- /dev/null
+++ b/cli/src/main/java/org/apricotstand/cli/Main.java
@@ -0,0 +1,49 @@
+package org.apricotstand.cli;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.logging.Level;
+import org.apricotstand.observe.LogFormat;
+
+/** Entry point of the command line. */
+public final class Main {
+
+  @Parameter(
+      names = {"--help", "-h"},
+      description = "shows this help",
+      help = true)
+  private boolean help;
+
+  private Main() {}
+
+  /** Runs a command and exits with its exit code. */
+  public static void main(String[] args) throws Exception {
+    System.exit(new Main().run(args));
+  }
+
+  private int run(String[] args) throws Exception {
+    LogFormat.install(Level.INFO);
+    Map<String, Command> commands = new LinkedHashMap<>();
+    commands.put("entry", new EntryCommand());
+    commands.put("apply", new ApplyCommand());
+    commands.put("stand-in", new StandInCommand());
+    commands.put("try", new TryCommand());
+    JCommander parser = JCommander.newBuilder().programName("apricotstand").addObject(this).build();
+    commands.forEach(parser::addCommand);
+    try {
+      parser.parse(args);
+    } catch (ParameterException e) {
+      System.err.println("error: " + e.getMessage());
+      return ExitCodes.USAGE;
+    }
+    String name = parser.getParsedCommand();
+    if (help || name == null) {
+      parser.usage();
+      return help ? ExitCodes.OK : ExitCodes.USAGE;
+    }
+    return commands.get(name).run();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/apricotstand/cli/TryCommand.java
@@ -0,0 +1,158 @@
+package org.apricotstand.cli;
+
+import com.beust.jcommander.Parameters;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.engine.EngineHeaders;
+import org.apricotstand.entry.EntryInstance;
+import org.apricotstand.http.HttpCall;
+import org.apricotstand.http.HttpCaller;
+import org.apricotstand.http.HttpReply;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.Result;
+import org.apricotstand.settings.InstanceSettings;
+import org.apricotstand.standin.engine.EngineSettings;
+import org.apricotstand.standin.engine.StandInEngine;
+import org.apricotstand.standin.platform.PlatformSettings;
+import org.apricotstand.standin.platform.StandInPlatform;
+import org.apricotstand.standin.service.StandInService;
+
+/** Runs an instance with embedded stand-ins and sends a few requests. */
+@Parameters(commandDescription = "runs a whole system in one process and sends a few requests")
+final class TryCommand implements Command {
+
+  private static final String LOCAL = "127.0.0.1:0";
+  private static final long REQUEST_TIMEOUT_MS = 30_000;
+  private static final long CONFIGURATION_TIMEOUT_MS = 20_000;
+  private static final String DECLARATIONS =
+      """
+      models:
+        - name: base
+      adapters:
+        - {name: compliance-letters, model: base, versions: [v1, v2], route: {v2: 100}}
+        - {name: safety-summaries, model: base, versions: [v1]}
+      services:
+        - {name: orders, path: /orders, repeatable: false, identityHeader: x-order-id}
+      targets:
+        - {name: engine-1, kind: engine, serves: base, domain: a, address: "%s", \
+      fencing: enforced, slots: 2, maxBatch: 8}
+        - {name: engine-2, kind: engine, serves: base, domain: a, address: "%s", \
+      fencing: enforced, slots: 2, maxBatch: 8}
+        - {name: orders-1, kind: service, serves: orders, domain: a, address: "%s", \
+      fencing: ignored, slots: 0, maxBatch: 0}
+      """;
+
+  @Override
+  public int run() throws Exception {
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    try (HttpCaller http = new HttpCaller(group);
+        StandInPlatform platform =
+            StandInPlatform.start(group, new PlatformSettings(LOCAL, 4, 1, 8, 250));
+        StandInEngine first = startEngine(group, http, "engine-1", platform.url());
+        StandInEngine second = startEngine(group, http, "engine-2", platform.url());
+        StandInService orders =
+            StandInService.start(group, InstanceSettings.parseAddress(LOCAL), "x-order-id");
+        EntryInstance instance = EntryInstance.start(settings(platform.url()))) {
+      Result<Long> applied = applyDeclarations(platform, first, second, orders);
+      if (applied instanceof Result.Failed<Long>(Failure failure)) {
+        System.err.println("not accepted: " + failure);
+        return ExitCodes.FAILED;
+      }
+      awaitConfiguration(instance);
+      return sendRequests(http, instance.callerAddress(), orders);
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
+  private static StandInEngine startEngine(
+      EventLoopGroup group, HttpCaller http, String name, String platformUrl) {
+    EngineSettings settings = new EngineSettings(name, LOCAL, platformUrl, 2, 8, 20, 8, true);
+    return StandInEngine.start(group, http, settings);
+  }
+
+  private static InstanceSettings settings(String platformUrl) {
+    return new InstanceSettings("entry-1", "a", LOCAL, LOCAL, LOCAL, null, platformUrl, List.of());
+  }
+
+  private static Result<Long> applyDeclarations(
+      StandInPlatform platform, StandInEngine first, StandInEngine second, StandInService orders)
+      throws Exception {
+    Path folder = Files.createTempDirectory("apricotstand-try");
+    String declarations =
+        DECLARATIONS.formatted(
+            text(first.address()), text(second.address()), text(orders.address()));
+    Path file = Files.writeString(folder.resolve("declarations.yaml"), declarations);
+    try {
+      return DeclarationApplier.apply(platform.url(), folder);
+    } finally {
+      Files.delete(file);
+      Files.delete(folder);
+    }
+  }
+
+  private static void awaitConfiguration(EntryInstance instance) throws InterruptedException {
+    long deadlineMs = ControlThread.nowMs() + CONFIGURATION_TIMEOUT_MS;
+    while (instance.configuration().current().number() == 0 && ControlThread.nowMs() < deadlineMs) {
+      Thread.sleep(20);
+    }
+    System.out.println("revision in force: " + instance.configuration().current().number());
+  }
+
+  private static int sendRequests(
+      HttpCaller http, InetSocketAddress callers, StandInService orders) {
+    boolean letters = complete(http, callers, "compliance-letters", "compliance-letters@v2");
+    boolean summaries = complete(http, callers, "safety-summaries@v1", "safety-summaries@v1");
+    order(http, callers);
+    order(http, callers);
+    System.out.println("order A-1 was run " + orders.runs("A-1") + " time(s)");
+    boolean passed = letters && summaries && orders.runs("A-1") == 1;
+    System.out.println(passed ? "all as expected" : "NOT as expected");
+    return passed ? ExitCodes.OK : ExitCodes.FAILED;
+  }
+
+  private static boolean complete(
+      HttpCaller http, InetSocketAddress callers, String model, String expected) {
+    String body = "{\"model\":\"" + model + "\",\"prompt\":\"Hello\",\"stream\":true}";
+    HttpReply reply = post(http, callers, "/v1/completions", body, "x-caller", "try");
+    String version = reply.headers().get(EngineHeaders.ADAPTER_VERSION);
+    boolean whole = reply.text().endsWith("data: [DONE]\n\n");
+    System.out.println(
+        model + ": status " + reply.status() + ", answered by " + version + ", whole " + whole);
+    return expected.equals(version) && whole;
+  }
+
+  private static void order(HttpCaller http, InetSocketAddress callers) {
+    HttpReply reply = post(http, callers, "/orders", "{\"drums\":4}", "x-order-id", "A-1");
+    System.out.println("order A-1: status " + reply.status() + ", answer " + reply.text());
+  }
+
+  private static HttpReply post(
+      HttpCaller http,
+      InetSocketAddress callers,
+      String path,
+      String body,
+      String header,
+      String value) {
+    HttpCall call =
+        HttpCall.json(
+                "POST",
+                "http://" + text(callers) + path,
+                body.getBytes(StandardCharsets.UTF_8),
+                ControlThread.nowMs() + REQUEST_TIMEOUT_MS)
+            .with(header, value);
+    return http.send(call).join();
+  }
+
+  private static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/apricotstand/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line. */
+package org.apricotstand.cli;
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/declaration/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' declared intent: adapters, routing, capacity, services and targets. */
+package org.apricotstand.declaration;
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/model/InstanceId.java
@@ -0,0 +1,22 @@
+package org.apricotstand.model;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/** Name of an instance, as its settings give it. */
+public record InstanceId(String value) implements Comparable<InstanceId> {
+
+  /** Rejects an empty value. */
+  public InstanceId {
+    checkArgument(value != null && !value.isEmpty(), "instance id must not be empty");
+  }
+
+  @Override
+  public int compareTo(InstanceId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/model/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers and value records shared by all packages of the decision core. */
+package org.apricotstand.model;
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/schedule/SchedulerEvent.java
@@ -0,0 +1,48 @@
+package org.apricotstand.schedule;
+
+import java.util.Set;
+import org.apricotstand.model.AdapterVersion;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.RequestId;
+
+/** Something that happened to an engine, its queue or its orders. */
+public sealed interface SchedulerEvent {
+
+  /** A request arrived. */
+  record Submitted(ScheduledRequest request) implements SchedulerEvent {}
+
+  /** The caller gave the request up. */
+  record Canceled(RequestId id) implements SchedulerEvent {}
+
+  /** The engine no longer runs the request, whatever the ending. */
+  record Finished(RequestId id) implements SchedulerEvent {}
+
+  /** The engine confirmed a load order. */
+  record LoadFinished(AdapterVersion adapterVersion) implements SchedulerEvent {}
+
+  /** A load order failed; the adapter is not loaded. */
+  record LoadFailed(AdapterVersion adapterVersion, Failure failure) implements SchedulerEvent {}
+
+  /** The engine confirmed an unload order. */
+  record UnloadFinished(AdapterVersion adapterVersion) implements SchedulerEvent {}
+
+  /** An unload order failed; the adapter may still be loaded. */
+  record UnloadFailed(AdapterVersion adapterVersion, Failure failure) implements SchedulerEvent {}
+
+  /**
+   * The engine reported its state.
+   *
+   * @param incarnation number that is new at every start of the engine
+   * @param resident adapter versions in its slots
+   * @param slots number of slots
+   * @param maxBatch sequences it runs at once
+   */
+  record EngineReported(long incarnation, Set<AdapterVersion> resident, int slots, int maxBatch)
+      implements SchedulerEvent {}
+
+  /** The engine does not answer. */
+  record EngineLost(Failure failure) implements SchedulerEvent {}
+
+  /** Time passed. */
+  record Tick() implements SchedulerEvent {}
+}
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/schedule/package-info.java
@@ -0,0 +1,2 @@
+/** Per-engine scheduling at the owner: queue, adapter slots, loads, evictions and dispatch. */
+package org.apricotstand.schedule;
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/configuration/package-info.java
@@ -0,0 +1,2 @@
+/** The declarations in force at this instance. */
+package org.apricotstand.configuration;
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/control/ControlThread.java
@@ -0,0 +1,79 @@
+package org.apricotstand.control;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apricotstand.kernel.Service;
+import org.apricotstand.observe.EventLog;
+
+/**
+ * Runs all decisions of an instance on one thread, so that control state needs no locks. Tasks must
+ * not block.
+ *
+ * <pre>{@code
+ * control.execute(() -> scheduler.handle(event, control.nowMs()));
+ * }</pre>
+ */
+public final class ControlThread implements Service, Executor {
+
+  private static final EventLog LOG = EventLog.of(ControlThread.class);
+
+  private final ScheduledExecutorService executor =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread thread = new Thread(task, "control");
+            thread.setDaemon(true);
+            return thread;
+          });
+
+  /** Returns the monotonic time in milliseconds; only differences have a meaning. */
+  public static long nowMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  /** Runs a task soon. A task submitted after the stop is dropped. */
+  @Override
+  public void execute(Runnable task) {
+    try {
+      executor.execute(guarded(task));
+    } catch (RejectedExecutionException e) {
+      LOG.debug("task_dropped", "reason", "stopped");
+    }
+  }
+
+  /** Runs a task at the given monotonic time. */
+  public void executeAt(long dueMs, Runnable task) {
+    try {
+      long delayMs = Math.max(0, dueMs - nowMs());
+      executor.schedule(guarded(task), delayMs, TimeUnit.MILLISECONDS);
+    } catch (RejectedExecutionException e) {
+      LOG.debug("task_dropped", "reason", "stopped");
+    }
+  }
+
+  /** Runs a task again and again with a fixed pause until the stop. */
+  public void executeEvery(long periodMs, Runnable task) {
+    executor.scheduleWithFixedDelay(guarded(task), periodMs, periodMs, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public void stop() {
+    executor.shutdownNow();
+  }
+
+  private static Runnable guarded(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        LOG.warn("control_task_failed", "error", e.toString(), "at", firstFrame(e));
+      }
+    };
+  }
+
+  private static String firstFrame(RuntimeException e) {
+    return e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0].toString();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/engine/EngineClient.java
@@ -0,0 +1,123 @@
+package org.apricotstand.engine;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.apricotstand.http.HttpCall;
+import org.apricotstand.http.HttpCaller;
+import org.apricotstand.http.HttpReply;
+import org.apricotstand.http.ReplyListener;
+import org.apricotstand.kernel.Service;
+import org.apricotstand.model.AdapterVersion;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.Result;
+import org.apricotstand.model.Step;
+
+/**
+ * Sends requests and control commands to model engines.
+ *
+ * <pre>{@code
+ * engines.load("10.0.0.5:9000", adapterVersion, fencing, deadlineMs).thenAccept(result -> ...);
+ * }</pre>
+ */
+public final class EngineClient implements Service {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final HttpCaller http;
+
+  /** Creates a client that uses the given HTTP client. */
+  public EngineClient(HttpCaller http) {
+    this.http = http;
+  }
+
+  /** Sends a request once and reports the answer in parts. */
+  public void run(String address, long fencing, EngineRequest request, ReplyListener listener) {
+    HttpCall call =
+        HttpCall.json(
+                "POST",
+                url(address, request.path()),
+                request.body(),
+                request.scheduled().deadlineMs())
+            .with(EngineHeaders.REQUEST_ID, request.scheduled().id().value())
+            .with(EngineHeaders.ATTEMPT, Integer.toString(request.scheduled().attempt()))
+            .with(EngineHeaders.FENCING, Long.toString(fencing))
+            .with(EngineHeaders.PRIORITY, request.scheduled().requestClass().name());
+    String traceparent = request.traceparent();
+    http.stream(
+        traceparent.isEmpty() ? call : call.with(EngineHeaders.TRACEPARENT, traceparent), listener);
+  }
+
+  /** Orders an engine to load an adapter version; completes when it is loaded. */
+  public CompletableFuture<Result<Void>> load(
+      String address, AdapterVersion adapterVersion, long fencing, long deadlineMs) {
+    return command(address, "/v1/load_lora_adapter", adapterVersion, fencing, deadlineMs);
+  }
+
+  /** Orders an engine to unload an adapter version; completes when it is unloaded. */
+  public CompletableFuture<Result<Void>> unload(
+      String address, AdapterVersion adapterVersion, long fencing, long deadlineMs) {
+    return command(address, "/v1/unload_lora_adapter", adapterVersion, fencing, deadlineMs);
+  }
+
+  /** Cancels a request at an engine; the result does not matter to the caller. */
+  public void cancel(String address, String requestId, long deadlineMs) {
+    byte[] body = encode(Map.of("request_id", requestId));
+    http.send(HttpCall.json("POST", url(address, "/v1/cancel"), body, deadlineMs));
+  }
+
+  /** Reads the state report of an engine. */
+  public CompletableFuture<Result<EngineState>> state(String address, long deadlineMs) {
+    return http.send(HttpCall.get(url(address, "/v1/state"), deadlineMs))
+        .handle(
+            (reply, error) -> error == null ? decodeState(address, reply) : lost(address, error));
+  }
+
+  private CompletableFuture<Result<Void>> command(
+      String address, String path, AdapterVersion adapterVersion, long fencing, long deadlineMs) {
+    byte[] body = encode(Map.of("lora_name", adapterVersion.toString()));
+    HttpCall call =
+        HttpCall.json("POST", url(address, path), body, deadlineMs)
+            .with(EngineHeaders.FENCING, Long.toString(fencing));
+    return http.send(call)
+        .handle(
+            (reply, error) -> {
+              if (error != null) {
+                return lost(address, error);
+              }
+              return reply.isSuccess() ? Result.ok(null) : Result.failed(refused(address, reply));
+            });
+  }
+
+  private static Result<EngineState> decodeState(String address, HttpReply reply) {
+    try {
+      return reply.isSuccess()
+          ? Result.ok(JSON.readValue(reply.body(), EngineState.class))
+          : Result.failed(refused(address, reply));
+    } catch (IOException e) {
+      return Result.failed(new Failure(Step.LOAD, address, "malformed_state", e.getMessage()));
+    }
+  }
+
+  private static Failure refused(String address, HttpReply reply) {
+    return new Failure(Step.LOAD, address, "refused_" + reply.status(), reply.text());
+  }
+
+  private static <T> Result<T> lost(String address, Throwable error) {
+    return Result.failed(new Failure(Step.LOAD, address, "no_answer", error.getMessage()));
+  }
+
+  private static String url(String address, String path) {
+    return "http://" + address + path;
+  }
+
+  private static byte[] encode(Object value) {
+    try {
+      return JSON.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Client of model engines. */
+package org.apricotstand.engine;
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/entry/CallerInterface.java
@@ -0,0 +1,58 @@
+package org.apricotstand.entry;
+
+import io.netty.channel.EventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.Set;
+import org.apricotstand.http.HttpExchange;
+import org.apricotstand.http.HttpLimits;
+import org.apricotstand.http.HttpServer;
+import org.apricotstand.kernel.Service;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.Step;
+
+/** HTTP interface for callers: model requests and calls to plain services. */
+final class CallerInterface implements Service {
+
+  private static final Set<String> MODEL_PATHS = Set.of("/v1/completions", "/v1/chat/completions");
+  private static final int NOT_FOUND = 404;
+
+  private final EventLoopGroup group;
+  private final InetSocketAddress address;
+  private final ModelRoute models;
+  private final ServiceRoute services;
+  private HttpServer server;
+
+  CallerInterface(
+      EventLoopGroup group, InetSocketAddress address, ModelRoute models, ServiceRoute services) {
+    this.group = group;
+    this.address = address;
+    this.models = models;
+    this.services = services;
+  }
+
+  @Override
+  public void start() {
+    server = HttpServer.start(group, address, HttpLimits.DEFAULT, this::handle);
+  }
+
+  InetSocketAddress address() {
+    return server.address();
+  }
+
+  private void handle(HttpExchange exchange) {
+    String path = exchange.request().path();
+    if (MODEL_PATHS.contains(path)) {
+      models.handle(exchange);
+    } else if (!services.handle(exchange)) {
+      ErrorAnswer.refuse(
+          exchange,
+          NOT_FOUND,
+          new Failure(Step.ADMISSION, path, "unknown_path", "no service has this path"));
+    }
+  }
+
+  @Override
+  public void stop() {
+    server.close();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Caller side of requests: admission, placement, and the answer back to the caller. */
+package org.apricotstand.entry;
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/http/NettyExchange.java
@@ -0,0 +1,212 @@
+package org.apricotstand.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.Map;
+
+/** An exchange on a Netty channel. All state is confined to the channel's event loop. */
+final class NettyExchange implements HttpExchange {
+
+  /** Told when an answer is complete, on the event loop. */
+  interface FinishListener {
+    void finished(ChannelHandlerContext context, boolean keepAlive);
+  }
+
+  private enum State {
+    IDLE,
+    STREAMING,
+    DONE
+  }
+
+  private final ChannelHandlerContext context;
+  private final FinishListener finishListener;
+  private final HttpRequest request;
+  private final boolean http10;
+  private boolean keepAlive;
+  private State state = State.IDLE;
+  private Runnable writableListener;
+  private Runnable closedListener;
+  private boolean connectionClosed;
+
+  NettyExchange(
+      ChannelHandlerContext context, FullHttpRequest request, FinishListener finishListener) {
+    this.context = context;
+    this.finishListener = finishListener;
+    this.request = copyOf(request, context.channel().remoteAddress());
+    this.http10 = request.protocolVersion().equals(HttpVersion.HTTP_1_0);
+    this.keepAlive = HttpUtil.isKeepAlive(request);
+  }
+
+  private static HttpRequest copyOf(FullHttpRequest request, SocketAddress remote) {
+    String uri = request.uri();
+    int mark = uri.indexOf('?');
+    String path = mark < 0 ? uri : uri.substring(0, mark);
+    String query = mark < 0 ? "" : uri.substring(mark + 1);
+    String address =
+        remote instanceof InetSocketAddress inet ? inet.getAddress().getHostAddress() : "unknown";
+    return new HttpRequest(
+        request.method().name(),
+        path,
+        query,
+        request.headers().copy(),
+        ByteBufUtil.getBytes(request.content()),
+        address);
+  }
+
+  @Override
+  public HttpRequest request() {
+    return request;
+  }
+
+  @Override
+  public void respond(int status, Map<String, String> headers, byte[] body) {
+    onLoop(
+        () -> {
+          if (state != State.IDLE) {
+            return;
+          }
+          DefaultFullHttpResponse response =
+              new DefaultFullHttpResponse(
+                  HttpVersion.HTTP_1_1,
+                  HttpResponseStatus.valueOf(status),
+                  Unpooled.wrappedBuffer(body));
+          headers.forEach(response.headers()::set);
+          HttpUtil.setContentLength(response, body.length);
+          setConnection(response);
+          finish(context.writeAndFlush(response));
+        });
+  }
+
+  @Override
+  public void begin(int status, Map<String, String> headers) {
+    onLoop(
+        () -> {
+          if (state != State.IDLE) {
+            return;
+          }
+          state = State.STREAMING;
+          HttpResponse response =
+              new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+          headers.forEach(response.headers()::set);
+          boolean hasLength = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
+          if (http10) {
+            // HTTP/1.0 has no chunked bodies: the close of the connection ends the body.
+            keepAlive = keepAlive && hasLength;
+          } else if (!hasLength) {
+            HttpUtil.setTransferEncodingChunked(response, true);
+          }
+          setConnection(response);
+          context.writeAndFlush(response);
+        });
+  }
+
+  @Override
+  public void write(byte[] part) {
+    onLoop(
+        () -> {
+          if (state == State.STREAMING) {
+            ByteBuf content = Unpooled.wrappedBuffer(part);
+            context.writeAndFlush(new DefaultHttpContent(content));
+          }
+        });
+  }
+
+  @Override
+  public void end() {
+    onLoop(
+        () -> {
+          if (state == State.STREAMING) {
+            finish(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
+          }
+        });
+  }
+
+  @Override
+  public void abort() {
+    onLoop(
+        () -> {
+          if (state == State.DONE) {
+            return;
+          }
+          state = State.DONE;
+          // A reset cannot be taken for the normal end of a body that the close delimits.
+          context.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+          context.close();
+        });
+  }
+
+  @Override
+  public boolean isWritable() {
+    return context.channel().isWritable();
+  }
+
+  @Override
+  public void onWritable(Runnable listener) {
+    onLoop(() -> writableListener = listener);
+  }
+
+  @Override
+  public void onClosed(Runnable listener) {
+    onLoop(
+        () -> {
+          closedListener = listener;
+          if (connectionClosed) {
+            listener.run();
+          }
+        });
+  }
+
+  void becameWritable() {
+    if (writableListener != null) {
+      writableListener.run();
+    }
+  }
+
+  void connectionClosed() {
+    connectionClosed = true;
+    boolean unfinished = state != State.DONE;
+    state = State.DONE;
+    if (unfinished && closedListener != null) {
+      closedListener.run();
+    }
+  }
+
+  private void setConnection(HttpResponse response) {
+    if (http10 && keepAlive) {
+      response.headers().set(HttpHeaderNames.CONNECTION, "keep-alive");
+    } else if (!keepAlive) {
+      response.headers().set(HttpHeaderNames.CONNECTION, "close");
+    }
+  }
+
+  private void finish(ChannelFuture lastWrite) {
+    state = State.DONE;
+    lastWrite.addListener(
+        (ChannelFutureListener) done -> finishListener.finished(context, keepAlive));
+  }
+
+  private void onLoop(Runnable task) {
+    if (context.executor().inEventLoop()) {
+      task.run();
+    } else {
+      context.executor().execute(task);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/kernel/package-info.java
@@ -0,0 +1,2 @@
+/** Micro-kernel: services that register by name and find each other by name. */
+package org.apricotstand.kernel;
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/observe/LogFormat.java
@@ -0,0 +1,42 @@
+package org.apricotstand.observe;
+
+import java.time.Instant;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/** Formats each log record as one line of key=value pairs, starting with time and level. */
+public final class LogFormat extends Formatter {
+
+  /** Installs the format on the handlers of the root logger and sets the level. */
+  public static void install(Level level) {
+    Logger root = Logger.getLogger("");
+    root.setLevel(Level.INFO);
+    Logger.getLogger("org.apricotstand").setLevel(level);
+    for (Handler handler : root.getHandlers()) {
+      handler.setLevel(level);
+      handler.setFormatter(new LogFormat());
+    }
+  }
+
+  @Override
+  public String format(LogRecord record) {
+    String message = formatMessage(record);
+    String pairs = message.startsWith("event=") ? message : foreign(record, message);
+    return "time="
+        + Instant.ofEpochMilli(record.getMillis())
+        + " level="
+        + record.getLevel().getName()
+        + " "
+        + pairs
+        + System.lineSeparator();
+  }
+
+  private static String foreign(LogRecord record, String message) {
+    String cause = record.getThrown() == null ? "" : record.getThrown().toString();
+    return EventLog.line(
+        String.valueOf(record.getLoggerName()), "library", "message", message, "cause", cause);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/observe/package-info.java
@@ -0,0 +1,2 @@
+/** Logs, metrics and traces. */
+package org.apricotstand.observe;
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/owner/EngineReply.java
@@ -0,0 +1,118 @@
+package org.apricotstand.owner;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.apricotstand.engine.EngineHeaders;
+import org.apricotstand.engine.EngineRequest;
+import org.apricotstand.http.CallFailure;
+import org.apricotstand.http.ReplyControl;
+import org.apricotstand.http.ReplyListener;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.Outcome;
+import org.apricotstand.model.Step;
+import org.apricotstand.model.TargetId;
+
+/**
+ * Passes an engine's answer to a sink after it has checked the adapter version that the engine
+ * echoes. Runs on a traffic thread.
+ */
+final class EngineReply implements ReplyListener {
+
+  private static final int OK = 200;
+  private static final int CONFLICT = 409;
+  private static final int MAX_ERROR_BYTES = 65_536;
+
+  private final TargetId target;
+  private final EngineRequest request;
+  private final AnswerSink sink;
+  private final Runnable finished;
+  private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
+  private int status;
+  private boolean passing;
+  private boolean ended;
+  private ReplyControl control;
+
+  EngineReply(TargetId target, EngineRequest request, AnswerSink sink, Runnable finished) {
+    this.target = target;
+    this.request = request;
+    this.sink = sink;
+    this.finished = finished;
+  }
+
+  @Override
+  public void onHead(int answerStatus, HttpHeaders headers, ReplyControl replyControl) {
+    status = answerStatus;
+    control = replyControl;
+    if (status != OK) {
+      return;
+    }
+    String wanted = request.scheduled().adapterVersion().toString();
+    String echoed = headers.get(EngineHeaders.ADAPTER_VERSION);
+    if (!wanted.equals(echoed)) {
+      fail(unknown("wrong_adapter_version", "wanted " + wanted + ", answered by " + echoed));
+      control.cancel();
+      return;
+    }
+    passing = true;
+    Map<String, String> kept = new LinkedHashMap<>();
+    kept.put("content-type", headers.get("content-type", "application/json"));
+    kept.put(EngineHeaders.ADAPTER_VERSION, echoed);
+    sink.onReady(control::resume);
+    sink.head(status, kept);
+  }
+
+  @Override
+  public void onPart(byte[] part) {
+    if (passing) {
+      sink.part(part);
+      if (!sink.isReady()) {
+        control.suspend();
+      }
+    } else if (errorBody.size() < MAX_ERROR_BYTES) {
+      errorBody.writeBytes(part);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    if (ended) {
+      return;
+    }
+    if (passing) {
+      ended = true;
+      sink.end();
+      finished.run();
+      return;
+    }
+    String body = errorBody.toString(StandardCharsets.UTF_8);
+    // The engine's contract: it refuses with 409 before it runs any part of the request.
+    fail(
+        status == CONFLICT
+            ? new Outcome.NotRun(new Failure(Step.DISPATCH, target.value(), "refused", body))
+            : unknown("engine_status_" + status, body));
+  }
+
+  @Override
+  public void onFailure(CallFailure failure) {
+    fail(
+        failure.sent()
+            ? unknown(failure.code(), failure.detail())
+            : new Outcome.NotRun(
+                new Failure(Step.DISPATCH, target.value(), failure.code(), failure.detail())));
+  }
+
+  private Outcome unknown(String code, String detail) {
+    return new Outcome.OutcomeUnknown(new Failure(Step.ANSWER, target.value(), code, detail));
+  }
+
+  private void fail(Outcome outcome) {
+    if (!ended) {
+      ended = true;
+      sink.failed(outcome);
+      finished.run();
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/owner/OwnerService.java
@@ -0,0 +1,92 @@
+package org.apricotstand.owner;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.declaration.DeclarationSet.Target;
+import org.apricotstand.engine.EngineClient;
+import org.apricotstand.engine.EngineRequest;
+import org.apricotstand.kernel.Service;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.Outcome;
+import org.apricotstand.model.RequestId;
+import org.apricotstand.model.Step;
+import org.apricotstand.model.TargetId;
+import org.apricotstand.peer.PeerMessage;
+
+/**
+ * Runs model requests on the engines that this instance owns. All methods run on the control
+ * thread.
+ *
+ * <pre>{@code
+ * control.execute(() -> owner.submit(target, request, sink));
+ * }</pre>
+ */
+public final class OwnerService implements Service {
+
+  private static final long TICK_MS = 50;
+  private static final long STATE_POLL_MS = 500;
+
+  private final ControlThread control;
+  private final EngineClient engines;
+  private final Ownership ownership;
+  private final Function<TargetId, Optional<Target>> targets;
+  private final Map<TargetId, OwnedEngine> owned = new HashMap<>();
+
+  /**
+   * Creates the service.
+   *
+   * @param targets finds the declaration of a target
+   */
+  public OwnerService(
+      ControlThread control,
+      EngineClient engines,
+      Ownership ownership,
+      Function<TargetId, Optional<Target>> targets) {
+    this.control = control;
+    this.engines = engines;
+    this.ownership = ownership;
+    this.targets = targets;
+  }
+
+  @Override
+  public void start() {
+    control.executeEvery(TICK_MS, () -> owned.values().forEach(OwnedEngine::tick));
+    control.executeEvery(STATE_POLL_MS, () -> owned.values().forEach(OwnedEngine::pollState));
+  }
+
+  /** Queues a request for an engine; the sink gets the answer or the failure. */
+  public void submit(TargetId target, EngineRequest request, AnswerSink sink) {
+    Optional<Target> declared = targets.apply(target);
+    if (declared.isEmpty() || !ownership.mayDispatch(target)) {
+      sink.failed(
+          new Outcome.NotRun(
+              new Failure(
+                  Step.QUEUE, target.value(), "not_owner", "this instance does not own it")));
+      return;
+    }
+    owned
+        .computeIfAbsent(
+            target, id -> new OwnedEngine(id, declared.get(), control, engines, ownership))
+        .submit(request, sink);
+  }
+
+  /** Cancels a request. */
+  public void cancel(TargetId target, RequestId id) {
+    OwnedEngine engine = owned.get(target);
+    if (engine != null) {
+      engine.cancel(id);
+    }
+  }
+
+  /** Returns the load of an engine for the instances that send requests to it. */
+  public PeerMessage.TargetLoad loadOf(TargetId target) {
+    OwnedEngine engine = owned.get(target);
+    return engine == null
+        ? new PeerMessage.TargetLoad(target.value(), 0, 0, List.of())
+        : engine.load();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/peer/PeerCodec.java
@@ -0,0 +1,29 @@
+package org.apricotstand.peer;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.MessageToMessageCodec;
+import java.io.IOException;
+import java.util.List;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+
+/** Converts frames to messages and back. */
+final class PeerCodec extends MessageToMessageCodec<ByteBuf, PeerMessage> {
+
+  private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+
+  @Override
+  protected void encode(ChannelHandlerContext context, PeerMessage message, List<Object> out)
+      throws IOException {
+    byte[] bytes = MAPPER.writerFor(PeerMessage.class).writeValueAsBytes(message);
+    out.add(context.alloc().buffer(bytes.length).writeBytes(bytes));
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf frame, List<Object> out)
+      throws IOException {
+    out.add(MAPPER.readValue(ByteBufUtil.getBytes(frame), PeerMessage.class));
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -0,0 +1,162 @@
+package org.apricotstand.peer;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import java.util.Map;
+
+/** A message between two instances. Every record is one message type. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = PeerMessage.Hello.class, name = "hello"),
+  @JsonSubTypes.Type(value = PeerMessage.Heartbeat.class, name = "heartbeat"),
+  @JsonSubTypes.Type(value = PeerMessage.Route.class, name = "route"),
+  @JsonSubTypes.Type(value = PeerMessage.RouteHead.class, name = "route_head"),
+  @JsonSubTypes.Type(value = PeerMessage.RouteChunk.class, name = "route_chunk"),
+  @JsonSubTypes.Type(value = PeerMessage.RouteEnd.class, name = "route_end"),
+  @JsonSubTypes.Type(value = PeerMessage.RouteFailed.class, name = "route_failed"),
+  @JsonSubTypes.Type(value = PeerMessage.RouteCancel.class, name = "route_cancel"),
+  @JsonSubTypes.Type(value = PeerMessage.RouteCredit.class, name = "route_credit"),
+  @JsonSubTypes.Type(value = PeerMessage.RevisionAnnounced.class, name = "revision_announced"),
+  @JsonSubTypes.Type(value = PeerMessage.RevisionWanted.class, name = "revision_wanted"),
+  @JsonSubTypes.Type(value = PeerMessage.RevisionContent.class, name = "revision_content"),
+  @JsonSubTypes.Type(value = PeerMessage.PromiseWanted.class, name = "promise_wanted"),
+  @JsonSubTypes.Type(value = PeerMessage.PromiseGiven.class, name = "promise_given"),
+  @JsonSubTypes.Type(value = PeerMessage.HandoverOffered.class, name = "handover_offered"),
+  @JsonSubTypes.Type(value = PeerMessage.HandoverDone.class, name = "handover_done"),
+  @JsonSubTypes.Type(value = PeerMessage.TokensWanted.class, name = "tokens_wanted"),
+  @JsonSubTypes.Type(value = PeerMessage.TokensLent.class, name = "tokens_lent"),
+  @JsonSubTypes.Type(value = PeerMessage.SuspectNoted.class, name = "suspect_noted"),
+  @JsonSubTypes.Type(value = PeerMessage.ClaimWaited.class, name = "claim_waited"),
+  @JsonSubTypes.Type(value = PeerMessage.ClaimAnswered.class, name = "claim_answered")
+})
+public sealed interface PeerMessage {
+
+  /** Version of the protocol; instances of other versions are refused. */
+  int PROTOCOL_VERSION = 1;
+
+  /** First message on a link, in both directions. */
+  record Hello(int protocolVersion, String instance, long incarnation, String domain)
+      implements PeerMessage {}
+
+  /** Shows that the sender is alive; sent on links in use. */
+  record Heartbeat(boolean leaving) implements PeerMessage {}
+
+  /**
+   * Passes a model request to the owner of a target.
+   *
+   * @param requestId identifier of the request
+   * @param attempt number of the attempt
+   * @param target name of the engine
+   * @param adapterVersion ADAPTER@VERSION
+   * @param revision revision under which the request was admitted
+   * @param remainingMs time left until its deadline
+   * @param requestClass priority class
+   * @param caller name of the caller
+   * @param path path at the engine
+   * @param traceparent W3C trace context
+   * @param body body for the engine
+   * @param creditBytes answer bytes that may be sent before a {@link RouteCredit}
+   */
+  record Route(
+      String requestId,
+      int attempt,
+      String target,
+      String adapterVersion,
+      long revision,
+      long remainingMs,
+      String requestClass,
+      String caller,
+      String path,
+      String traceparent,
+      byte[] body,
+      int creditBytes)
+      implements PeerMessage {}
+
+  /** Start of the answer to a {@link Route}. */
+  record RouteHead(String requestId, int attempt, int status, Map<String, String> headers)
+      implements PeerMessage {}
+
+  /** Part of the answer. */
+  record RouteChunk(String requestId, int attempt, byte[] part) implements PeerMessage {}
+
+  /** End of a whole answer, with the load and residency of the target. */
+  record RouteEnd(String requestId, int attempt, TargetLoad load) implements PeerMessage {}
+
+  /**
+   * End of a request without a whole answer.
+   *
+   * @param notRun whether no target ran it; otherwise its outcome is unknown
+   */
+  record RouteFailed(
+      String requestId,
+      int attempt,
+      boolean notRun,
+      String step,
+      String peer,
+      String code,
+      String detail,
+      TargetLoad load)
+      implements PeerMessage {}
+
+  /** The caller no longer wants the answer. */
+  record RouteCancel(String requestId, int attempt) implements PeerMessage {}
+
+  /** Allows further answer bytes. */
+  record RouteCredit(String requestId, int attempt, int bytes) implements PeerMessage {}
+
+  /**
+   * Load of a target as its owner knows it.
+   *
+   * @param target name of the engine
+   * @param waiting requests in the queue
+   * @param running requests in the batch
+   * @param resident adapter versions in slots
+   */
+  record TargetLoad(String target, int waiting, int running, List<String> resident) {}
+
+  /** A revision is in force at the sender. */
+  record RevisionAnnounced(long revision, String contentHash, String nonce)
+      implements PeerMessage {}
+
+  /** Asks for the content of a revision. */
+  record RevisionWanted(long revision) implements PeerMessage {}
+
+  /** Content of a revision. */
+  record RevisionContent(long revision, String contentHash, String nonce, byte[] content)
+      implements PeerMessage {}
+
+  /** Asks the receiver not to take over the sender's targets for a time. */
+  record PromiseWanted(long round, long incarnation, long forMs) implements PeerMessage {}
+
+  /** Answers {@link PromiseWanted}. */
+  record PromiseGiven(long round, boolean granted) implements PeerMessage {}
+
+  /** Offers the ownership of a target to its next owner. */
+  record HandoverOffered(String target, long fencing) implements PeerMessage {}
+
+  /** The former owner runs no more requests on the target. */
+  record HandoverDone(String target, long fencing) implements PeerMessage {}
+
+  /** Asks for rights to start loads. */
+  record TokensWanted(long round, int tokens) implements PeerMessage {}
+
+  /** Lends rights to start loads; unused ones are void after the given time. */
+  record TokensLent(long round, int tokens, long validMs) implements PeerMessage {}
+
+  /** A request with this fingerprint was running when a target crashed. */
+  record SuspectNoted(String fingerprint, String target, long targetIncarnation)
+      implements PeerMessage {}
+
+  /** Asks the holder of a claim for the answer. */
+  record ClaimWaited(String waitId, String claimKey, long remainingMs) implements PeerMessage {}
+
+  /**
+   * Answers {@link ClaimWaited}.
+   *
+   * @param state "answered" or "unknown"
+   */
+  record ClaimAnswered(
+      String waitId, String state, int status, Map<String, String> headers, byte[] body)
+      implements PeerMessage {}
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Ports to the platform's services, and their HTTP clients. */
+package org.apricotstand.platform;
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Settings of one instance, read from YAML. */
+package org.apricotstand.settings;
--- /dev/null
+++ b/standin/src/main/java/org/apricotstand/standin/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of a model engine. */
+package org.apricotstand.standin.engine;
--- /dev/null
+++ b/standin/src/main/java/org/apricotstand/standin/service/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of a plain service. */
+package org.apricotstand.standin.service;
