--- a/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
@@ -147,7 +147,10 @@
                 linkClosed(peer, link);
               } else {
                 done.channel().closeFuture().addListener(closed -> linkClosed(peer, link));
-                link.attach(done.channel());
+                // Netty completes the connect future before channelActive, which sends the
+                // greeting.
+                // The greeting must be the first message, so the waiting ones follow it.
+                done.channel().eventLoop().execute(() -> link.attach(done.channel()));
               }
             });
     return link;
