--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -58,8 +58,7 @@
     HttpUtil.setKeepAlive(request, false);
     current = new NettyExchange(context, request, this::finished);
     String code = tooLarge ? "headers_too_large" : "malformed_request";
-    current.respondJson(
-        status.code(), "{\"error\":{\"code\":\"" + code + "\",\"outcome\":\"not_run\"}}");
+    current.respondJson(status.code(), BodyCollector.notRun(code));
   }
 
   private void finished(ChannelHandlerContext context, boolean keepAlive) {
--- a/node/src/main/java/org/apricotstand/http/HttpServer.java
+++ b/node/src/main/java/org/apricotstand/http/HttpServer.java
@@ -10,7 +10,6 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
@@ -76,11 +75,14 @@
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
             .setMaxHeaderSize(limits.maxHeaderBytes());
+    RequestDeadline requestDeadline = new RequestDeadline(limits.requestMs());
     channel
         .pipeline()
         .addLast(new IdleStateHandler(0, 0, limits.idleMs(), TimeUnit.MILLISECONDS))
+        .addLast(requestDeadline)
         .addLast(new HttpServerCodec(decoder))
-        .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
+        .addLast(new RequestEnd(requestDeadline))
+        .addLast(new BodyCollector(limits.maxBodyBytes()))
         .addLast(new HttpConnection(handler));
   }
 
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/http/HttpServerTest.java
@@ -0,0 +1,145 @@
+package org.apricotstand.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpServerTest {
+
+  private static final HttpLimits LIMITS = new HttpLimits(1_024, 2_048, 8, 60_000, 500);
+  private static final String STREAMED_BODY = "firstsecond";
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final CountDownLatch callerGone = new CountDownLatch(1);
+  private final HttpServer server =
+      HttpServer.start(group, new InetSocketAddress("127.0.0.1", 0), LIMITS, this::handle);
+
+  private void handle(HttpExchange exchange) {
+    switch (exchange.request().path()) {
+      case "/stream" -> {
+        exchange.begin(200, Map.of());
+        exchange.write("first".getBytes(StandardCharsets.UTF_8));
+        exchange.write("second".getBytes(StandardCharsets.UTF_8));
+        exchange.end();
+      }
+      case "/broken" -> {
+        exchange.begin(200, Map.of());
+        exchange.write("first".getBytes(StandardCharsets.UTF_8));
+        exchange.abort();
+      }
+      case "/flood" -> {
+        exchange.onClosed(callerGone::countDown);
+        exchange.begin(200, Map.of());
+        writeUntilClosed(exchange);
+      }
+      default -> exchange.respondJson(200, "\"" + exchange.request().header("x-name") + "\"");
+    }
+  }
+
+  private void writeUntilClosed(HttpExchange exchange) {
+    exchange.write(new byte[1_024]);
+    if (callerGone.getCount() > 0) {
+      group.schedule(() -> writeUntilClosed(exchange), 1, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /** Guards against chunked bodies to callers that cannot read them. */
+  @Test
+  void endsStreamOfHttp10ByClosing() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      String answer = caller.send("GET /stream HTTP/1.0\r\n\r\n").readAll();
+      assertThat(answer.toLowerCase(java.util.Locale.ROOT)).doesNotContain("chunked");
+      assertThat(answer).endsWith("\r\n\r\n" + STREAMED_BODY);
+    }
+  }
+
+  /** Guards against a broken stream that looks whole to a caller that reads until the close. */
+  @Test
+  void resetsBrokenStreamOfHttp10() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET /broken HTTP/1.0\r\n\r\n");
+      assertThrows(SocketException.class, caller::readAll);
+    }
+  }
+
+  /** Guards against dropping the request of a caller that closes its sending side. */
+  @Test
+  void answersHalfClosedConnection() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      String answer =
+          caller.send("GET / HTTP/1.1\r\nX-NAME: Anna\r\n\r\n").closeSendingSide().readAll();
+      assertThat(answer).endsWith("\"Anna\"");
+    }
+  }
+
+  /** Guards against crossed answers on one connection. */
+  @Test
+  void answersPipelinedRequestsInOrder() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET / HTTP/1.1\r\nx-name: one\r\n\r\nGET / HTTP/1.1\r\nx-name: two\r\n\r\n");
+      assertThat(caller.readUntil("\"one\"")).contains("200 OK");
+      assertThat(caller.readUntil("\"two\"")).contains("200 OK");
+    }
+  }
+
+  /** Guards against unbounded bodies, and against a refusal that breaks the connection. */
+  @Test
+  void refusesTooLargeBodyAndGoesOn() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      String body = "x".repeat(LIMITS.maxBodyBytes() + 1);
+      caller.send("POST / HTTP/1.1\r\ncontent-length: " + body.length() + "\r\n\r\n");
+      String answer = caller.readUntil("}}");
+      assertThat(answer).startsWith("HTTP/1.1 413");
+      assertThat(answer).contains("body_too_large");
+      caller.send(body + "GET / HTTP/1.1\r\nx-name: next\r\n\r\n");
+      assertThat(caller.readUntil("\"next\"")).contains("200 OK");
+    }
+  }
+
+  /** Guards against unbounded header blocks. */
+  @Test
+  void refusesTooLargeHeaders() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      String value = "x".repeat(LIMITS.maxHeaderBytes());
+      String answer = caller.send("GET / HTTP/1.1\r\nx-name: " + value + "\r\n\r\n").readAll();
+      assertThat(answer).startsWith("HTTP/1.1 431");
+      assertThat(answer).contains("headers_too_large");
+    }
+  }
+
+  /** Guards against senders that hold a connection with an incomplete request. */
+  @Test
+  void closesIncompleteRequest() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      assertThat(caller.send("GET / HTTP/1.1\r\nx-name:").readAll()).isEmpty();
+    }
+  }
+
+  /** Guards against work that goes on for a caller that hung up. */
+  @Test
+  void reportsCallerThatHungUp() throws Exception {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET /flood HTTP/1.1\r\n\r\n").readUntil("\r\n\r\n");
+    }
+    assertThat(callerGone.await(20, TimeUnit.SECONDS)).isTrue();
+  }
+}
