Add scheduler events for takeover quarantine, frozen commands and lost ownership

The ownership logic needs events to start and end a quarantine. A request can be marked to run alone in the batch; the former constructor stays for requests that are not.

--- a/core/src/main/java/org/apricotstand/schedule/ScheduledRequest.java
+++ b/core/src/main/java/org/apricotstand/schedule/ScheduledRequest.java
@@ -14,6 +14,7 @@
  * @param caller name of the caller, for fair shares
  * @param arrivedMs when the owner received it, monotonic
  * @param deadlineMs when its answer is due, monotonic
+ * @param alone whether nothing else may run in the engine's batch with it, as for a suspect
  */
 public record ScheduledRequest(
     RequestId id,
@@ -22,4 +23,18 @@
     RequestClass requestClass,
     String caller,
     long arrivedMs,
-    long deadlineMs) {}
+    long deadlineMs,
+    boolean alone) {
+
+  /** Creates a request that may share the batch with others. */
+  public ScheduledRequest(
+      RequestId id,
+      int attempt,
+      AdapterVersion adapterVersion,
+      RequestClass requestClass,
+      String caller,
+      long arrivedMs,
+      long deadlineMs) {
+    this(id, attempt, adapterVersion, requestClass, caller, arrivedMs, deadlineMs, false);
+  }
+}
--- a/core/src/main/java/org/apricotstand/schedule/SchedulerEvent.java
+++ b/core/src/main/java/org/apricotstand/schedule/SchedulerEvent.java
@@ -43,6 +43,24 @@
   /** The engine does not answer. */
   record EngineLost(Failure failure) implements SchedulerEvent {}
 
+  /**
+   * The engine was taken over without a handover. Every adapter version that it holds, apart from
+   * those that this owner loads itself, is in quarantine until {@link QuarantineEnded}: the former
+   * owner may still run requests on it, so it is never evicted.
+   */
+  record Inherited() implements SchedulerEvent {}
+
+  /** The former owner runs nothing more on the engine; inherited slots may be evicted. */
+  record QuarantineEnded() implements SchedulerEvent {}
+
+  /**
+   * Whether loads and evictions may be ordered. While they may not, resident adapters are served.
+   */
+  record CommandsAllowed(boolean allowed) implements SchedulerEvent {}
+
+  /** This instance no longer owns the engine; waiting requests are refused as not run. */
+  record OwnershipLost(Failure failure) implements SchedulerEvent {}
+
   /** Time passed. */
   record Tick() implements SchedulerEvent {}
 }
--- a/core/src/main/java/org/apricotstand/schedule/TargetScheduler.java
+++ b/core/src/main/java/org/apricotstand/schedule/TargetScheduler.java
@@ -64,6 +64,10 @@
           slots.put(kept, new Slot(SlotState.RESIDENT, nowMs));
       case SchedulerEvent.EngineReported report -> applyReport(report, nowMs);
       case SchedulerEvent.EngineLost lost -> reachable = false;
+      case SchedulerEvent.Inherited inherited -> {}
+      case SchedulerEvent.QuarantineEnded ended -> {}
+      case SchedulerEvent.CommandsAllowed allowed -> {}
+      case SchedulerEvent.OwnershipLost lost -> {}
       case SchedulerEvent.Tick tick -> {}
     }
     refuseOverdue(nowMs, actions);
