--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -16,6 +16,7 @@
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.model.InstanceId;
+import org.apricotstand.observe.Metrics;
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.owner.PeerRequests;
 import org.apricotstand.peer.PeerMessage;
@@ -93,6 +94,7 @@
     ServiceRoute services = new ServiceRoute(configuration, http);
     InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
     Kernel kernel = new Kernel();
+    kernel.register("metrics", new Metrics());
     kernel.register("control", control);
     kernel.register("platform", platform);
     kernel.register("configuration", configuration);
