Give the stand-ins event lists, faults, caches, resume and lagging reports

The platform gets outages, slowness, lost answers, counters and a lagging instance list; the plain service gets a list of its runs and faults around a run.

--- a/cli/src/main/java/org/apricotstand/cli/StandInCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/StandInCommand.java
@@ -43,6 +43,21 @@
   @Parameter(names = "--tokens", description = "tokens of an answer (engine)")
   private int tokens = 16;
 
+  @Parameter(names = "--report-lag-ms", description = "age of the state report (engine)")
+  private long reportLagMs = EngineSettings.Behavior.DEFAULT.reportLagMs();
+
+  @Parameter(names = "--cold-start-ms", description = "time from a crash to the start (engine)")
+  private long coldStartMs = EngineSettings.Behavior.DEFAULT.coldStartMs();
+
+  @Parameter(names = "--crash-marker", description = "text in a prompt that crashes it (engine)")
+  private String crashMarker = "";
+
+  @Parameter(names = "--seed", description = "seed of the random numbers (engine)")
+  private long seed = 1;
+
+  @Parameter(names = "--list-lag-ms", description = "lag of the instance list (platform)")
+  private long listLagMs = PlatformSettings.DEFAULT_LIST_LAG_MS;
+
   @Parameter(names = "--ignore-fencing", description = "accepts old fencing numbers (engine)")
   private boolean ignoreFencing;
 
@@ -58,7 +73,9 @@
   @Parameter(names = "--load-ms", description = "time of one load (platform)")
   private long loadMs = 250;
 
-  @Parameter(names = "--identity-header", description = "header of the identity (service)")
+  @Parameter(
+      names = {"--identity", "--identity-header"},
+      description = "header of the request identity, or JSON pointer into the body (service)")
   private String identityHeader = "x-order-id";
 
   @Override
@@ -66,14 +83,13 @@
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
     switch (kind.getFirst()) {
       case "engine" -> {
-        EngineSettings settings =
-            new EngineSettings(
-                name, address, platformUrl, slots, maxBatch, stepMs, tokens, !ignoreFencing);
+        EngineSettings settings = engineSettings();
         report(StandInEngine.start(group, new HttpCaller(group), settings).address());
       }
       case "platform" -> {
         PlatformSettings settings =
-            new PlatformSettings(address, loadsPerSecond, loadBurst, loadsInFlight, loadMs);
+            new PlatformSettings(
+                address, loadsPerSecond, loadBurst, loadsInFlight, loadMs, listLagMs);
         report(StandInPlatform.start(group, settings).url());
       }
       case "service" ->
@@ -89,6 +105,23 @@
     return ExitCodes.OK;
   }
 
+  private EngineSettings engineSettings() {
+    EngineSettings.Behavior usual = EngineSettings.Behavior.DEFAULT;
+    EngineSettings.Behavior behavior =
+        new EngineSettings.Behavior(
+            usual.prefillBlocksPerStep(),
+            usual.cacheBlocks(),
+            reportLagMs,
+            usual.cacheEventLagMs(),
+            usual.cacheEventLoss(),
+            usual.resumeMs(),
+            coldStartMs,
+            crashMarker,
+            seed);
+    return new EngineSettings(
+        name, address, platformUrl, slots, maxBatch, stepMs, tokens, !ignoreFencing, behavior);
+  }
+
   private static void report(Object address) {
     System.out.println("ready address=" + address);
   }
--- a/standin/src/main/java/org/apricotstand/standin/engine/StandInEngine.java
+++ b/standin/src/main/java/org/apricotstand/standin/engine/StandInEngine.java
@@ -7,54 +7,62 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 import org.apricotstand.control.ControlThread;
-import org.apricotstand.engine.EngineHeaders;
 import org.apricotstand.engine.EngineState;
-import org.apricotstand.http.HttpCall;
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.http.HttpExchange;
 import org.apricotstand.http.HttpLimits;
-import org.apricotstand.http.HttpReply;
 import org.apricotstand.http.HttpServer;
-import org.apricotstand.model.AdapterVersion;
 import org.apricotstand.settings.InstanceSettings;
 
 /**
- * Model engine that generates fixed text: adapter slots, continuous batching with one token for
- * each running sequence in a step, and loads through the platform's weight store. All state is
- * confined to one thread.
+ * Model engine that generates fixed text, with the slots, batches, caches and faults of a real one.
+ * {@code GET /events} returns what happened as JSON lines; {@code POST /faults} sets faults, with
+ * the fields of {@link EngineFaults}.
+ *
+ * <pre>{@code
+ * StandInEngine engine = StandInEngine.start(group, http, settings);
+ * List<EngineEvent> events = engine.events();
+ * }</pre>
  */
 public final class StandInEngine implements AutoCloseable {
 
   private static final ObjectMapper JSON = new ObjectMapper();
-  private static final long LOAD_TIMEOUT_MS = 60_000;
-  private static final int CONFLICT = 409;
-  private static final int UNAVAILABLE = 503;
+  private static final long REBIND_MS = 20;
+  private static final long SNAPSHOTS_PER_LAG = 4;
 
   private final EngineSettings settings;
+  private final EventLoopGroup group;
   private final HttpCaller http;
   private final ControlThread thread = new ControlThread();
-  private final HttpServer server;
-  private final long incarnation = System.nanoTime();
-  private final Map<String, Boolean> slots = new LinkedHashMap<>();
-  private final List<Sequence> running = new ArrayList<>();
-  private final List<Sequence> waiting = new ArrayList<>();
-  private long highestFencing;
+  private final EngineFaults faults;
+  private final EngineJournal journal;
+  private final Deque<Snapshot> snapshots = new ArrayDeque<>();
+  private final InetSocketAddress address;
+  private volatile HttpServer server;
+  private EngineProcess process;
+  private volatile boolean closed;
+
+  private record Snapshot(long atMs, EngineState state) {}
 
   private StandInEngine(EventLoopGroup group, HttpCaller http, EngineSettings settings) {
     this.settings = settings;
+    this.group = group;
     this.http = http;
-    this.server =
-        HttpServer.start(
-            group,
-            InstanceSettings.parseAddress(settings.address()),
-            HttpLimits.DEFAULT,
-            exchange -> thread.execute(() -> handle(exchange)));
-    thread.executeEvery(settings.stepMs(), this::step);
+    this.faults = new EngineFaults(settings);
+    this.journal = new EngineJournal(settings.name());
+    this.process = newProcess();
+    this.server = listen(InstanceSettings.parseAddress(settings.address()));
+    this.address = server.address();
+    long lagMs = settings.behavior().reportLagMs();
+    if (lagMs > 0) {
+      thread.executeEvery(Math.max(1, lagMs / SNAPSHOTS_PER_LAG), this::takeSnapshot);
+    }
   }
 
   /** Starts an engine. */
@@ -65,129 +73,97 @@
 
   /** Returns the address that the engine listens on. */
   public InetSocketAddress address() {
-    return server.address();
+    return address;
+  }
+
+  /** Returns what happened so far, over all incarnations. */
+  public List<EngineEvent> events() {
+    return journal.events();
+  }
+
+  /** Returns how full the batches were so far. */
+  public BatchStatistics statistics() {
+    return journal.statistics(settings.maxBatch());
+  }
+
+  private EngineProcess newProcess() {
+    return new EngineProcess(
+        settings, faults, journal, http, thread, this::crash, System.nanoTime());
+  }
+
+  private HttpServer listen(InetSocketAddress local) {
+    return HttpServer.start(
+        group, local, HttpLimits.DEFAULT, exchange -> thread.execute(() -> handle(exchange)));
   }
 
   private void handle(HttpExchange exchange) {
     switch (exchange.request().path()) {
-      case "/v1/completions", "/v1/chat/completions" -> generate(exchange);
-      case "/v1/load_lora_adapter" -> load(exchange);
-      case "/v1/unload_lora_adapter" -> unload(exchange);
-      case "/v1/cancel" -> cancel(exchange);
-      case "/v1/state" -> exchange.respondJson(200, encode(state()));
+      case "/v1/completions", "/v1/chat/completions" -> process.generate(exchange, parse(exchange));
+      case "/v1/load_lora_adapter" -> process.load(exchange, parse(exchange));
+      case "/v1/unload_lora_adapter" -> process.unload(exchange, parse(exchange));
+      case "/v1/cancel" -> process.cancel(exchange, parse(exchange));
+      case "/v1/resume" -> process.resume(exchange, parse(exchange));
+      case "/v1/state" -> exchange.respondJson(200, encode(reportedState()));
+      case "/v1/cache_events" ->
+          exchange.respondJson(200, encode(process.cacheEvents(fromNumber(exchange))));
+      case "/events" -> respondLines(exchange, events());
+      case "/statistics" -> exchange.respondJson(200, encode(statistics()));
+      case "/faults" -> setFaults(exchange, parse(exchange));
       default -> exchange.respondJson(404, "{}");
     }
   }
 
-  private EngineState state() {
-    List<String> resident =
-        slots.entrySet().stream().filter(Map.Entry::getValue).map(Map.Entry::getKey).toList();
-    return new EngineState(
-        incarnation,
-        settings.slots(),
-        settings.maxBatch(),
-        running.size(),
-        waiting.size(),
-        resident);
-  }
-
-  private void generate(HttpExchange exchange) {
-    JsonNode body = parse(exchange);
-    String name = body.path("model").asText();
-    if (isStale(exchange)) {
-      exchange.respondJson(CONFLICT, error("stale_fencing"));
-    } else if (!slots.getOrDefault(name, false)) {
-      exchange.respondJson(CONFLICT, error("adapter_not_loaded"));
-    } else {
-      Sequence sequence =
-          new Sequence(
-              exchange,
-              exchange.request().header(EngineHeaders.REQUEST_ID),
-              AdapterVersion.parse(name),
-              incarnation,
-              body.path("stream").asBoolean(),
-              body.path("max_tokens").asInt(settings.tokens()));
-      exchange.onClosed(() -> thread.execute(() -> drop(sequence)));
-      waiting.add(sequence);
-    }
-  }
-
-  private void drop(Sequence sequence) {
-    running.remove(sequence);
-    waiting.remove(sequence);
+  private static long fromNumber(HttpExchange exchange) {
+    String query = exchange.request().query();
+    return query.startsWith("from=") ? Long.parseLong(query.substring("from=".length())) : 0;
   }
 
-  private void cancel(HttpExchange exchange) {
-    String id = parse(exchange).path("request_id").asText();
-    List<Sequence> canceled =
-        java.util.stream.Stream.concat(running.stream(), waiting.stream())
-            .filter(sequence -> sequence.requestId().equals(id))
-            .toList();
-    canceled.forEach(
-        sequence -> {
-          drop(sequence);
-          sequence.abort();
-        });
+  private void setFaults(HttpExchange exchange, JsonNode change) {
+    faults.apply(change);
     exchange.respondJson(200, "{}");
+    if (change.path("crash").asBoolean()) {
+      crash();
+    }
   }
 
-  private void step() {
-    while (running.size() < settings.maxBatch() && !waiting.isEmpty()) {
-      running.add(waiting.removeFirst());
-    }
-    running.forEach(Sequence::step);
-    running.removeIf(Sequence::isDone);
-  }
-
-  private void load(HttpExchange exchange) {
-    String name = parse(exchange).path("lora_name").asText();
-    if (isStale(exchange)) {
-      exchange.respondJson(CONFLICT, error("stale_fencing"));
-    } else if (slots.containsKey(name)) {
-      exchange.respondJson(200, "{}");
-    } else if (slots.size() >= settings.slots()) {
-      exchange.respondJson(CONFLICT, error("no_free_slot"));
-    } else {
-      slots.put(name, false);
-      fetchWeights(exchange, name);
+  private void takeSnapshot() {
+    long nowMs = ControlThread.nowMs();
+    snapshots.add(new Snapshot(nowMs, process.state()));
+    while (snapshots.size() > 1
+        && snapshots.peek().atMs() < nowMs - settings.behavior().reportLagMs()) {
+      snapshots.remove();
     }
   }
 
-  private void fetchWeights(HttpExchange exchange, String name) {
-    AdapterVersion wanted = AdapterVersion.parse(name);
-    String url = settings.platformUrl() + "/weights/" + wanted.adapter() + "/" + wanted.version();
-    http.send(HttpCall.get(url, ControlThread.nowMs() + LOAD_TIMEOUT_MS))
-        .whenComplete(
-            (reply, failure) -> thread.execute(() -> fetched(exchange, name, reply, failure)));
+  private EngineState reportedState() {
+    return snapshots.isEmpty() ? process.state() : snapshots.peek().state();
   }
 
-  private void fetched(HttpExchange exchange, String name, HttpReply reply, Throwable failure) {
-    if (failure == null && reply.isSuccess()) {
-      slots.put(name, true);
-      exchange.respondJson(200, "{}");
-    } else {
-      slots.remove(name);
-      exchange.respondJson(UNAVAILABLE, error("weights_unavailable"));
-    }
+  /** Ends the process as a crash would; the next one starts cold on the same address. */
+  private void crash() {
+    process.die();
+    server.close();
+    snapshots.clear();
+    thread.executeAt(ControlThread.nowMs() + settings.behavior().coldStartMs(), this::startAgain);
   }
 
-  private void unload(HttpExchange exchange) {
-    if (isStale(exchange)) {
-      exchange.respondJson(CONFLICT, error("stale_fencing"));
+  private void startAgain() {
+    if (closed) {
       return;
     }
-    slots.remove(parse(exchange).path("lora_name").asText());
-    exchange.respondJson(200, "{}");
+    try {
+      server = listen(address);
+    } catch (RuntimeException e) {
+      // The selector gives a closed socket back late, so the address may still be taken.
+      thread.executeAt(ControlThread.nowMs() + REBIND_MS, this::startAgain);
+      return;
+    }
+    process = newProcess();
   }
 
-  private boolean isStale(HttpExchange exchange) {
-    String header = exchange.request().header(EngineHeaders.FENCING);
-    long fencing = header == null ? 0 : Long.parseLong(header);
-    if (fencing < highestFencing) {
-      return settings.enforceFencing();
-    }
-    highestFencing = fencing;
-    return false;
+  private static void respondLines(HttpExchange exchange, List<EngineEvent> events) {
+    String lines = events.stream().map(event -> encode(event) + "\n").collect(Collectors.joining());
+    exchange.respond(200, Map.of("content-type", "application/x-ndjson"), bytes(lines));
   }
 
   private static JsonNode parse(HttpExchange exchange) {
@@ -216,6 +192,7 @@
 
   @Override
   public void close() {
+    closed = true;
     server.close();
     thread.stop();
   }
--- /dev/null
+++ b/standin/src/main/java/org/apricotstand/standin/platform/LostAnswer.java
@@ -0,0 +1,54 @@
+package org.apricotstand.standin.platform;
+
+import java.util.Map;
+import org.apricotstand.http.HttpExchange;
+import org.apricotstand.http.HttpRequest;
+
+/** Exchange whose answer is lost: the connection breaks where the answer would start. */
+record LostAnswer(HttpExchange exchange) implements HttpExchange {
+
+  @Override
+  public HttpRequest request() {
+    return exchange.request();
+  }
+
+  @Override
+  public void respond(int status, Map<String, String> headers, byte[] body) {
+    exchange.abort();
+  }
+
+  @Override
+  public void begin(int status, Map<String, String> headers) {
+    exchange.abort();
+  }
+
+  @Override
+  public void write(byte[] part) {
+    exchange.abort();
+  }
+
+  @Override
+  public void end() {
+    exchange.abort();
+  }
+
+  @Override
+  public void abort() {
+    exchange.abort();
+  }
+
+  @Override
+  public boolean isWritable() {
+    return exchange.isWritable();
+  }
+
+  @Override
+  public void onWritable(Runnable listener) {
+    exchange.onWritable(listener);
+  }
+
+  @Override
+  public void onClosed(Runnable listener) {
+    exchange.onClosed(listener);
+  }
+}
--- a/standin/src/main/java/org/apricotstand/standin/platform/StandInPlatform.java
+++ b/standin/src/main/java/org/apricotstand/standin/platform/StandInPlatform.java
@@ -8,9 +8,10 @@
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.http.HttpExchange;
 import org.apricotstand.http.HttpLimits;
@@ -21,21 +22,29 @@
 import org.apricotstand.platform.TableService.Transaction;
 import org.apricotstand.settings.InstanceSettings;
 
-/** Platform in memory, served over HTTP. All state is confined to one thread. */
+/**
+ * Platform in memory, served over HTTP. All state is confined to one thread. {@code POST /faults}
+ * sets faults, with the fields of {@link PlatformFaults}; {@code GET /counters} returns the reads
+ * and writes, {@code GET /loads} the loads of the weight store.
+ */
 public final class StandInPlatform implements AutoCloseable {
 
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int CONFLICT = 409;
   private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
 
   private final ControlThread thread = new ControlThread();
   private final Tables tables = new Tables();
   private final Map<String, byte[]> objects = new HashMap<>();
-  private final Map<String, Listed> instances = new TreeMap<>();
+  private final PlatformFaults faults = new PlatformFaults();
+  private final OperationCounters counters = new OperationCounters();
+  private final LaggingList instances;
   private final WeightStore weights;
   private final HttpServer server;
 
   private StandInPlatform(EventLoopGroup group, PlatformSettings settings) {
+    this.instances = new LaggingList(settings.listLagMs());
     this.weights =
         new WeightStore(
             settings.loadsPerSecond(),
@@ -61,15 +70,65 @@
     return "http://" + address.getAddress().getHostAddress() + ":" + address.getPort();
   }
 
+  /** Returns the loads of the weight store so far. */
+  public List<WeightLoad> loads() {
+    return CompletableFuture.supplyAsync(weights::loads, thread).join();
+  }
+
+  /** Returns the numbers of reads and writes so far, as JSON text. */
+  public String counters() {
+    return CompletableFuture.supplyAsync(() -> encode(counters.totals()), thread).join();
+  }
+
   private void handle(HttpExchange exchange) {
     String[] parts = exchange.request().path().split("/");
+    String service = parts.length > 1 ? parts[1] : "";
+    switch (service) {
+      case "faults" -> setFaults(exchange);
+      case "counters" -> exchange.respondJson(200, encode(counters.totals()));
+      case "loads" -> exchange.respondJson(200, encode(weights.loads()));
+      case "tables", "objects", "weights", "instances" -> serve(exchange, service, parts);
+      default -> exchange.respondJson(NOT_FOUND, "{}");
+    }
+  }
+
+  private void setFaults(HttpExchange exchange) {
     try {
-      switch (parts[1]) {
-        case "tables" -> handleTable(exchange, parts);
-        case "objects" -> handleObject(exchange, decode(parts[2]));
-        case "weights" -> load(exchange);
-        case "instances" -> handleInstances(exchange);
-        default -> exchange.respondJson(NOT_FOUND, "{}");
+      faults.apply(JSON.readTree(exchange.request().body()));
+      exchange.respondJson(200, "{}");
+    } catch (IOException | IllegalArgumentException e) {
+      exchange.respondJson(400, "{}");
+    }
+  }
+
+  private void serve(HttpExchange exchange, String service, String[] parts) {
+    switch (faults.outage(service)) {
+      case REFUSE -> exchange.respondJson(UNAVAILABLE, "{}");
+      case ABORT -> exchange.abort();
+      case HANG -> {}
+      case NONE -> {
+        long slowMs = faults.slowMs(service);
+        if (slowMs == 0) {
+          perform(exchange, service, parts);
+        } else {
+          thread.executeAt(ControlThread.nowMs() + slowMs, () -> perform(exchange, service, parts));
+        }
+      }
+      default -> throw new IllegalStateException();
+    }
+  }
+
+  private void perform(HttpExchange exchange, String service, String[] parts) {
+    boolean write = !exchange.request().method().equals("GET");
+    counters.count(service, write, ControlThread.nowMs());
+    HttpExchange answering =
+        write && faults.takeLostAnswer(service) ? new LostAnswer(exchange) : exchange;
+    try {
+      switch (service) {
+        case "tables" -> handleTable(answering, parts);
+        case "objects" -> handleObject(answering, decode(parts[2]));
+        case "weights" -> load(answering, parts);
+        default -> handleInstances(answering, parts);
       }
     } catch (IOException e) {
       exchange.respondJson(400, "{}");
@@ -102,8 +161,9 @@
     }
   }
 
-  private void load(HttpExchange exchange) {
-    long doneMs = weights.start(ControlThread.nowMs());
+  private void load(HttpExchange exchange, String[] parts) {
+    String adapterVersion = parts.length > 3 ? decode(parts[2]) + "@" + decode(parts[3]) : "";
+    long doneMs = weights.start(adapterVersion, ControlThread.nowMs());
     thread.executeAt(
         doneMs,
         () -> {
@@ -112,13 +172,18 @@
         });
   }
 
-  private void handleInstances(HttpExchange exchange) throws IOException {
-    if (exchange.request().method().equals("POST")) {
-      Listed listed = JSON.readValue(exchange.request().body(), Listed.class);
-      instances.put(listed.name(), listed);
-      exchange.respondJson(200, "{}");
-    } else {
-      exchange.respondJson(200, encode(instances.values()));
+  private void handleInstances(HttpExchange exchange, String[] parts) throws IOException {
+    long nowMs = ControlThread.nowMs();
+    switch (exchange.request().method()) {
+      case "POST" -> {
+        instances.put(JSON.readValue(exchange.request().body(), Listed.class), nowMs);
+        exchange.respondJson(200, "{}");
+      }
+      case "DELETE" -> {
+        instances.remove(decode(parts[2]), nowMs);
+        exchange.respondJson(200, "{}");
+      }
+      default -> exchange.respondJson(200, encode(instances.shown(nowMs)));
     }
   }
 
--- a/standin/src/main/java/org/apricotstand/standin/platform/WeightStore.java
+++ b/standin/src/main/java/org/apricotstand/standin/platform/WeightStore.java
@@ -1,5 +1,8 @@
 package org.apricotstand.standin.platform;
 
+import java.util.ArrayList;
+import java.util.List;
+
 /**
  * Times the loads of adapter weights: a rate limit with a small burst, and a load time that grows
  * when more loads are in flight than the store serves at full speed.
@@ -12,6 +15,7 @@
   private final int burst;
   private final int fullSpeedInFlight;
   private final long loadMs;
+  private final List<WeightLoad> loads = new ArrayList<>();
   private double nextFreeMs;
   private int inFlight;
 
@@ -23,16 +27,22 @@
   }
 
   /** Starts a load and returns when it is complete. */
-  long start(long nowMs) {
+  long start(String adapterVersion, long nowMs) {
     inFlight++;
     double intervalMs = MS_PER_S / loadsPerSecond;
     double startMs = Math.max(nowMs, nextFreeMs - (burst - 1) * intervalMs);
     nextFreeMs = Math.max(nextFreeMs, nowMs) + intervalMs;
     double slowdown = Math.max(1.0, (double) inFlight / fullSpeedInFlight);
-    return (long) Math.ceil(startMs + loadMs * slowdown);
+    long doneMs = (long) Math.ceil(startMs + loadMs * slowdown);
+    loads.add(new WeightLoad(adapterVersion, nowMs, (long) startMs, doneMs, inFlight));
+    return doneMs;
   }
 
   void finish() {
     inFlight--;
   }
+
+  List<WeightLoad> loads() {
+    return List.copyOf(loads);
+  }
 }
--- a/standin/src/main/java/org/apricotstand/standin/service/StandInService.java
+++ b/standin/src/main/java/org/apricotstand/standin/service/StandInService.java
@@ -1,29 +1,51 @@
 package org.apricotstand.standin.service;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.apricotstand.control.ControlThread;
 import org.apricotstand.http.HttpExchange;
 import org.apricotstand.http.HttpLimits;
+import org.apricotstand.http.HttpRequest;
 import org.apricotstand.http.HttpServer;
 
-/** Plain service that counts its runs by request identity. */
+/**
+ * Plain service that counts its runs by request identity. {@code GET /events} returns the runs as
+ * JSON lines; {@code POST /faults} sets faults, with the fields of {@link ServiceFaults}.
+ */
 public final class StandInService implements AutoCloseable {
 
-  private final String identityHeader;
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final String identity;
   private final Map<String, Integer> runs = new TreeMap<>();
+  private final List<ServiceEvent> events = new ArrayList<>();
+  private final ServiceFaults faults = new ServiceFaults();
+  private final ControlThread timer = new ControlThread();
   private final HttpServer server;
 
-  private StandInService(EventLoopGroup group, InetSocketAddress address, String identityHeader) {
-    this.identityHeader = identityHeader;
+  private StandInService(EventLoopGroup group, InetSocketAddress address, String identity) {
+    this.identity = identity;
     this.server = HttpServer.start(group, address, HttpLimits.DEFAULT, this::handle);
   }
 
-  /** Starts a service that reads the request identity from the given header. */
+  /**
+   * Starts a service.
+   *
+   * @param identity header that carries the request identity, or a JSON pointer into the body when
+   *     it starts with a slash
+   */
   public static StandInService start(
-      EventLoopGroup group, InetSocketAddress address, String identityHeader) {
-    return new StandInService(group, address, identityHeader);
+      EventLoopGroup group, InetSocketAddress address, String identity) {
+    return new StandInService(group, address, identity);
   }
 
   /** Returns the address that the service listens on. */
@@ -32,18 +54,90 @@
   }
 
   /** Returns how often a request identity was run. */
-  public synchronized int runs(String identity) {
-    return runs.getOrDefault(identity, 0);
+  public synchronized int runs(String requestIdentity) {
+    return runs.getOrDefault(requestIdentity, 0);
+  }
+
+  /** Returns all runs so far. */
+  public synchronized List<ServiceEvent> events() {
+    return List.copyOf(events);
+  }
+
+  private void handle(HttpExchange exchange) {
+    switch (exchange.request().path()) {
+      case "/events" -> respondEvents(exchange);
+      case "/faults" -> setFaults(exchange);
+      default -> run(exchange);
+    }
+  }
+
+  private synchronized void setFaults(HttpExchange exchange) {
+    try {
+      faults.apply(JSON.readTree(exchange.request().body()));
+      exchange.respondJson(200, "{}");
+    } catch (IOException e) {
+      exchange.respondJson(400, "{}");
+    }
+  }
+
+  private synchronized void run(HttpExchange exchange) {
+    ServiceFaults.Ending ending = faults.takeEnding();
+    if (ending == ServiceFaults.Ending.CRASH_BEFORE) {
+      exchange.abort();
+      return;
+    }
+    String requestIdentity = identityOf(exchange.request());
+    int count = runs.merge(requestIdentity, 1, Integer::sum);
+    events.add(
+        new ServiceEvent(ControlThread.nowMs(), requestIdentity, exchange.request().path(), count));
+    String answer = "{\"identity\":\"" + requestIdentity + "\",\"run\":" + count + "}";
+    Runnable end =
+        () -> {
+          switch (ending) {
+            case ANSWERED -> exchange.respondJson(200, answer);
+            case CRASH_AFTER -> exchange.abort();
+            default -> {}
+          }
+        };
+    if (faults.slowMs() == 0) {
+      end.run();
+    } else {
+      timer.executeAt(ControlThread.nowMs() + faults.slowMs(), end);
+    }
+  }
+
+  private String identityOf(HttpRequest request) {
+    if (!identity.startsWith("/")) {
+      String header = request.header(identity);
+      return header == null ? "" : header;
+    }
+    try {
+      return JSON.readTree(request.body()).at(identity).asText();
+    } catch (IOException e) {
+      return "";
+    }
+  }
+
+  private void respondEvents(HttpExchange exchange) {
+    String lines =
+        events().stream().map(event -> encode(event) + "\n").collect(Collectors.joining());
+    exchange.respond(
+        200,
+        Map.of("content-type", "application/x-ndjson"),
+        lines.getBytes(StandardCharsets.UTF_8));
   }
 
-  private synchronized void handle(HttpExchange exchange) {
-    String identity = exchange.request().header(identityHeader);
-    int count = runs.merge(identity == null ? "" : identity, 1, Integer::sum);
-    exchange.respondJson(200, "{\"identity\":\"" + identity + "\",\"run\":" + count + "}");
+  private static String encode(Object value) {
+    try {
+      return JSON.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
   }
 
   @Override
   public void close() {
     server.close();
+    timer.stop();
   }
 }
