Test peer links and the matching of remote answers

Change: tests for links and crossed, late and foreign answers; RemoteAnswers depends on the port PeerSender.

--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -89,6 +89,7 @@
         new OwnerService(
             control, engines, ownership, target -> configuration.current().target(target));
     RemoteAnswers remote = new RemoteAnswers(peers);
+    peers.listen(remote);
     ModelRoute models =
         new ModelRoute(self, incarnation, control, configuration, ownership, owner, remote);
     ServiceRoute services = new ServiceRoute(configuration, http);
--- a/node/src/main/java/org/apricotstand/entry/RemoteAnswers.java
+++ b/node/src/main/java/org/apricotstand/entry/RemoteAnswers.java
@@ -11,7 +11,7 @@
 import org.apricotstand.owner.AnswerSink;
 import org.apricotstand.peer.PeerListener;
 import org.apricotstand.peer.PeerMessage;
-import org.apricotstand.peer.PeerNetwork;
+import org.apricotstand.peer.PeerSender;
 
 /**
  * Matches the answers that owners send over peer links with the requests of this instance, by
@@ -22,22 +22,17 @@
   /** Answer bytes that an owner may send ahead of what the caller has taken. */
   static final int CREDIT_BYTES = 256 * 1024;
 
-  private final PeerNetwork peers;
+  private final PeerSender peers;
   private final Map<Key, Open> open = new ConcurrentHashMap<>();
 
   private record Key(String requestId, int attempt) {}
 
   private record Open(InstanceId owner, AnswerSink sink, CreditWindow window) {}
 
-  RemoteAnswers(PeerNetwork peers) {
+  RemoteAnswers(PeerSender peers) {
     this.peers = peers;
   }
 
-  @Override
-  public void start() {
-    peers.listen(this);
-  }
-
   /** Sends a request to the owner of its target and passes the answer to the sink. */
   void send(InstanceId owner, PeerMessage.Route route, AnswerSink sink) {
     Key key = new Key(route.requestId(), route.attempt());
--- a/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
@@ -32,7 +32,7 @@
  * boolean queued = peers.send(peer, new PeerMessage.RouteCancel(id, 1));
  * }</pre>
  */
-public final class PeerNetwork implements Service {
+public final class PeerNetwork implements Service, PeerSender {
 
   /** Largest frame. */
   static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
@@ -96,11 +96,12 @@
   }
 
   /**
-   * Sends a message, opening a link when there is none. Messages sent while a link opens wait for
-   * it; they are lost when it cannot be opened, which listeners see as a closed link.
+   * {@inheritDoc}
    *
-   * @return false when the peer's address is unknown
+   * <p>Opens a link when there is none. Messages sent while a link opens wait for it; they are lost
+   * when it cannot be opened, which listeners see as a closed link.
    */
+  @Override
   public boolean send(InstanceId peer, PeerMessage message) {
     PeerLink link = links.computeIfAbsent(peer, this::open);
     if (link == null) {
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/entry/RemoteAnswersTest.java
@@ -0,0 +1,151 @@
+package org.apricotstand.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.apricotstand.model.InstanceId;
+import org.apricotstand.model.Outcome;
+import org.apricotstand.owner.AnswerSink;
+import org.apricotstand.peer.PeerMessage;
+import org.junit.jupiter.api.Test;
+
+class RemoteAnswersTest {
+
+  private static final InstanceId OWNER = new InstanceId("owner");
+  private static final InstanceId OTHER = new InstanceId("other");
+  private static final PeerMessage.TargetLoad LOAD =
+      new PeerMessage.TargetLoad("engine-1", 0, 0, List.of());
+
+  private final List<PeerMessage> sent = new ArrayList<>();
+  private final RemoteAnswers answers =
+      new RemoteAnswers(
+          (peer, message) -> {
+            sent.add(message);
+            return true;
+          });
+
+  /** Sink that records what it gets. */
+  private static final class RecordingSink implements AnswerSink {
+    private final StringBuilder text = new StringBuilder();
+    private final List<Outcome> failures = new ArrayList<>();
+    private boolean ended;
+    private boolean ready = true;
+    private Runnable listener = () -> {};
+
+    @Override
+    public void head(int status, Map<String, String> headers) {}
+
+    @Override
+    public void part(byte[] part) {
+      text.append(new String(part, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void end() {
+      ended = true;
+    }
+
+    @Override
+    public void failed(Outcome outcome) {
+      failures.add(outcome);
+    }
+
+    @Override
+    public boolean isReady() {
+      return ready;
+    }
+
+    @Override
+    public void onReady(Runnable onReady) {
+      listener = onReady;
+    }
+  }
+
+  /** Guards against answers that reach the caller of another request. */
+  @Test
+  void matchesCrossedAnswersByRequest() {
+    RecordingSink first = send("r1", 1);
+    RecordingSink second = send("r2", 1);
+    chunk(OWNER, "r2", 1, "two");
+    chunk(OWNER, "r1", 1, "one");
+    assertThat(first.text.toString()).isEqualTo("one");
+    assertThat(second.text.toString()).isEqualTo("two");
+  }
+
+  /** Guards against parts of an earlier attempt in the answer of a later one. */
+  @Test
+  void dropsLateAnswerOfEarlierAttempt() {
+    RecordingSink second = send("r1", 2);
+    chunk(OWNER, "r1", 1, "late");
+    answers.onTraffic(OWNER, new PeerMessage.RouteEnd("r1", 1, LOAD));
+    assertThat(second.text.toString()).isEmpty();
+    assertThat(second.ended).isFalse();
+  }
+
+  /** Guards against an instance that answers a request that it was not sent. */
+  @Test
+  void dropsAnswerOfAnotherInstance() {
+    RecordingSink sink = send("r1", 1);
+    chunk(OTHER, "r1", 1, "wrong");
+    assertThat(sink.text.toString()).isEmpty();
+  }
+
+  /** Guards against a caller that waits for ever after its owner was lost. */
+  @Test
+  void lostLinkEndsItsRequestsWithUnknownOutcome() {
+    RecordingSink lost = send("r1", 1);
+    answers.onLinkClosed(OWNER);
+    answers.onTraffic(OWNER, new PeerMessage.RouteEnd("r1", 1, LOAD));
+    assertThat(lost.failures).hasSize(1);
+    assertThat(lost.failures.getFirst()).isInstanceOf(Outcome.OutcomeUnknown.class);
+    assertThat(lost.ended).isFalse();
+  }
+
+  /** Guards against a slow reader that lets the owner send without bound. */
+  @Test
+  void returnsCreditOnlyWhenTheCallerReads() {
+    RecordingSink sink = send("r1", 1);
+    sink.ready = false;
+    chunk(OWNER, "r1", 1, "x".repeat(RemoteAnswers.CREDIT_BYTES));
+    assertThat(creditBytes()).isEqualTo(0);
+    sink.ready = true;
+    sink.listener.run();
+    assertThat(creditBytes()).isEqualTo(RemoteAnswers.CREDIT_BYTES);
+  }
+
+  private int creditBytes() {
+    return sent.stream()
+        .filter(PeerMessage.RouteCredit.class::isInstance)
+        .mapToInt(message -> ((PeerMessage.RouteCredit) message).bytes())
+        .sum();
+  }
+
+  private RecordingSink send(String requestId, int attempt) {
+    RecordingSink sink = new RecordingSink();
+    PeerMessage.Route route =
+        new PeerMessage.Route(
+            requestId,
+            attempt,
+            "engine-1",
+            "a@v1",
+            1,
+            1_000,
+            "STANDARD",
+            "caller",
+            "/v1/completions",
+            "",
+            new byte[0],
+            RemoteAnswers.CREDIT_BYTES);
+    answers.send(OWNER, route, sink);
+    return sink;
+  }
+
+  private void chunk(InstanceId from, String requestId, int attempt, String text) {
+    answers.onTraffic(
+        from,
+        new PeerMessage.RouteChunk(requestId, attempt, text.getBytes(StandardCharsets.UTF_8)));
+  }
+}
