--- /dev/null
+++ b/node/src/test/java/org/apricotstand/http/ScriptedServer.java
@@ -0,0 +1,62 @@
+package org.apricotstand.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A server that reads one request a connection, sends fixed bytes and closes the connection. */
+final class ScriptedServer implements AutoCloseable {
+
+  private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+  private final AtomicInteger requests = new AtomicInteger();
+  private final String answer;
+
+  ScriptedServer(String answer) throws IOException {
+    this.answer = answer;
+    Thread thread = new Thread(this::serve, "scripted-server");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  String url() {
+    return "http://127.0.0.1:" + listener.getLocalPort();
+  }
+
+  int requests() {
+    return requests.get();
+  }
+
+  private void serve() {
+    while (!listener.isClosed()) {
+      try (Socket connection = listener.accept()) {
+        readHead(connection.getInputStream());
+        requests.incrementAndGet();
+        OutputStream out = connection.getOutputStream();
+        out.write(answer.getBytes(StandardCharsets.ISO_8859_1));
+        out.flush();
+      } catch (IOException e) {
+        // The listener was closed, or the client went away; both end this connection only.
+        continue;
+      }
+    }
+  }
+
+  private static void readHead(InputStream input) throws IOException {
+    StringBuilder head = new StringBuilder();
+    int next = input.read();
+    while (next >= 0 && !head.toString().endsWith("\r\n\r\n")) {
+      head.append((char) next);
+      next = head.toString().endsWith("\r\n\r\n") ? -1 : input.read();
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+  }
+}
