--- /dev/null
+++ b/core/src/main/java/org/apricotstand/claim/StoredAnswer.java
@@ -0,0 +1,36 @@
+package org.apricotstand.claim;
+
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * An answer as it is kept for repeats of its request.
+ *
+ * @param status HTTP status
+ * @param headers headers for the caller
+ * @param body body, at most {@link #MAX_BODY_BYTES}
+ */
+public record StoredAnswer(int status, Map<String, String> headers, byte[] body) {
+
+  /** Longest body that is kept, so that a row stays small enough for the table service. */
+  public static final int MAX_BODY_BYTES = 64 * 1024;
+
+  /** Header of an answer whose body was too long to be kept. */
+  public static final String NOTE_HEADER = "x-apricotstand-answer";
+
+  /** Returns the answer to keep; a longer body is replaced by a note. */
+  public static StoredAnswer of(int status, Map<String, String> headers, byte[] body) {
+    if (body.length <= MAX_BODY_BYTES) {
+      return new StoredAnswer(status, headers, body);
+    }
+    Map<String, String> noted = new LinkedHashMap<>();
+    noted.put("content-type", "application/json");
+    noted.put(NOTE_HEADER, "not-kept");
+    String note =
+        "{\"note\":\"the request was run; its answer of "
+            + body.length
+            + " bytes was too long to be kept\"}";
+    return new StoredAnswer(status, noted, note.getBytes(StandardCharsets.UTF_8));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Limits that keep queues bounded: admission, retry budget, backoff. */
+package org.apricotstand.limit;
