--- /dev/null
+++ b/core/src/main/java/org/apricotstand/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Instance leases, ownership of engines, takeover, handover and promises. */
+package org.apricotstand.lease;
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Live and leaving instances and targets, and the incarnations of instances. */
+package org.apricotstand.membership;
