--- a/core/src/main/java/org/apricotstand/membership/Membership.java
+++ b/core/src/main/java/org/apricotstand/membership/Membership.java
@@ -49,7 +49,8 @@
   private static final class Peer {
     private long incarnation;
     private boolean leaving;
-    private long watchedSinceMs;
+    private long graceUntilMs = Long.MIN_VALUE;
+    private long linkSinceMs;
     private long sequence;
     private long sentMs = Long.MIN_VALUE;
     private long received;
@@ -155,14 +156,13 @@
   /** An instance that is not watched counts as heard: nothing is known against it. */
   private boolean isHeard(InstanceId name, long nowMs) {
     Peer peer = peers.get(name);
-    if (peer == null) {
+    if (peer == null || !watched.contains(name)) {
       return true;
     }
     if (peer.closed) {
       return false;
     }
-    boolean fresh = nowMs - peer.watchedSinceMs < SILENT_MS;
-    return !watched.contains(name) || fresh || nowMs < peer.usableUntilMs;
+    return nowMs < peer.graceUntilMs || nowMs < peer.usableUntilMs;
   }
 
   private void listRead(List<Member> members) {
@@ -186,8 +186,9 @@
     Peer peer = peer(hello.from());
     renew(peer, hello.incarnation());
     if (hello.incarnation() == peer.incarnation && peer.closed) {
+      // No grace: a link that works in one direction only also delivers a greeting.
       peer.closed = false;
-      peer.watchedSinceMs = nowMs;
+      peer.linkSinceMs = nowMs;
     }
   }
 
@@ -215,6 +216,7 @@
   private void closed(InstanceId name) {
     Peer peer = peer(name);
     peer.closed = true;
+    peer.graceUntilMs = Long.MIN_VALUE;
     peer.usableUntilMs = Long.MIN_VALUE;
     peer.received = 0;
   }
@@ -222,7 +224,11 @@
   private void watch(Set<InstanceId> wanted, long nowMs) {
     wanted.stream()
         .filter(name -> !watched.contains(name))
-        .forEach(name -> peer(name).watchedSinceMs = nowMs);
+        .forEach(
+            name -> {
+              peer(name).graceUntilMs = nowMs + SILENT_MS;
+              peer(name).linkSinceMs = nowMs;
+            });
     watched = Set.copyOf(wanted);
   }
 
@@ -231,11 +237,11 @@
       Peer peer = peer(name);
       boolean silent =
           !peer.closed
-              && nowMs - peer.watchedSinceMs >= 2 * SILENT_MS
+              && nowMs - peer.linkSinceMs >= 2 * SILENT_MS
               && nowMs - SILENT_MS >= peer.usableUntilMs;
       if (silent) {
         actions.add(new MembershipAction.CloseLink(name));
-        peer.watchedSinceMs = nowMs - SILENT_MS;
+        peer.linkSinceMs = nowMs;
       } else if (peer.sentMs == Long.MIN_VALUE || nowMs - peer.sentMs >= HEARTBEAT_MS) {
         peer.sentMs = nowMs;
         peer.sequence++;
--- a/node/src/main/java/org/apricotstand/control/ControlThread.java
+++ b/node/src/main/java/org/apricotstand/control/ControlThread.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.apricotstand.kernel.Service;
 import org.apricotstand.observe.EventLog;
 
@@ -20,6 +21,7 @@
 
   private static final EventLog LOG = EventLog.of(ControlThread.class);
 
+  private final PauseWatchdog watchdog = new PauseWatchdog(ControlThread::nowMs);
   private final ScheduledExecutorService executor =
       Executors.newSingleThreadScheduledExecutor(
           task -> {
@@ -33,6 +35,15 @@
     return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
   }
 
+  /**
+   * Sets what runs on this thread before anything else when the process was paused; it gets the
+   * length of the pause. An instance that waits for pauses has to run a task several times a
+   * second.
+   */
+  public void onPause(LongConsumer listener) {
+    execute(() -> watchdog.watch(listener));
+  }
+
   /** Runs a task soon. A task submitted after the stop is dropped. */
   @Override
   public void execute(Runnable task) {
@@ -63,9 +74,10 @@
     executor.shutdownNow();
   }
 
-  private static Runnable guarded(Runnable task) {
+  private Runnable guarded(Runnable task) {
     return () -> {
       try {
+        watchdog.check();
         task.run();
       } catch (RuntimeException e) {
         LOG.warn("control_task_failed", "error", e.toString(), "at", firstFrame(e));
--- a/node/src/main/java/org/apricotstand/peer/PeerLink.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerLink.java
@@ -3,6 +3,7 @@
 import io.netty.channel.Channel;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import org.apricotstand.control.ControlThread;
 import org.apricotstand.model.InstanceId;
 
 /** A link to one peer; keeps the messages that are sent while the connection opens. */
@@ -14,6 +15,7 @@
   private final Queue<PeerMessage> pending = new ArrayDeque<>();
   private Channel channel;
   private boolean closed;
+  private volatile long lastUsedMs = ControlThread.nowMs();
 
   PeerLink(InstanceId peer) {
     this.peer = peer;
@@ -27,7 +29,19 @@
     channel.flush();
   }
 
+  /** Returns when the link last carried anything but heartbeats. */
+  long lastUsedMs() {
+    return lastUsedMs;
+  }
+
+  void used() {
+    lastUsedMs = ControlThread.nowMs();
+  }
+
   synchronized void send(PeerMessage message) {
+    if (!(message instanceof PeerMessage.Heartbeat)) {
+      used();
+    }
     if (channel != null) {
       channel.writeAndFlush(message);
     } else if (!closed && pending.size() < MAX_PENDING) {
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -23,6 +23,7 @@
   @JsonSubTypes.Type(value = PeerMessage.PromiseWanted.class, name = "promise_wanted"),
   @JsonSubTypes.Type(value = PeerMessage.PromiseGiven.class, name = "promise_given"),
   @JsonSubTypes.Type(value = PeerMessage.HandoverOffered.class, name = "handover_offered"),
+  @JsonSubTypes.Type(value = PeerMessage.HandoverTaken.class, name = "handover_taken"),
   @JsonSubTypes.Type(value = PeerMessage.HandoverDone.class, name = "handover_done"),
   @JsonSubTypes.Type(value = PeerMessage.TokensWanted.class, name = "tokens_wanted"),
   @JsonSubTypes.Type(value = PeerMessage.TokensLent.class, name = "tokens_lent"),
@@ -39,8 +40,15 @@
   record Hello(int protocolVersion, String instance, long incarnation, String domain)
       implements PeerMessage {}
 
-  /** Shows that the sender is alive; sent on links in use. */
-  record Heartbeat(boolean leaving) implements PeerMessage {}
+  /**
+   * Shows that the sender is alive; sent on links in use.
+   *
+   * @param leaving whether the sender is shutting down
+   * @param sequence number of this heartbeat
+   * @param echoed number of the last heartbeat received from the other side; shows it that its own
+   *     messages arrive
+   */
+  record Heartbeat(boolean leaving, long sequence, long echoed) implements PeerMessage {}
 
   /**
    * Passes a model request to the owner of a target.
@@ -126,8 +134,8 @@
   record RevisionContent(long revision, String contentHash, String nonce, byte[] content)
       implements PeerMessage {}
 
-  /** Asks the receiver not to take over the sender's targets for a time. */
-  record PromiseWanted(long round, long incarnation, long forMs) implements PeerMessage {}
+  /** Asks the receiver not to take over targets of the sender's lease term for a time. */
+  record PromiseWanted(long round, long incarnation, long term) implements PeerMessage {}
 
   /** Answers {@link PromiseWanted}. */
   record PromiseGiven(long round, boolean granted) implements PeerMessage {}
@@ -135,6 +143,9 @@
   /** Offers the ownership of a target to its next owner. */
   record HandoverOffered(String target, long fencing) implements PeerMessage {}
 
+  /** The receiver of {@link HandoverOffered} owns the target now. */
+  record HandoverTaken(String target, long fencing) implements PeerMessage {}
+
   /** The former owner runs no more requests on the target. */
   record HandoverDone(String target, long fencing) implements PeerMessage {}
 
--- a/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
@@ -12,9 +12,11 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
@@ -38,6 +40,7 @@
   static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
   private static final EventLog LOG = EventLog.of(PeerNetwork.class);
+  private static final AttributeKey<PeerMessage.Hello> FROM = AttributeKey.valueOf("peer.hello");
   private static final int LENGTH_BYTES = 4;
   private static final int CONNECT_TIMEOUT_MS = 1_000;
 
@@ -48,6 +51,7 @@
   private final ControlThread control;
   private final List<PeerListener> listeners = new CopyOnWriteArrayList<>();
   private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
+  private final Map<InstanceId, Long> incarnations = new ConcurrentHashMap<>();
   private final io.netty.channel.group.ChannelGroup channels =
       new io.netty.channel.group.DefaultChannelGroup(
           io.netty.util.concurrent.GlobalEventExecutor.INSTANCE);
@@ -126,6 +130,25 @@
     return link != null && link.isWritable();
   }
 
+  /** Closes the link to a peer, for example because it is half open. */
+  public void disconnect(InstanceId peer) {
+    PeerLink link = links.get(peer);
+    if (link != null) {
+      linkClosed(peer, link);
+    }
+  }
+
+  /** Closes the links that carried nothing but heartbeats for a time and are not to be kept. */
+  public void closeUnused(Set<InstanceId> kept, long unusedMs) {
+    long nowMs = ControlThread.nowMs();
+    links.entrySet().stream()
+        .filter(entry -> !kept.contains(entry.getKey()))
+        .filter(entry -> nowMs - entry.getValue().lastUsedMs() >= unusedMs)
+        .map(Map.Entry::getKey)
+        .toList()
+        .forEach(this::disconnect);
+  }
+
   private PeerLink open(InstanceId peer) {
     InetSocketAddress address = addressOf.apply(peer);
     if (address == null) {
@@ -176,6 +199,19 @@
   /** Called when the other side of a channel said who it is. */
   void greeted(Channel channel, PeerMessage.Hello from) {
     InstanceId peer = new InstanceId(from.instance());
+    long newest = incarnations.merge(peer, from.incarnation(), Math::max);
+    if (from.incarnation() < newest) {
+      LOG.warn(
+          "peer_refused", "peer", peer, "reason", "replaced", "incarnation", from.incarnation());
+      channel.close();
+      return;
+    }
+    channel.attr(FROM).set(from);
+    channels.stream()
+        .filter(other -> other.hasAttr(FROM) && other.attr(FROM).get() != null)
+        .filter(other -> other.attr(FROM).get().instance().equals(from.instance()))
+        .filter(other -> other.attr(FROM).get().incarnation() < newest)
+        .forEach(Channel::close);
     PeerLink existing = links.get(peer);
     if (existing == null || !existing.isOpen()) {
       PeerLink link = new PeerLink(peer);
@@ -189,6 +225,10 @@
 
   /** Called for each message after the greeting. */
   void received(InstanceId from, PeerMessage message) {
+    PeerLink link = links.get(from);
+    if (link != null && !(message instanceof PeerMessage.Heartbeat)) {
+      link.used();
+    }
     if (listeners.stream().anyMatch(listener -> listener.onTraffic(from, message))) {
       return;
     }
--- a/node/src/main/java/org/apricotstand/platform/PlatformClient.java
+++ b/node/src/main/java/org/apricotstand/platform/PlatformClient.java
@@ -7,9 +7,13 @@
 import java.io.IOException;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.LongAdder;
+import org.apricotstand.control.ControlThread;
 import org.apricotstand.http.CallFailure;
 import org.apricotstand.http.HttpCall;
 import org.apricotstand.http.HttpCaller;
@@ -34,6 +38,9 @@
 
   private final HttpCaller http;
   private final String baseUrl;
+  private final CallQueue queue;
+  private final LongAdder reads = new LongAdder();
+  private final LongAdder writes = new LongAdder();
 
   /**
    * Creates a client.
@@ -43,13 +50,34 @@
   public PlatformClient(HttpCaller http, String baseUrl) {
     this.http = http;
     this.baseUrl = baseUrl;
+    this.queue = new CallQueue(baseUrl, ControlThread::nowMs, new SplittableRandom());
+  }
+
+  /** Returns the number of reads that were sent. */
+  public long reads() {
+    return reads.sum();
+  }
+
+  /** Returns the number of writes that were sent. */
+  public long writes() {
+    return writes.sum();
+  }
+
+  /** Returns the number of calls that wait to be sent. */
+  public int waiting() {
+    return queue.waiting();
+  }
+
+  /** Returns whether the platform is taken to be down. */
+  public boolean isDown() {
+    return queue.isOpen();
   }
 
   @Override
   public CompletableFuture<Result<CommitResult>> commit(Transaction transaction, long deadlineMs) {
     HttpCall call =
         HttpCall.json("POST", baseUrl + "/tables/commit", encode(transaction), deadlineMs);
-    return exchange(call)
+    return exchange(priorityOf(transaction), call)
         .thenApply(
             result ->
                 switch (result) {
@@ -58,6 +86,13 @@
                 });
   }
 
+  private static CallPriority priorityOf(Transaction transaction) {
+    return transaction.writes().stream()
+        .map(write -> CallPriority.ofTable(write.table()))
+        .min(Comparator.naturalOrder())
+        .orElse(CallPriority.STATUS);
+  }
+
   private Result<CommitResult> commitResult(HttpReply reply) {
     if (reply.isSuccess()) {
       return Result.ok(decode(reply, CommitResult.Committed.class));
@@ -71,40 +106,43 @@
   @Override
   public CompletableFuture<Result<Optional<Row>>> read(String table, String key, long deadlineMs) {
     String url = baseUrl + "/tables/" + encode(table) + "/rows/" + encode(key);
-    return fetch(url, deadlineMs).thenApply(r -> r.map(o -> o.map(b -> decode(b, Row.class))));
+    return fetch(CallPriority.ofTable(table), url, deadlineMs)
+        .thenApply(r -> r.map(o -> o.map(b -> decode(b, Row.class))));
   }
 
   @Override
   public CompletableFuture<Result<List<Row>>> scan(String table, String prefix, long deadlineMs) {
     String url = baseUrl + "/tables/" + encode(table) + "/rows?prefix=" + encode(prefix);
-    return fetch(url, deadlineMs)
+    return fetch(CallPriority.ofTable(table), url, deadlineMs)
         .thenApply(r -> r.map(o -> decodeList(o, new TypeReference<List<Row>>() {})));
   }
 
   @Override
   public CompletableFuture<Result<Void>> put(String key, byte[] content, long deadlineMs) {
     String url = baseUrl + "/objects/" + encode(key);
-    return write(HttpCall.json("PUT", url, content, deadlineMs));
+    return write(CallPriority.CONFIGURATION, HttpCall.json("PUT", url, content, deadlineMs));
   }
 
   @Override
   public CompletableFuture<Result<Optional<byte[]>>> get(String key, long deadlineMs) {
-    return fetch(baseUrl + "/objects/" + encode(key), deadlineMs);
+    return fetch(CallPriority.CONFIGURATION, baseUrl + "/objects/" + encode(key), deadlineMs);
   }
 
   @Override
   public CompletableFuture<Result<List<Listed>>> list(long deadlineMs) {
-    return fetch(baseUrl + "/instances", deadlineMs)
+    return fetch(CallPriority.STATUS, baseUrl + "/instances", deadlineMs)
         .thenApply(r -> r.map(o -> decodeList(o, new TypeReference<List<Listed>>() {})));
   }
 
   @Override
   public CompletableFuture<Result<Void>> announce(Listed self, long deadlineMs) {
-    return write(HttpCall.json("POST", baseUrl + "/instances", encode(self), deadlineMs));
+    return write(
+        CallPriority.STATUS,
+        HttpCall.json("POST", baseUrl + "/instances", encode(self), deadlineMs));
   }
 
-  private CompletableFuture<Result<Void>> write(HttpCall call) {
-    return exchange(call)
+  private CompletableFuture<Result<Void>> write(CallPriority priority, HttpCall call) {
+    return exchange(priority, call)
         .thenApply(
             result ->
                 switch (result) {
@@ -115,8 +153,9 @@
                 });
   }
 
-  private CompletableFuture<Result<Optional<byte[]>>> fetch(String url, long deadlineMs) {
-    return exchange(HttpCall.get(url, deadlineMs))
+  private CompletableFuture<Result<Optional<byte[]>>> fetch(
+      CallPriority priority, String url, long deadlineMs) {
+    return exchange(priority, HttpCall.get(url, deadlineMs))
         .thenApply(
             result ->
                 switch (result) {
@@ -129,7 +168,12 @@
                 });
   }
 
-  private CompletableFuture<Result<HttpReply>> exchange(HttpCall call) {
+  private CompletableFuture<Result<HttpReply>> exchange(CallPriority priority, HttpCall call) {
+    return queue.submit(priority, call.deadlineMs(), () -> send(call));
+  }
+
+  private CompletableFuture<Result<HttpReply>> send(HttpCall call) {
+    (call.method().equals("GET") ? reads : writes).increment();
     return http.send(call).handle((reply, error) -> error == null ? Result.ok(reply) : lost(error));
   }
 
