Own engines by leases over the platform's tables instead of by rank

A dead owner was never replaced, and two instances with different lists could both own an engine. OwnershipService drives the membership and the ownership machine on the control thread; the owner side starts and stops engines when ownership is gained or lost. An instance drains before it stops.

--- a/core/src/main/java/org/apricotstand/lease/OwnershipMachine.java
+++ b/core/src/main/java/org/apricotstand/lease/OwnershipMachine.java
@@ -1,7 +1,5 @@
 package org.apricotstand.lease;
 
-import static com.google.common.collect.ImmutableList.toImmutableList;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,7 +11,6 @@
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
 import org.apricotstand.lease.Calls.Call;
-import org.apricotstand.lease.OwnerRow.Former;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.model.TargetId;
 
@@ -34,7 +31,6 @@
   private static final long OFFER_MS = 3_000;
   private static final long OFFER_VALID_MS = 10_000;
   private static final long CANDIDATES_STEADY_MS = 5_000;
-  private static final int MAX_FORMERS = 8;
 
   private final InstanceId self;
   private final long incarnation;
@@ -53,7 +49,7 @@
   private Set<InstanceId> live = Set.of();
   private long longestRequestMs;
   private long startedMs = LeaseTimes.NEVER;
-  private long nonce;
+  private final OwnerRows rows;
   private boolean draining;
   private boolean releasing;
   private List<OwnershipAction> actions = new ArrayList<>();
@@ -69,6 +65,7 @@
     this.incarnation = incarnation;
     this.random = random;
     this.lease = new OwnLease(self, incarnation);
+    this.rows = new OwnerRows(self, incarnation);
     this.rightsRule = new RightsRule(self, lease, promises);
   }
 
@@ -126,9 +123,13 @@
     return rights;
   }
 
-  /** Returns the owner named by the row that was read last. */
-  public Optional<InstanceId> ownerOf(TargetId target) {
-    return Optional.ofNullable(targets.get(target)).map(TargetState::row).map(OwnerRow::owner);
+  /** Returns the owners named by the rows that were read last, of targets under observation. */
+  public Map<TargetId, InstanceId> owners() {
+    Map<TargetId, InstanceId> owners = new LinkedHashMap<>();
+    targets.values().stream()
+        .filter(state -> state.row() != null && state.candidates.contains(self))
+        .forEach(state -> owners.put(state.id, state.row().owner()));
+    return owners;
   }
 
   /** Returns whether the own lease is released, after which nothing more is to be done. */
@@ -290,6 +291,10 @@
   }
 
   private boolean isReadDue(TargetState state, long nowMs) {
+    boolean observed = state.candidates.contains(self) || state.offer != null || state.owned;
+    if (!observed && !isOldOwner(state)) {
+      return false;
+    }
     if (state.readMs == LeaseTimes.NEVER) {
       return true;
     }
@@ -297,9 +302,6 @@
     if (state.owned) {
       return state.offeredTo != null && sinceMs >= LeaseTimes.RETRY_MS;
     }
-    if (!state.candidates.contains(self) && !isOldOwner(state)) {
-      return sinceMs >= LeaseTimes.SLOW_READ_MS * 3;
-    }
     boolean quiet = state.row() != null && live.contains(state.row().owner());
     return sinceMs >= (quiet ? LeaseTimes.SLOW_READ_MS : LeaseTimes.FAST_READ_MS);
   }
@@ -330,11 +332,7 @@
       state.candidatesChangedMs = nowMs;
     } else if (nowMs - state.candidatesChangedMs >= CANDIDATES_STEADY_MS) {
       state.candidatesChangedMs = LeaseTimes.NEVER;
-      OwnerRow row = state.row();
-      List<Former> formers = state.quarantine == null ? List.of() : row.formers();
-      OwnerRow updated =
-          new OwnerRow(
-              state.id, self, incarnation, row.term(), row.fencing(), ++nonce, wanted, formers);
+      OwnerRow updated = rows.updated(state, state.quarantine != null);
       startWrite(
           state, new TargetState.Write(updated, Optional.empty(), state.known.version(), null));
     }
@@ -392,7 +390,10 @@
     startWrite(
         state,
         new TargetState.Write(
-            nextRow(state, row, false), Optional.empty(), state.known.version(), null));
+            rows.next(state, lease.term(), false, instances),
+            Optional.empty(),
+            state.known.version(),
+            null));
     return true;
   }
 
@@ -453,34 +454,13 @@
       released = watch.isReleased(from, row.term());
       if (!watch.hasEnded(from, row.term())) {
         Versioned<LeaseRow> seen = watch.row(from);
-        voided = Optional.of(new Versioned<>(seen.version(), seen.row().voided(++nonce)));
+        voided = Optional.of(new Versioned<>(seen.version(), seen.row().voided(rows.nextNonce())));
       }
     }
-    OwnerRow next = nextRow(state, row, released);
+    OwnerRow next = rows.next(state, lease.term(), released, instances);
     startWrite(state, new TargetState.Write(next, voided, state.known.version(), from));
   }
 
-  private OwnerRow nextRow(TargetState state, OwnerRow row, boolean released) {
-    List<Former> formers = new ArrayList<>();
-    if (row != null) {
-      formers.addAll(row.formers());
-      if (!released) {
-        formers.add(new Former(row.owner(), row.incarnation(), row.fencing()));
-      }
-      formers.removeIf(f -> instances.getOrDefault(f.instance(), 0L) > f.incarnation());
-    }
-    int skipped = Math.max(0, formers.size() - MAX_FORMERS);
-    return new OwnerRow(
-        state.id,
-        self,
-        incarnation,
-        lease.term(),
-        row == null ? 1 : row.fencing() + 1,
-        ++nonce,
-        state.candidates,
-        formers.stream().skip(skipped).collect(toImmutableList()));
-  }
-
   // Writes of owner rows.
 
   private void startWrite(TargetState state, TargetState.Write write) {
--- a/node/src/main/java/org/apricotstand/entry/CallerInterface.java
+++ b/node/src/main/java/org/apricotstand/entry/CallerInterface.java
@@ -51,6 +51,16 @@
     }
   }
 
+  /** Ends connections after the answer in progress and accepts no more. */
+  void drain() {
+    server.drain();
+  }
+
+  /** Returns whether no answer is in progress. */
+  boolean isIdle() {
+    return server.isIdle();
+  }
+
   @Override
   public void stop() {
     server.close();
--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -1,29 +1,30 @@
 package org.apricotstand.entry;
 
-import static java.util.stream.Collectors.toMap;
-
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
+import java.util.concurrent.TimeoutException;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.engine.EngineClient;
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.model.InstanceId;
+import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.owner.PeerRequests;
+import org.apricotstand.ownership.OwnershipService;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.PeerNetwork;
 import org.apricotstand.platform.PlatformClient;
 import org.apricotstand.settings.InstanceSettings;
-import org.apricotstand.settings.InstanceSettings.Peer;
 
 /**
  * One running instance.
@@ -36,7 +37,10 @@
  */
 public final class EntryInstance implements AutoCloseable {
 
+  private static final EventLog LOG = EventLog.of(EntryInstance.class);
   private static final int TRAFFIC_THREADS = 2;
+  // Longer than the default time a request may take.
+  private static final long DRAIN_LIMIT_MS = 45_000;
 
   private final Kernel kernel;
   private final EventLoopGroup group;
@@ -64,17 +68,14 @@
     ControlThread control = new ControlThread();
     PlatformClient platform = new PlatformClient(http, settings.platformUrl());
     ConfigurationService configuration = new ConfigurationService(control, platform);
-    List<Peer> instances =
-        Stream.concat(
-                Stream.of(new Peer(settings.instance(), settings.domain(), settings.peerAddress())),
-                settings.peers().stream())
-            .toList();
-    Map<InstanceId, InetSocketAddress> addresses =
-        instances.stream()
-            .collect(
-                toMap(
-                    peer -> new InstanceId(peer.instance()),
-                    peer -> InstanceSettings.parseAddress(peer.address())));
+    Map<InstanceId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+    settings
+        .peers()
+        .forEach(
+            peer ->
+                addresses.put(
+                    new InstanceId(peer.instance()),
+                    InstanceSettings.parseAddress(peer.address())));
     PeerNetwork peers =
         new PeerNetwork(
             group,
@@ -83,11 +84,21 @@
                 PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain()),
             addresses::get,
             control);
-    RankedOwnership ownership = new RankedOwnership(self, configuration, instances);
+    OwnershipService ownership =
+        new OwnershipService(
+            settings,
+            incarnation,
+            control,
+            peers,
+            platform,
+            platform,
+            configuration::current,
+            addresses);
     EngineClient engines = new EngineClient(http);
     OwnerService owner =
         new OwnerService(
             control, engines, ownership, target -> configuration.current().target(target));
+    ownership.drive(owner);
     RemoteAnswers remote = new RemoteAnswers(peers);
     peers.listen(remote);
     ModelRoute models =
@@ -121,8 +132,27 @@
     return kernel.find("configuration", ConfigurationService.class);
   }
 
+  /** Hands over what this instance owns and waits for requests in progress, up to a limit. */
+  public void drain() {
+    CallerInterface callers = kernel.find("callers", CallerInterface.class);
+    OwnerService owner = kernel.find("owner", OwnerService.class);
+    OwnershipService ownership = kernel.find("ownership", OwnershipService.class);
+    callers.drain();
+    CompletableFuture<Void> done = ownership.drain(() -> callers.isIdle() && owner.isIdle());
+    try {
+      done.get(DRAIN_LIMIT_MS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      LOG.warn("drain_incomplete", "limit_ms", DRAIN_LIMIT_MS);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Override
   public void close() {
+    drain();
     kernel.close();
     http.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -24,11 +24,25 @@
   private final Queue<FullHttpRequest> pipelined = new ArrayDeque<>();
   private NettyExchange current;
   private boolean inputClosed;
+  private ChannelHandlerContext active;
 
   HttpConnection(HttpHandler handler) {
     this.handler = handler;
   }
 
+  @Override
+  public void handlerAdded(ChannelHandlerContext context) {
+    active = context;
+  }
+
+  /** Closes the connection after the answer in progress. */
+  void drain() {
+    inputClosed = true;
+    if (current == null) {
+      active.close();
+    }
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
     if (current == null) {
--- a/node/src/main/java/org/apricotstand/http/HttpServer.java
+++ b/node/src/main/java/org/apricotstand/http/HttpServer.java
@@ -96,6 +96,22 @@
     listener.close().syncUninterruptibly();
   }
 
+  /** Stops accepting connections; open ones end with the answer in progress. */
+  public void drain() {
+    stopAccepting();
+    for (Channel channel : connections) {
+      HttpConnection connection = channel.pipeline().get(HttpConnection.class);
+      if (connection != null) {
+        channel.eventLoop().execute(connection::drain);
+      }
+    }
+  }
+
+  /** Returns whether no connection is open. */
+  public boolean isIdle() {
+    return connections.isEmpty();
+  }
+
   /** Closes the listener and all connections. */
   @Override
   public void close() {
--- a/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
@@ -69,6 +69,25 @@
     handle(new SchedulerEvent.Tick());
   }
 
+  void inherited() {
+    handle(new SchedulerEvent.Inherited());
+  }
+
+  void quarantineEnded() {
+    handle(new SchedulerEvent.QuarantineEnded());
+  }
+
+  /** Refuses what waits; requests in progress go on. */
+  void lost(String reason) {
+    handle(
+        new SchedulerEvent.OwnershipLost(
+            new Failure(Step.QUEUE, id.value(), "not_owner", "ownership ended: " + reason)));
+  }
+
+  boolean isIdle() {
+    return scheduler.load() == 0;
+  }
+
   PeerMessage.TargetLoad load() {
     return new PeerMessage.TargetLoad(
         id.value(),
@@ -90,13 +109,15 @@
   private void applyState(Result<EngineState> result) {
     polling = false;
     switch (result) {
-      case Result.Ok<EngineState>(EngineState state) ->
-          handle(
-              new SchedulerEvent.EngineReported(
-                  state.incarnation(),
-                  state.resident().stream().map(AdapterVersion::parse).collect(Collectors.toSet()),
-                  state.slots(),
-                  state.maxBatch()));
+      case Result.Ok<EngineState>(EngineState state) -> {
+        ownership.engineReported(id, state.running() + state.waiting());
+        handle(
+            new SchedulerEvent.EngineReported(
+                state.incarnation(),
+                state.resident().stream().map(AdapterVersion::parse).collect(Collectors.toSet()),
+                state.slots(),
+                state.maxBatch()));
+      }
       case Result.Failed<EngineState>(Failure failure) ->
           handle(new SchedulerEvent.EngineLost(failure));
     }
--- a/node/src/main/java/org/apricotstand/owner/OwnerService.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnerService.java
@@ -1,5 +1,6 @@
 package org.apricotstand.owner;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +26,7 @@
  * control.execute(() -> owner.submit(target, request, sink));
  * }</pre>
  */
-public final class OwnerService implements Service {
+public final class OwnerService implements Service, OwnershipListener {
 
   private static final long TICK_MS = 50;
   private static final long STATE_POLL_MS = 500;
@@ -35,6 +36,7 @@
   private final Ownership ownership;
   private final Function<TargetId, Optional<Target>> targets;
   private final Map<TargetId, OwnedEngine> owned = new HashMap<>();
+  private final Map<TargetId, List<OwnedEngine>> lost = new HashMap<>();
 
   /**
    * Creates the service.
@@ -54,24 +56,73 @@
 
   @Override
   public void start() {
-    control.executeEvery(TICK_MS, () -> owned.values().forEach(OwnedEngine::tick));
+    control.executeEvery(TICK_MS, this::tick);
     control.executeEvery(STATE_POLL_MS, () -> owned.values().forEach(OwnedEngine::pollState));
   }
 
+  private void tick() {
+    owned.values().forEach(OwnedEngine::tick);
+    lost.values().forEach(engines -> engines.forEach(OwnedEngine::tick));
+    for (TargetId target : List.copyOf(lost.keySet())) {
+      List<OwnedEngine> ended = lost.get(target);
+      ended.removeIf(OwnedEngine::isIdle);
+      if (ended.isEmpty()) {
+        lost.remove(target);
+        ownership.requestsEnded(target);
+      }
+    }
+  }
+
+  @Override
+  public void gained(TargetId target, boolean quarantined) {
+    Optional<Target> declared = targets.apply(target);
+    if (declared.isEmpty()) {
+      return;
+    }
+    OwnedEngine engine = take(target, declared.get());
+    owned.put(target, engine);
+    if (quarantined) {
+      engine.inherited();
+    }
+  }
+
+  @Override
+  public void quarantineEnded(TargetId target) {
+    OwnedEngine engine = owned.get(target);
+    if (engine != null) {
+      engine.quarantineEnded();
+    }
+  }
+
+  @Override
+  public void lost(TargetId target, String reason) {
+    OwnedEngine engine = owned.remove(target);
+    if (engine != null) {
+      lost.computeIfAbsent(target, key -> new ArrayList<>()).add(engine);
+      engine.lost(reason);
+    }
+  }
+
+  /** Returns whether no request waits or runs. */
+  public boolean isIdle() {
+    return lost.isEmpty() && owned.values().stream().allMatch(OwnedEngine::isIdle);
+  }
+
   /** Queues a request for an engine; the sink gets the answer or the failure. */
   public void submit(TargetId target, EngineRequest request, AnswerSink sink) {
-    Optional<Target> declared = targets.apply(target);
-    if (declared.isEmpty() || !ownership.mayDispatch(target)) {
+    OwnedEngine engine = owned.get(target);
+    if (engine == null || !ownership.mayDispatch(target)) {
       sink.failed(
           new Outcome.NotRun(
               new Failure(
                   Step.QUEUE, target.value(), "not_owner", "this instance does not own it")));
       return;
     }
-    owned
-        .computeIfAbsent(
-            target, id -> new OwnedEngine(id, declared.get(), control, engines, ownership))
-        .submit(request, sink);
+    engine.submit(request, sink);
+  }
+
+  private OwnedEngine take(TargetId id, Target declared) {
+    return new OwnedEngine(id, declared, control, engines, ownership);
   }
 
   /** Cancels a request. */
@@ -80,6 +131,7 @@
     if (engine != null) {
       engine.cancel(id);
     }
+    lost.getOrDefault(target, List.of()).forEach(former -> former.cancel(id));
   }
 
   /** Returns the load of an engine for the instances that send requests to it. */
--- a/node/src/main/java/org/apricotstand/owner/Ownership.java
+++ b/node/src/main/java/org/apricotstand/owner/Ownership.java
@@ -18,4 +18,10 @@
 
   /** Returns whether this instance may order loads and evictions at this moment. */
   boolean mayCommand(TargetId target);
+
+  /** No request of this instance is left on an engine that it lost; on the control thread. */
+  default void requestsEnded(TargetId target) {}
+
+  /** An owned engine reported how many requests it runs; on the control thread. */
+  default void engineReported(TargetId target, int running) {}
 }
