Schedule by value, place by affinity, and share the weight store's budget

The scheduler loaded for the first request it found, evicted the least recently used adapter, retried nothing and refused a whole group when its load failed. Placement ignored load and residency, and loads ignored the limits of the weight store.

- TargetScheduler is split into queue, slots, batch, dispatcher, load planner, backoff and valuation.
Orders carry numbers, so that a late result never changes a newer slot.
- Placement ranks engines by weighted rendezvous hashing with a bounded load and prefers engines that hold the adapter.
It learns load and residency from replies.
The settings of an instance may name one of the baselines as its policy.
- LoadBudget gives each instance its part of the rate and in-flight limit; instances lend tokens by peer messages.

--- a/core/src/main/java/org/apricotstand/schedule/SchedulerAction.java
+++ b/core/src/main/java/org/apricotstand/schedule/SchedulerAction.java
@@ -10,15 +10,18 @@
   /** Sends the request to the engine. */
   record Dispatch(ScheduledRequest request) implements SchedulerAction {}
 
-  /** Orders the engine to load an adapter version. */
-  record Load(AdapterVersion adapterVersion) implements SchedulerAction {}
+  /** Orders the engine to load an adapter version; the result names the same order. */
+  record Load(AdapterVersion adapterVersion, long order) implements SchedulerAction {}
 
   /** Orders the engine to unload an adapter version. */
-  record Unload(AdapterVersion adapterVersion) implements SchedulerAction {}
+  record Unload(AdapterVersion adapterVersion, long order) implements SchedulerAction {}
 
   /** Refuses a request that is out of the queue and was never dispatched. */
   record Refuse(ScheduledRequest request, Failure failure) implements SchedulerAction {}
 
+  /** Ends a dispatched request whose engine restarted or was lost; its outcome is unknown. */
+  record Abandon(ScheduledRequest request, Failure failure) implements SchedulerAction {}
+
   /** Cancels a dispatched request at the engine. */
   record Cancel(RequestId id) implements SchedulerAction {}
 }
--- a/core/src/main/java/org/apricotstand/schedule/SchedulerEvent.java
+++ b/core/src/main/java/org/apricotstand/schedule/SchedulerEvent.java
@@ -17,17 +17,25 @@
   /** The engine no longer runs the request, whatever the ending. */
   record Finished(RequestId id) implements SchedulerEvent {}
 
-  /** The engine confirmed a load order. */
-  record LoadFinished(AdapterVersion adapterVersion) implements SchedulerEvent {}
+  /**
+   * The engine refused a dispatched request because its adapter is not loaded; it ran no part of
+   * it.
+   */
+  record NotLoaded(RequestId id) implements SchedulerEvent {}
+
+  /** The engine confirmed a load order; {@code order} is the number of {@code Load}. */
+  record LoadFinished(AdapterVersion adapterVersion, long order) implements SchedulerEvent {}
 
   /** A load order failed; the adapter is not loaded. */
-  record LoadFailed(AdapterVersion adapterVersion, Failure failure) implements SchedulerEvent {}
+  record LoadFailed(AdapterVersion adapterVersion, long order, Failure failure)
+      implements SchedulerEvent {}
 
   /** The engine confirmed an unload order. */
-  record UnloadFinished(AdapterVersion adapterVersion) implements SchedulerEvent {}
+  record UnloadFinished(AdapterVersion adapterVersion, long order) implements SchedulerEvent {}
 
   /** An unload order failed; the adapter may still be loaded. */
-  record UnloadFailed(AdapterVersion adapterVersion, Failure failure) implements SchedulerEvent {}
+  record UnloadFailed(AdapterVersion adapterVersion, long order, Failure failure)
+      implements SchedulerEvent {}
 
   /**
    * The engine reported its state.
@@ -40,6 +48,14 @@
   record EngineReported(long incarnation, Set<AdapterVersion> resident, int slots, int maxBatch)
       implements SchedulerEvent {}
 
+  /**
+   * What the declarations say.
+   *
+   * @param pinnedAdapters names of the adapters that are never evicted
+   * @param stallWeight 1 dispatches at once, 0 holds requests back until the batch is well filled
+   */
+  record Declared(Set<String> pinnedAdapters, double stallWeight) implements SchedulerEvent {}
+
   /** The engine does not answer. */
   record EngineLost(Failure failure) implements SchedulerEvent {}
 
--- a/core/src/main/java/org/apricotstand/schedule/TargetScheduler.java
+++ b/core/src/main/java/org/apricotstand/schedule/TargetScheduler.java
@@ -2,15 +2,17 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.apricotstand.budget.LoadRights;
 import org.apricotstand.model.AdapterVersion;
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.RequestId;
 import org.apricotstand.model.Step;
 import org.apricotstand.model.TargetId;
+import org.apricotstand.placement.Policy;
 
 /**
  * Decides what one engine runs, loads and unloads. One instance of this class exists per owned
@@ -22,26 +24,47 @@
  */
 public final class TargetScheduler {
 
+  /** Requests that wait for one engine at most. */
+  static final int MAX_WAITING = 1_000;
+
+  /** Times a request is put back because its adapter was not loaded, before it is refused. */
+  private static final int MAX_REQUEUES = 3;
+
+  private static final long FORGET_BACKOFF_MS = 60_000;
+
   private final TargetId target;
-  private final Map<RequestId, ScheduledRequest> waiting = new LinkedHashMap<>();
-  private final Map<RequestId, ScheduledRequest> running = new LinkedHashMap<>();
-  private final Map<AdapterVersion, Slot> slots = new LinkedHashMap<>();
-  private int slotCount;
-  private int maxBatch;
+  private final LoadRights rights;
+  private final WaitingQueue queue;
+  private final SlotTable slots = new SlotTable();
+  private final Batch batch = new Batch();
+  private final LoadBackoff backoff;
+  private final Valuation valuation = new Valuation();
+  private final Dispatcher dispatcher;
+  private final LoadPlanner planner;
+  private final LoadTimes loadTimes = new LoadTimes();
+  private final ShortestTime serviceTime = new ShortestTime();
+  private boolean reported;
   private long incarnation;
   private boolean reachable;
+  private boolean commandsAllowed = true;
 
-  private enum SlotState {
-    LOADING,
-    RESIDENT,
-    UNLOADING
-  }
-
-  private record Slot(SlotState state, long lastUsedMs) {}
-
-  /** Creates a scheduler for an engine that has not reported yet. */
-  public TargetScheduler(TargetId target) {
+  /**
+   * Creates a scheduler for an engine that has not reported yet.
+   *
+   * @param rights rights to start loads, shared by all engines of this instance
+   * @param random generator for the jitter of repeated loads
+   */
+  public TargetScheduler(
+      TargetId target, Policy policy, LoadRights rights, RandomGenerator random) {
     this.target = target;
+    this.rights = rights;
+    this.backoff = new LoadBackoff(random);
+    boolean byValue = policy.ordersByValue();
+    Comparator<WaitingQueue.Entry> order =
+        byValue ? WaitingQueue.BY_URGENCY : WaitingQueue.BY_ARRIVAL;
+    this.queue = new WaitingQueue(order);
+    this.dispatcher = new Dispatcher(queue, slots, batch, order, byValue);
+    this.planner = new LoadPlanner(queue, slots, batch, backoff, valuation, byValue);
   }
 
   /**
@@ -51,164 +74,263 @@
    */
   public List<SchedulerAction> handle(SchedulerEvent event, long nowMs) {
     List<SchedulerAction> actions = new ArrayList<>();
-    switch (event) {
-      case SchedulerEvent.Submitted(ScheduledRequest request) -> waiting.put(request.id(), request);
-      case SchedulerEvent.Canceled(RequestId id) -> cancel(id, actions);
-      case SchedulerEvent.Finished(RequestId id) -> finish(id, nowMs);
-      case SchedulerEvent.LoadFinished(AdapterVersion loaded) ->
-          slots.put(loaded, new Slot(SlotState.RESIDENT, nowMs));
-      case SchedulerEvent.LoadFailed(AdapterVersion failed, Failure failure) ->
-          refuseGroup(failed, failure, actions);
-      case SchedulerEvent.UnloadFinished(AdapterVersion unloaded) -> slots.remove(unloaded);
-      case SchedulerEvent.UnloadFailed(AdapterVersion kept, Failure failure) ->
-          slots.put(kept, new Slot(SlotState.RESIDENT, nowMs));
-      case SchedulerEvent.EngineReported report -> applyReport(report, nowMs);
-      case SchedulerEvent.EngineLost lost -> reachable = false;
-      case SchedulerEvent.Inherited inherited -> {}
-      case SchedulerEvent.QuarantineEnded ended -> {}
-      case SchedulerEvent.CommandsAllowed allowed -> {}
-      case SchedulerEvent.OwnershipLost lost -> {}
-      case SchedulerEvent.Tick tick -> {}
-    }
-    refuseOverdue(nowMs, actions);
-    dispatchResident(nowMs, actions);
+    apply(event, nowMs, actions);
+    dispatch(nowMs, actions);
     orderLoads(nowMs, actions);
     return actions;
   }
 
   /** Returns the adapter versions that the engine holds, as far as this owner knows. */
   public List<AdapterVersion> resident() {
-    return slots.entrySet().stream()
-        .filter(slot -> slot.getValue().state() == SlotState.RESIDENT)
-        .map(Map.Entry::getKey)
-        .toList();
+    return slots.all().stream().filter(Slot::isResident).map(Slot::adapterVersion).toList();
   }
 
   /** Returns the number of requests that wait or run. */
   public int load() {
-    return waiting.size() + running.size();
+    return waiting() + running();
+  }
+
+  /** Returns whether a request waits or runs here. */
+  public boolean holds(RequestId id) {
+    return queue.contains(id) || batch.isRunning(id);
+  }
+
+  /** Returns the number of requests in the queue. */
+  public int waiting() {
+    return queue.size();
+  }
+
+  /** Returns the number of requests in the batch. */
+  public int running() {
+    return batch.size();
+  }
+
+  private void apply(SchedulerEvent event, long nowMs, List<SchedulerAction> actions) {
+    switch (event) {
+      case SchedulerEvent.Submitted(ScheduledRequest request) -> submit(request, nowMs, actions);
+      case SchedulerEvent.Canceled(RequestId id) -> cancel(id, actions);
+      case SchedulerEvent.Finished(RequestId id) -> finish(id, nowMs);
+      case SchedulerEvent.NotLoaded(RequestId id) -> notLoaded(id, nowMs, actions);
+      case SchedulerEvent.LoadFinished(AdapterVersion loaded, long order) -> {
+        endLoad(order, true, nowMs);
+        backoff.succeeded(loaded);
+        slots.confirmResident(loaded, order, nowMs);
+      }
+      case SchedulerEvent.LoadFailed(AdapterVersion failed, long order, Failure failure) -> {
+        endLoad(order, false, nowMs);
+        if (slots.confirmEmpty(failed, order, nowMs)) {
+          backoff.failed(failed, failure, nowMs);
+        }
+      }
+      case SchedulerEvent.UnloadFinished(AdapterVersion unloaded, long order) ->
+          slots.confirmEmpty(unloaded, order, nowMs);
+      case SchedulerEvent.UnloadFailed(AdapterVersion kept, long order, Failure failure) ->
+          slots.confirmResident(kept, order, nowMs);
+      case SchedulerEvent.EngineReported report -> applyReport(report, nowMs, actions);
+      case SchedulerEvent.Declared(Set<String> pinned, double stallWeight) -> {
+        planner.setPinned(pinned);
+        slots.stopDraining();
+        dispatcher.setStallWeight(stallWeight);
+      }
+      case SchedulerEvent.EngineLost lost -> reachable = false;
+      case SchedulerEvent.Inherited inherited -> {
+        slots.setQuarantine(true);
+        slots.stopDraining();
+      }
+      case SchedulerEvent.QuarantineEnded ended -> slots.setQuarantine(false);
+      case SchedulerEvent.CommandsAllowed(boolean allowed) -> commandsAllowed = allowed;
+      case SchedulerEvent.OwnershipLost(Failure failure) -> loseOwnership(failure, actions);
+      case SchedulerEvent.Tick tick -> {
+        refuseHopeless(nowMs, actions);
+        backoff.forgetBefore(nowMs - FORGET_BACKOFF_MS);
+      }
+    }
+  }
+
+  private void submit(ScheduledRequest request, long nowMs, List<SchedulerAction> actions) {
+    if (queue.contains(request.id()) || batch.contains(request.id())) {
+      actions.add(
+          refusal(request, "duplicate_request", "a request of this id waits or runs already"));
+      return;
+    }
+    valuation.requested(request.adapterVersion(), nowMs);
+    if (isHopeless(request, nowMs)) {
+      actions.add(hopeless(request));
+      return;
+    }
+    queue.add(request);
+    if (queue.size() > MAX_WAITING) {
+      ScheduledRequest dropped = queue.remove(queue.overflowVictim().request().id()).request();
+      actions.add(refusal(dropped, "queue_full", "the queue of the engine is full"));
+    }
   }
 
   private void cancel(RequestId id, List<SchedulerAction> actions) {
-    waiting.remove(id);
-    if (running.containsKey(id)) {
+    if (queue.remove(id) == null && batch.cancel(id)) {
       actions.add(new SchedulerAction.Cancel(id));
     }
   }
 
   private void finish(RequestId id, long nowMs) {
-    ScheduledRequest request = running.remove(id);
-    if (request != null) {
-      slots.computeIfPresent(
-          request.adapterVersion(), (name, slot) -> new Slot(slot.state(), nowMs));
+    Batch.Running ended = batch.remove(id);
+    if (ended != null) {
+      serviceTime.add(nowMs - ended.dispatchedMs());
+      Slot slot = slots.get(ended.entry().request().adapterVersion());
+      if (slot != null) {
+        slot.used(nowMs);
+      }
     }
   }
 
-  private void applyReport(SchedulerEvent.EngineReported report, long nowMs) {
-    boolean restarted = report.incarnation() != incarnation;
+  private void notLoaded(RequestId id, long nowMs, List<SchedulerAction> actions) {
+    boolean canceled = batch.isCanceled(id);
+    Batch.Running refused = batch.remove(id);
+    if (refused == null) {
+      return;
+    }
+    ScheduledRequest request = refused.entry().request();
+    Slot slot = slots.get(request.adapterVersion());
+    if (slot != null && slot.isResident()) {
+      slots.confirmEmpty(request.adapterVersion(), refused.slotOrder(), nowMs);
+    }
+    if (canceled) {
+      return;
+    }
+    if (refused.entry().requeues() >= MAX_REQUEUES) {
+      actions.add(refusal(request, "adapter_not_loaded", "the engine lost the adapter repeatedly"));
+    } else {
+      queue.requeue(refused.entry());
+    }
+  }
+
+  private void applyReport(
+      SchedulerEvent.EngineReported report, long nowMs, List<SchedulerAction> actions) {
     reachable = true;
-    slotCount = report.slots();
-    maxBatch = report.maxBatch();
+    slots.setCapacity(report.slots());
+    batch.setMaxSize(report.maxBatch());
+    boolean restarted = report.incarnation() != incarnation;
+    if (reported && !restarted) {
+      slots.reconcile(report.resident(), batch.inUse(), nowMs);
+      return;
+    }
     if (restarted) {
-      incarnation = report.incarnation();
-      slots.clear();
-      report.resident().forEach(name -> slots.put(name, new Slot(SlotState.RESIDENT, nowMs)));
+      Failure failure =
+          new Failure(Step.ANSWER, target.value(), "engine_restarted", "the engine restarted");
+      batch
+          .abandonAll()
+          .forEach(request -> actions.add(new SchedulerAction.Abandon(request, failure)));
     }
+    slots.restart(report.resident(), nowMs);
+    incarnation = report.incarnation();
+    reported = true;
   }
 
-  private void refuseGroup(
-      AdapterVersion adapterVersion, Failure failure, List<SchedulerAction> actions) {
-    slots.remove(adapterVersion);
-    waiting.values().stream()
-        .filter(request -> request.adapterVersion().equals(adapterVersion))
-        .toList()
-        .forEach(request -> refuse(request, failure, actions));
+  private void loseOwnership(Failure failure, List<SchedulerAction> actions) {
+    queue
+        .entries()
+        .forEach(
+            entry -> {
+              queue.remove(entry.request().id());
+              actions.add(new SchedulerAction.Refuse(entry.request(), failure));
+            });
+    slots.clear();
+    reachable = false;
+    // A later owner may change the slots, so the next report replaces all beliefs about them.
+    reported = false;
   }
 
-  private void refuseOverdue(long nowMs, List<SchedulerAction> actions) {
-    Failure failure =
-        new Failure(
-            Step.QUEUE, target.value(), "deadline_exceeded", "the deadline passed in the queue");
-    waiting.values().stream()
-        .filter(request -> request.deadlineMs() <= nowMs)
-        .toList()
-        .forEach(request -> refuse(request, failure, actions));
+  private void endLoad(long order, boolean loaded, long nowMs) {
+    if (loadTimes.ended(order, loaded, nowMs)) {
+      rights.loadEnded(nowMs);
+    }
   }
 
-  private void refuse(ScheduledRequest request, Failure failure, List<SchedulerAction> actions) {
-    waiting.remove(request.id());
-    actions.add(new SchedulerAction.Refuse(request, failure));
+  private void refuseHopeless(long nowMs, List<SchedulerAction> actions) {
+    for (WaitingQueue.Entry entry : queue.entries()) {
+      if (isHopeless(entry.request(), nowMs)) {
+        queue.remove(entry.request().id());
+        actions.add(hopeless(entry.request()));
+      }
+    }
   }
 
-  private void dispatchResident(long nowMs, List<SchedulerAction> actions) {
-    if (!reachable) {
-      return;
-    }
-    List<ScheduledRequest> ready =
-        waiting.values().stream()
-            .filter(request -> isResident(request.adapterVersion()))
-            .sorted(byUrgency())
-            .limit(Math.max(0, maxBatch - running.size()))
-            .toList();
-    for (ScheduledRequest request : ready) {
-      waiting.remove(request.id());
-      running.put(request.id(), request);
-      slots.put(request.adapterVersion(), new Slot(SlotState.RESIDENT, nowMs));
-      actions.add(new SchedulerAction.Dispatch(request));
+  /** Whether a request can't be answered by its deadline even if all goes well from now on. */
+  private boolean isHopeless(ScheduledRequest request, long nowMs) {
+    AdapterVersion name = request.adapterVersion();
+    long startMs = nowMs;
+    if (slots.get(name) == null) {
+      startMs = Math.max(nowMs, backoff.retryMs(name)) + loadTimes.shortestMs();
     }
+    return startMs + serviceTime.estimateMs() >= request.deadlineMs();
   }
 
-  private void orderLoads(long nowMs, List<SchedulerAction> actions) {
+  private SchedulerAction hopeless(ScheduledRequest request) {
+    Failure cause = backoff.lastFailure(request.adapterVersion());
+    String detail = "it could not be answered by its deadline";
+    return refusal(request, "deadline_unreachable", cause == null ? detail : detail + "; " + cause);
+  }
+
+  private SchedulerAction refusal(ScheduledRequest request, String code, String detail) {
+    return new SchedulerAction.Refuse(
+        request, new Failure(Step.QUEUE, target.value(), code, detail));
+  }
+
+  private void dispatch(long nowMs, List<SchedulerAction> actions) {
     if (!reachable) {
       return;
     }
-    List<AdapterVersion> missing =
-        waiting.values().stream()
-            .sorted(byUrgency())
-            .map(ScheduledRequest::adapterVersion)
-            .distinct()
-            .filter(name -> !slots.containsKey(name))
-            .toList();
-    for (AdapterVersion name : missing) {
-      if (slots.size() < slotCount) {
-        slots.put(name, new Slot(SlotState.LOADING, nowMs));
-        actions.add(new SchedulerAction.Load(name));
-      } else {
-        unloadOne(actions);
-        return;
+    for (WaitingQueue.Entry entry : dispatcher.select(nowMs, serviceTime.estimateMs())) {
+      ScheduledRequest request = entry.request();
+      queue.remove(request.id());
+      if (request.deadlineMs() <= nowMs) {
+        actions.add(hopeless(request));
+        continue;
       }
+      Slot slot = slots.get(request.adapterVersion());
+      slot.used(nowMs);
+      batch.add(entry, slot.order(), nowMs);
+      actions.add(new SchedulerAction.Dispatch(request));
     }
   }
 
-  private void unloadOne(List<SchedulerAction> actions) {
-    if (slots.values().stream().anyMatch(slot -> slot.state() == SlotState.UNLOADING)) {
-      return;
+  private void orderLoads(long nowMs, List<SchedulerAction> actions) {
+    while (mayOrderLoad(nowMs)) {
+      Optional<WaitingQueue.Group> next = planner.nextLoad(nowMs);
+      if (next.isEmpty()) {
+        return;
+      }
+      if (!slots.hasFree()) {
+        evictFor(next.get(), nowMs, actions);
+        return;
+      }
+      if (!rights.tryStartLoad(nowMs)) {
+        return;
+      }
+      AdapterVersion name = next.get().adapterVersion();
+      long order = slots.startLoad(name, nowMs);
+      loadTimes.started(order, nowMs);
+      actions.add(new SchedulerAction.Load(name, order));
     }
-    Optional<AdapterVersion> victim =
-        slots.entrySet().stream()
-            .filter(slot -> slot.getValue().state() == SlotState.RESIDENT)
-            .filter(slot -> !isInUse(slot.getKey()))
-            .min(Comparator.comparingLong(slot -> slot.getValue().lastUsedMs()))
-            .map(Map.Entry::getKey);
-    victim.ifPresent(
-        name -> {
-          slots.computeIfPresent(
-              name, (key, slot) -> new Slot(SlotState.UNLOADING, slot.lastUsedMs()));
-          actions.add(new SchedulerAction.Unload(name));
-        });
+    slots.stopDraining();
   }
 
-  private boolean isResident(AdapterVersion name) {
-    Slot slot = slots.get(name);
-    return slot != null && slot.state() == SlotState.RESIDENT;
+  private boolean mayOrderLoad(long nowMs) {
+    return reachable
+        && commandsAllowed
+        && planner.isLoadWanted(nowMs)
+        && rights.mayStartLoad(nowMs);
   }
 
-  private boolean isInUse(AdapterVersion name) {
-    return running.values().stream().anyMatch(request -> request.adapterVersion().equals(name));
-  }
-
-  private static Comparator<ScheduledRequest> byUrgency() {
-    return Comparator.comparing(ScheduledRequest::requestClass)
-        .thenComparingLong(ScheduledRequest::deadlineMs);
+  private void evictFor(WaitingQueue.Group group, long nowMs, List<SchedulerAction> actions) {
+    if (slots.all().stream().anyMatch(slot -> slot.is(Slot.State.UNLOADING))) {
+      return;
+    }
+    planner
+        .nextEviction(group, nowMs)
+        .ifPresent(
+            slot ->
+                actions.add(
+                    new SchedulerAction.Unload(
+                        slot.adapterVersion(), slots.startUnload(slot, nowMs))));
   }
 }
--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -8,8 +8,11 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
+import org.apricotstand.budget.LoadBudget;
+import org.apricotstand.budget.Sharers;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.engine.EngineClient;
@@ -17,11 +20,15 @@
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.owner.LoadTokens;
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.owner.PeerRequests;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.PeerNetwork;
+import org.apricotstand.placement.Placement;
+import org.apricotstand.placement.Policy;
 import org.apricotstand.platform.PlatformClient;
+import org.apricotstand.schedule.TargetScheduler;
 import org.apricotstand.settings.InstanceSettings;
 import org.apricotstand.settings.InstanceSettings.Peer;
 
@@ -69,29 +76,28 @@
                 Stream.of(new Peer(settings.instance(), settings.domain(), settings.peerAddress())),
                 settings.peers().stream())
             .toList();
-    Map<InstanceId, InetSocketAddress> addresses =
-        instances.stream()
-            .collect(
-                toMap(
-                    peer -> new InstanceId(peer.instance()),
-                    peer -> InstanceSettings.parseAddress(peer.address())));
-    PeerNetwork peers =
-        new PeerNetwork(
-            group,
-            InstanceSettings.parseAddress(settings.peerAddress()),
-            new PeerMessage.Hello(
-                PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain()),
-            addresses::get,
-            control);
+    PeerNetwork peers = peerNetwork(settings, group, incarnation, instances, control);
     RankedOwnership ownership = new RankedOwnership(self, configuration, instances);
     EngineClient engines = new EngineClient(http);
+    Policy policy = Policy.parse(settings.policy());
+    SplittableRandom random = new SplittableRandom(incarnation ^ self.hashCode());
+    LoadBudget budget = new LoadBudget(ControlThread.nowMs());
     OwnerService owner =
         new OwnerService(
-            control, engines, ownership, target -> configuration.current().target(target));
+            control,
+            engines,
+            ownership,
+            target -> configuration.current().target(target),
+            () -> configuration.current().declarations(),
+            target -> new TargetScheduler(target, policy, budget, random.split()));
+    LoadTokens tokens = loadTokens(self, instances, control, peers, budget, configuration);
+    peers.listen(tokens);
+    EngineChoice choice = new EngineChoice(control, new Placement(policy, random.split()));
+    peers.listen(choice);
     RemoteAnswers remote = new RemoteAnswers(peers);
     peers.listen(remote);
     ModelRoute models =
-        new ModelRoute(self, incarnation, control, configuration, ownership, owner, remote);
+        new ModelRoute(self, incarnation, control, configuration, ownership, owner, remote, choice);
     ServiceRoute services = new ServiceRoute(configuration, http);
     InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
     Kernel kernel = new Kernel();
@@ -103,6 +109,7 @@
     kernel.register("ownership", ownership);
     kernel.register("engines", engines);
     kernel.register("owner", owner);
+    kernel.register("load-tokens", tokens);
     kernel.register("remote-answers", remote);
     kernel.register("peer-requests", new PeerRequests(control, peers, owner));
     kernel.register("models", models);
@@ -111,6 +118,46 @@
     return kernel;
   }
 
+  private static PeerNetwork peerNetwork(
+      InstanceSettings settings,
+      EventLoopGroup group,
+      long incarnation,
+      List<Peer> instances,
+      ControlThread control) {
+    Map<InstanceId, InetSocketAddress> addresses =
+        instances.stream()
+            .collect(
+                toMap(
+                    peer -> new InstanceId(peer.instance()),
+                    peer -> InstanceSettings.parseAddress(peer.address())));
+    return new PeerNetwork(
+        group,
+        InstanceSettings.parseAddress(settings.peerAddress()),
+        new PeerMessage.Hello(
+            PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain()),
+        addresses::get,
+        control);
+  }
+
+  private static LoadTokens loadTokens(
+      InstanceId self,
+      List<Peer> instances,
+      ControlThread control,
+      PeerNetwork peers,
+      LoadBudget budget,
+      ConfigurationService configuration) {
+    List<InstanceId> sharing =
+        instances.stream().map(peer -> new InstanceId(peer.instance())).sorted().toList();
+    Sharers sharers = new Sharers(sharing.size(), sharing.indexOf(self));
+    return new LoadTokens(
+        control,
+        peers,
+        budget,
+        sharing.stream().filter(other -> !other.equals(self)).toList(),
+        () -> sharers,
+        () -> configuration.current().declarations());
+  }
+
   /** Returns the address for callers. */
   public InetSocketAddress callerAddress() {
     return kernel.find("callers", CallerInterface.class).address();
--- a/node/src/main/java/org/apricotstand/entry/ModelRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelRoute.java
@@ -11,7 +11,6 @@
 import org.apricotstand.configuration.Revision;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.declaration.DeclarationSet.Adapter;
-import org.apricotstand.declaration.DeclarationSet.Target;
 import org.apricotstand.engine.EngineHeaders;
 import org.apricotstand.engine.EngineRequest;
 import org.apricotstand.http.HttpExchange;
@@ -30,7 +29,6 @@
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.owner.Ownership;
 import org.apricotstand.peer.PeerMessage;
-import org.apricotstand.placement.Placement;
 import org.apricotstand.schedule.ScheduledRequest;
 
 /** Serves model requests: resolves the adapter version, picks the engine, asks its owner. */
@@ -46,7 +44,7 @@
   private final Ownership ownership;
   private final OwnerService owner;
   private final RemoteAnswers remote;
-  private final Placement placement = new Placement();
+  private final EngineChoice choice;
   private final String idPrefix;
   private final AtomicLong nextId = new AtomicLong();
 
@@ -57,13 +55,15 @@
       ConfigurationService configuration,
       Ownership ownership,
       OwnerService owner,
-      RemoteAnswers remote) {
+      RemoteAnswers remote,
+      EngineChoice choice) {
     this.self = self;
     this.control = control;
     this.configuration = configuration;
     this.ownership = ownership;
     this.owner = owner;
     this.remote = remote;
+    this.choice = choice;
     this.idPrefix = self.value() + "-" + Long.toString(incarnation, Character.MAX_RADIX) + "-";
   }
 
@@ -125,13 +125,11 @@
     AnswerSink sink = new ExchangeSink(exchange);
     long nowMs = ControlThread.nowMs();
     Optional<TargetId> target =
-        placement.choose(
+        choice.choose(
             resolved.adapterVersion(),
-            revision.declarations().targets().stream()
-                .filter(Target::runsModel)
-                .filter(engine -> engine.serves().equals(resolved.adapter().model()))
-                .toList(),
-            nowMs);
+            resolved.adapter().model(),
+            revision,
+            engine -> ownership.ownerOf(engine).isPresent());
     Optional<InstanceId> targetOwner = target.flatMap(ownership::ownerOf);
     if (targetOwner.isEmpty()) {
       sink.failed(
@@ -140,14 +138,23 @@
       return;
     }
     EngineRequest request = toRequest(exchange.request(), revision, resolved, nowMs);
+    CountedSink counted = choice.watch(target.get(), sink);
     if (targetOwner.get().equals(self)) {
       exchange.onClosed(
-          () -> control.execute(() -> owner.cancel(target.get(), request.scheduled().id())));
-      owner.submit(target.get(), request, sink);
+          () -> {
+            counted.canceled();
+            control.execute(() -> owner.cancel(target.get(), request.scheduled().id()));
+          });
+      owner.submit(target.get(), request, counted);
+      choice.learn(owner.loadOf(target.get()));
     } else {
       PeerMessage.Route route = toRoute(target.get(), request, revision, nowMs);
-      exchange.onClosed(() -> remote.cancel(route));
-      remote.send(targetOwner.get(), route, sink);
+      exchange.onClosed(
+          () -> {
+            counted.canceled();
+            remote.cancel(route);
+          });
+      remote.send(targetOwner.get(), route, counted);
     }
   }
 
--- a/node/src/main/java/org/apricotstand/owner/EngineReply.java
+++ b/node/src/main/java/org/apricotstand/owner/EngineReply.java
@@ -23,23 +23,34 @@
 
   private static final int OK = 200;
   private static final int CONFLICT = 409;
+  private static final String NOT_LOADED = "adapter_not_loaded";
   private static final int MAX_ERROR_BYTES = 65_536;
 
   private final TargetId target;
   private final EngineRequest request;
   private final AnswerSink sink;
-  private final Runnable finished;
+  private final Ending ending;
   private final ByteArrayOutputStream errorBody = new ByteArrayOutputStream();
   private int status;
   private boolean passing;
   private boolean ended;
-  private ReplyControl control;
+  private volatile ReplyControl control;
 
-  EngineReply(TargetId target, EngineRequest request, AnswerSink sink, Runnable finished) {
+  /** Learns how the exchange with the engine ended; exactly one method is called, last. */
+  interface Ending {
+
+    /** The engine no longer runs the request, and the sink has its outcome. */
+    void finished();
+
+    /** The engine ran nothing since the adapter is not loaded; the sink has no outcome yet. */
+    void notLoaded(Failure failure);
+  }
+
+  EngineReply(TargetId target, EngineRequest request, AnswerSink sink, Ending ending) {
     this.target = target;
     this.request = request;
     this.sink = sink;
-    this.finished = finished;
+    this.ending = ending;
   }
 
   @Override
@@ -84,15 +95,30 @@
     if (passing) {
       ended = true;
       sink.end();
-      finished.run();
+      ending.finished();
       return;
     }
     String body = errorBody.toString(StandardCharsets.UTF_8);
+    if (status != CONFLICT) {
+      fail(unknown("engine_status_" + status, body));
+      return;
+    }
     // The engine's contract: it refuses with 409 before it runs any part of the request.
-    fail(
-        status == CONFLICT
-            ? new Outcome.NotRun(new Failure(Step.DISPATCH, target.value(), "refused", body))
-            : unknown("engine_status_" + status, body));
+    Failure failure = new Failure(Step.DISPATCH, target.value(), "refused", body);
+    if (body.contains(NOT_LOADED)) {
+      ended = true;
+      ending.notLoaded(failure);
+    } else {
+      fail(new Outcome.NotRun(failure));
+    }
+  }
+
+  /** Breaks the connection to an engine that no longer runs the request, once it has answered. */
+  void abandon() {
+    ReplyControl open = control;
+    if (open != null) {
+      open.cancel();
+    }
   }
 
   @Override
@@ -112,7 +138,7 @@
     if (!ended) {
       ended = true;
       sink.failed(outcome);
-      finished.run();
+      ending.finished();
     }
   }
 }
--- a/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
@@ -2,8 +2,10 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.declaration.DeclarationSet.Target;
 import org.apricotstand.engine.EngineClient;
 import org.apricotstand.engine.EngineRequest;
@@ -36,27 +38,49 @@
   private final Ownership ownership;
   private final TargetScheduler scheduler;
   private final Map<RequestId, Pending> pending = new HashMap<>();
+  private final Supplier<DeclarationSet> declarations;
+  private DeclarationSet applied;
+  private boolean commandsAllowed = true;
   private boolean polling;
 
-  private record Pending(EngineRequest request, AnswerSink sink) {}
+  private static final class Pending {
+    private final EngineRequest request;
+    private final AnswerSink sink;
+    private EngineReply reply;
+
+    Pending(EngineRequest request, AnswerSink sink) {
+      this.request = request;
+      this.sink = sink;
+    }
+  }
 
   OwnedEngine(
       TargetId id,
       Target target,
       ControlThread control,
       EngineClient engines,
-      Ownership ownership) {
+      Ownership ownership,
+      Supplier<DeclarationSet> declarations,
+      TargetScheduler scheduler) {
     this.id = id;
     this.target = target;
     this.control = control;
     this.engines = engines;
     this.ownership = ownership;
-    this.scheduler = new TargetScheduler(id);
+    this.declarations = declarations;
+    this.scheduler = scheduler;
+    applyDeclarations();
     pollState();
   }
 
   void submit(EngineRequest request, AnswerSink sink) {
-    pending.put(request.scheduled().id(), new Pending(request, sink));
+    RequestId requestId = request.scheduled().id();
+    if (pending.containsKey(requestId)) {
+      sink.failed(
+          notRun("duplicate_request", "a request of this id waits or runs already: " + requestId));
+      return;
+    }
+    pending.put(requestId, new Pending(request, sink));
     handle(new SchedulerEvent.Submitted(request.scheduled()));
   }
 
@@ -66,14 +90,34 @@
   }
 
   void tick() {
+    applyDeclarations();
+    boolean allowed = ownership.mayCommand(id);
+    if (allowed != commandsAllowed) {
+      commandsAllowed = allowed;
+      handle(new SchedulerEvent.CommandsAllowed(allowed));
+    }
     handle(new SchedulerEvent.Tick());
   }
 
+  private void applyDeclarations() {
+    DeclarationSet current = declarations.get();
+    if (current != applied) {
+      applied = current;
+      handle(
+          new SchedulerEvent.Declared(
+              current.adapters().stream()
+                  .filter(DeclarationSet.Adapter::pinned)
+                  .map(DeclarationSet.Adapter::name)
+                  .collect(Collectors.toSet()),
+              current.policy().stallWeight()));
+    }
+  }
+
   PeerMessage.TargetLoad load() {
     return new PeerMessage.TargetLoad(
         id.value(),
-        scheduler.load(),
-        0,
+        scheduler.waiting(),
+        scheduler.running(),
         scheduler.resident().stream().map(AdapterVersion::toString).toList());
   }
 
@@ -109,10 +153,14 @@
   private void perform(SchedulerAction action) {
     switch (action) {
       case SchedulerAction.Dispatch(ScheduledRequest request) -> dispatch(request);
-      case SchedulerAction.Load(AdapterVersion adapterVersion) -> load(adapterVersion);
-      case SchedulerAction.Unload(AdapterVersion adapterVersion) -> unload(adapterVersion);
+      case SchedulerAction.Load(AdapterVersion adapterVersion, long order) ->
+          load(adapterVersion, order);
+      case SchedulerAction.Unload(AdapterVersion adapterVersion, long order) ->
+          unload(adapterVersion, order);
       case SchedulerAction.Refuse(ScheduledRequest request, Failure failure) ->
           refuse(request, failure);
+      case SchedulerAction.Abandon(ScheduledRequest request, Failure failure) ->
+          abandon(request, failure);
       case SchedulerAction.Cancel(RequestId requestId) ->
           engines.cancel(
               target.address(), requestId.value(), ControlThread.nowMs() + STATE_TIMEOUT_MS);
@@ -122,58 +170,95 @@
   private void refuse(ScheduledRequest request, Failure failure) {
     Pending refused = pending.remove(request.id());
     if (refused != null) {
-      refused.sink().failed(new Outcome.NotRun(failure));
+      refused.sink.failed(new Outcome.NotRun(failure));
+    }
+  }
+
+  private void abandon(ScheduledRequest request, Failure failure) {
+    LOG.warn("request_abandoned", "target", id, "request", request.id(), "failure", failure);
+    Pending abandoned = pending.remove(request.id());
+    if (abandoned != null && abandoned.reply != null) {
+      abandoned.reply.abandon();
     }
   }
 
   private void dispatch(ScheduledRequest request) {
-    Pending dispatched = pending.remove(request.id());
+    Pending dispatched = pending.get(request.id());
+    if (dispatched == null) {
+      control.execute(() -> handle(new SchedulerEvent.Finished(request.id())));
+      return;
+    }
     if (!ownership.mayDispatch(id)) {
-      dispatched
-          .sink()
-          .failed(
-              new Outcome.NotRun(
-                  new Failure(Step.DISPATCH, id.value(), "lease_expired", "ownership ended")));
+      pending.remove(request.id());
+      dispatched.sink.failed(notRun("lease_expired", "ownership ended"));
       control.execute(() -> handle(new SchedulerEvent.Finished(request.id())));
       return;
     }
-    EngineReply reply =
-        new EngineReply(
-            id,
-            dispatched.request(),
-            dispatched.sink(),
-            () -> control.execute(() -> handle(new SchedulerEvent.Finished(request.id()))));
-    engines.run(target.address(), ownership.fencingOf(id), dispatched.request(), reply);
+    dispatched.reply =
+        new EngineReply(id, dispatched.request, dispatched.sink, ending(request.id(), dispatched));
+    engines.run(target.address(), ownership.fencingOf(id), dispatched.request, dispatched.reply);
+  }
+
+  private EngineReply.Ending ending(RequestId requestId, Pending dispatched) {
+    return new EngineReply.Ending() {
+      @Override
+      public void finished() {
+        control.execute(
+            () -> {
+              pending.remove(requestId, dispatched);
+              handle(new SchedulerEvent.Finished(requestId));
+            });
+      }
+
+      @Override
+      public void notLoaded(Failure failure) {
+        control.execute(() -> requeue(requestId, dispatched, failure));
+      }
+    };
+  }
+
+  /** Puts a request back that the engine refused; fails it when the scheduler gave it up before. */
+  private void requeue(RequestId requestId, Pending dispatched, Failure failure) {
+    boolean wanted = scheduler.holds(requestId) && pending.get(requestId) == dispatched;
+    handle(new SchedulerEvent.NotLoaded(requestId));
+    if (!wanted) {
+      pending.remove(requestId, dispatched);
+      dispatched.sink.failed(new Outcome.NotRun(failure));
+    }
+  }
+
+  private Outcome.NotRun notRun(String code, String detail) {
+    return new Outcome.NotRun(new Failure(Step.DISPATCH, id.value(), code, detail));
   }
 
-  private void load(AdapterVersion adapterVersion) {
+  private void load(AdapterVersion adapterVersion, long order) {
     engines
         .load(target.address(), adapterVersion, ownership.fencingOf(id), commandDeadlineMs())
-        .thenAccept(result -> control.execute(() -> loaded(adapterVersion, result)));
+        .thenAccept(result -> control.execute(() -> loaded(adapterVersion, order, result)));
   }
 
-  private void loaded(AdapterVersion adapterVersion, Result<Void> result) {
+  private void loaded(AdapterVersion adapterVersion, long order, Result<Void> result) {
     switch (result) {
-      case Result.Ok<Void> ok -> handle(new SchedulerEvent.LoadFinished(adapterVersion));
+      case Result.Ok<Void> ok -> handle(new SchedulerEvent.LoadFinished(adapterVersion, order));
       case Result.Failed<Void>(Failure failure) -> {
         LOG.warn("load_failed", "target", id, "adapter", adapterVersion, "failure", failure);
-        handle(new SchedulerEvent.LoadFailed(adapterVersion, failure));
+        handle(new SchedulerEvent.LoadFailed(adapterVersion, order, failure));
       }
     }
   }
 
-  private void unload(AdapterVersion adapterVersion) {
+  private void unload(AdapterVersion adapterVersion, long order) {
     engines
         .unload(target.address(), adapterVersion, ownership.fencingOf(id), commandDeadlineMs())
-        .thenAccept(result -> control.execute(() -> unloaded(adapterVersion, result)));
+        .thenAccept(result -> control.execute(() -> unloaded(adapterVersion, order, result)));
   }
 
-  private void unloaded(AdapterVersion adapterVersion, Result<Void> result) {
+  private void unloaded(AdapterVersion adapterVersion, long order, Result<Void> result) {
     switch (result) {
-      case Result.Ok<Void> ok -> handle(new SchedulerEvent.UnloadFinished(adapterVersion));
+      case Result.Ok<Void> ok -> handle(new SchedulerEvent.UnloadFinished(adapterVersion, order));
       case Result.Failed<Void>(Failure failure) -> {
         LOG.warn("unload_failed", "target", id, "adapter", adapterVersion, "failure", failure);
-        handle(new SchedulerEvent.UnloadFailed(adapterVersion, failure));
+        handle(new SchedulerEvent.UnloadFailed(adapterVersion, order, failure));
       }
     }
   }
--- a/node/src/main/java/org/apricotstand/owner/OwnerService.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnerService.java
@@ -5,7 +5,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.declaration.DeclarationSet.Target;
 import org.apricotstand.engine.EngineClient;
 import org.apricotstand.engine.EngineRequest;
@@ -16,6 +18,7 @@
 import org.apricotstand.model.Step;
 import org.apricotstand.model.TargetId;
 import org.apricotstand.peer.PeerMessage;
+import org.apricotstand.schedule.TargetScheduler;
 
 /**
  * Runs model requests on the engines that this instance owns. All methods run on the control
@@ -34,22 +37,30 @@
   private final EngineClient engines;
   private final Ownership ownership;
   private final Function<TargetId, Optional<Target>> targets;
+  private final Supplier<DeclarationSet> declarations;
+  private final Function<TargetId, TargetScheduler> schedulers;
   private final Map<TargetId, OwnedEngine> owned = new HashMap<>();
 
   /**
    * Creates the service.
    *
    * @param targets finds the declaration of a target
+   * @param declarations declarations in force
+   * @param schedulers makes the scheduler of an engine
    */
   public OwnerService(
       ControlThread control,
       EngineClient engines,
       Ownership ownership,
-      Function<TargetId, Optional<Target>> targets) {
+      Function<TargetId, Optional<Target>> targets,
+      Supplier<DeclarationSet> declarations,
+      Function<TargetId, TargetScheduler> schedulers) {
     this.control = control;
     this.engines = engines;
     this.ownership = ownership;
     this.targets = targets;
+    this.declarations = declarations;
+    this.schedulers = schedulers;
   }
 
   @Override
@@ -68,10 +79,12 @@
                   Step.QUEUE, target.value(), "not_owner", "this instance does not own it")));
       return;
     }
-    owned
-        .computeIfAbsent(
-            target, id -> new OwnedEngine(id, declared.get(), control, engines, ownership))
-        .submit(request, sink);
+    owned.computeIfAbsent(target, id -> take(id, declared.get())).submit(request, sink);
+  }
+
+  private OwnedEngine take(TargetId id, Target declared) {
+    return new OwnedEngine(
+        id, declared, control, engines, ownership, declarations, schedulers.apply(id));
   }
 
   /** Cancels a request. */
--- a/node/src/main/java/org/apricotstand/settings/InstanceSettings.java
+++ b/node/src/main/java/org/apricotstand/settings/InstanceSettings.java
@@ -14,6 +14,7 @@
  * @param operatorToken token that operators send; required on a public address
  * @param platformUrl URL of the platform
  * @param peers other instances that are known from the start
+ * @param policy name of the traffic policy; affinity unless a baseline is compared
  */
 public record InstanceSettings(
     String instance,
@@ -23,11 +24,37 @@
     String operatorAddress,
     String operatorToken,
     String platformUrl,
-    List<Peer> peers) {
+    List<Peer> peers,
+    String policy) {
 
-  /** Replaces a missing list by an empty one. */
+  private static final String DEFAULT_POLICY = "affinity";
+
+  /** Replaces a missing list by an empty one and a missing policy by the default. */
   public InstanceSettings {
     peers = peers == null ? List.of() : List.copyOf(peers);
+    policy = policy == null ? DEFAULT_POLICY : policy;
+  }
+
+  /** Creates settings with the default policy. */
+  public InstanceSettings(
+      String instance,
+      String domain,
+      String callerAddress,
+      String peerAddress,
+      String operatorAddress,
+      String operatorToken,
+      String platformUrl,
+      List<Peer> peers) {
+    this(
+        instance,
+        domain,
+        callerAddress,
+        peerAddress,
+        operatorAddress,
+        operatorToken,
+        platformUrl,
+        peers,
+        DEFAULT_POLICY);
   }
 
   /** Another instance. */
