--- /dev/null
+++ b/cli/src/main/java/org/apricotstand/bench/Experiment.java
@@ -0,0 +1,83 @@
+package org.apricotstand.bench;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.apricotstand.http.HttpCaller;
+import org.apricotstand.standin.engine.StandInEngine;
+
+/**
+ * Runs policies one after the other on the same arrivals.
+ *
+ * <pre>{@code
+ * Results results = Experiment.run(scenario, List.of("affinity", "random"), 1, 60_000, writer);
+ * }</pre>
+ */
+public final class Experiment {
+
+  /** Policies that {@code all} stands for; the product's own comes first. */
+  public static final List<String> POLICIES = List.of("affinity", "least-loaded-lru", "random");
+
+  private static final int THREADS = 4;
+
+  private Experiment() {}
+
+  /** Runs the policies. */
+  public static Results run(
+      Scenario scenario,
+      List<String> policies,
+      long seed,
+      long durationMs,
+      DeclarationWriter writer)
+      throws IOException, InterruptedException {
+    Workload workload = Workload.generate(scenario, seed, durationMs);
+    long leastLoads =
+        ClairvoyantCache.leastLoads(
+            workload.requests().stream().map(Workload.ModelRequest::adapter).toList(),
+            scenario.engines() * scenario.slots());
+    Map<String, Figures> figures = new LinkedHashMap<>();
+    EventLoopGroup group = new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    try (HttpCaller http = new HttpCaller(group)) {
+      HopMeasurement.Hop hop = HopMeasurement.measure(scenario, group, http, writer);
+      for (String policy : policies) {
+        figures.put(policy, run(scenario, policy, workload, group, http, writer));
+      }
+      return new Results(
+          scenario.name(),
+          seed,
+          durationMs,
+          workload.requests().size(),
+          workload.orders().size(),
+          leastLoads,
+          hop,
+          figures);
+    } finally {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+  }
+
+  private static Figures run(
+      Scenario scenario,
+      String policy,
+      Workload workload,
+      EventLoopGroup group,
+      HttpCaller http,
+      DeclarationWriter writer)
+      throws IOException, InterruptedException {
+    try (Fleet fleet = new Fleet(scenario, policy, group, http, writer)) {
+      Driver.Sent sent = new Driver(scenario, http, fleet.callerAddresses()).send(workload);
+      Evidence evidence =
+          new Evidence(
+              sent,
+              fleet.engines().stream().flatMap(engine -> engine.events().stream()).toList(),
+              fleet.engines().stream().map(StandInEngine::statistics).toList(),
+              fleet.orders().events());
+      return Judge.judge(scenario, evidence);
+    }
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/apricotstand/bench/Fleet.java
@@ -0,0 +1,261 @@
+package org.apricotstand.bench;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.IntStream;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.entry.EntryInstance;
+import org.apricotstand.http.HttpCaller;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.Result;
+import org.apricotstand.settings.InstanceSettings;
+import org.apricotstand.standin.engine.EngineSettings;
+import org.apricotstand.standin.engine.StandInEngine;
+import org.apricotstand.standin.platform.PlatformSettings;
+import org.apricotstand.standin.platform.StandInPlatform;
+import org.apricotstand.standin.service.StandInService;
+
+/** Platform, engines, plain service and entry instances of one run, all in this process. */
+final class Fleet implements AutoCloseable {
+
+  private static final String LOCAL = "127.0.0.1:0";
+  private static final String IDENTITY_HEADER = "x-order-id";
+  private static final long CONFIGURATION_TIMEOUT_MS = 30_000;
+  private static final long CONFIGURATION_POLL_MS = 20;
+  private static final ObjectMapper YAML = new ObjectMapper(new YAMLFactory());
+
+  private final Scenario scenario;
+  private final StandInPlatform platform;
+  private final List<StandInEngine> engines = new ArrayList<>();
+  private final List<EntryInstance> entries = new ArrayList<>();
+  private final StandInService orders;
+
+  /** Starts everything and waits until the declarations are in force at every entry instance. */
+  Fleet(
+      Scenario scenario,
+      String policy,
+      EventLoopGroup group,
+      HttpCaller http,
+      DeclarationWriter writer)
+      throws IOException, InterruptedException {
+    this.scenario = scenario;
+    Scenario.Store store = scenario.store();
+    this.platform =
+        StandInPlatform.start(
+            group,
+            new PlatformSettings(
+                LOCAL,
+                store.loadsPerSecond(),
+                store.loadBurst(),
+                store.loadsInFlight(),
+                store.loadMs()));
+    this.orders =
+        StandInService.start(group, InstanceSettings.parseAddress(LOCAL), IDENTITY_HEADER);
+    for (int engine = 0; engine < scenario.engines(); engine++) {
+      engines.add(StandInEngine.start(group, http, engineSettings(engine)));
+    }
+    startEntries(policy);
+    apply(writer);
+    awaitConfiguration();
+    slowOrders(http);
+  }
+
+  private EngineSettings engineSettings(int number) {
+    EngineSettings.Behavior usual = EngineSettings.Behavior.DEFAULT;
+    EngineSettings.Behavior behavior =
+        new EngineSettings.Behavior(
+            usual.prefillBlocksPerStep(),
+            usual.cacheBlocks(),
+            scenario.reportLagMs(),
+            usual.cacheEventLagMs(),
+            usual.cacheEventLoss(),
+            usual.resumeMs(),
+            usual.coldStartMs(),
+            "",
+            number);
+    return new EngineSettings(
+        engineName(number),
+        LOCAL,
+        platform.url(),
+        scenario.slots(),
+        scenario.maxBatch(),
+        scenario.stepMs(),
+        scenario.classes().getFirst().tokens(),
+        true,
+        behavior);
+  }
+
+  private static String engineName(int number) {
+    return "engine-" + (number + 1);
+  }
+
+  private void startEntries(String policy) throws IOException {
+    List<InstanceSettings.Peer> all = new ArrayList<>();
+    for (int entry = 0; entry < scenario.entries(); entry++) {
+      all.add(
+          new InstanceSettings.Peer(
+              "entry-" + (entry + 1), scenario.domainOf(entry), reservedAddress()));
+    }
+    for (InstanceSettings.Peer self : all) {
+      List<InstanceSettings.Peer> peers = all.stream().filter(peer -> peer != self).toList();
+      entries.add(EntryInstance.start(settings(self, peers, policy)));
+    }
+  }
+
+  private InstanceSettings settings(
+      InstanceSettings.Peer self, List<InstanceSettings.Peer> peers, String policy) {
+    return new InstanceSettings(
+        self.instance(), self.domain(), LOCAL, self.address(), LOCAL, null, platform.url(), peers);
+  }
+
+  private static String reservedAddress() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return "127.0.0.1:" + socket.getLocalPort();
+    }
+  }
+
+  private void apply(DeclarationWriter writer) throws IOException {
+    Path folder = Files.createTempDirectory("apricotstand-bench");
+    Path file = folder.resolve("declarations.yaml");
+    YAML.writeValue(file.toFile(), declarations());
+    try {
+      if (writer.apply(platform.url(), folder) instanceof Result.Failed<Long>(Failure failure)) {
+        throw new IOException("declarations not accepted: " + failure);
+      }
+    } finally {
+      Files.delete(file);
+      Files.delete(folder);
+    }
+  }
+
+  private Map<String, Object> declarations() {
+    List<Map<String, Object>> adapters =
+        IntStream.range(0, scenario.adapters())
+            .mapToObj(
+                number ->
+                    Map.<String, Object>of(
+                        "name",
+                        Scenario.adapterName(number),
+                        "model",
+                        "base",
+                        "versions",
+                        List.of("v1"),
+                        "requestClass",
+                        scenario.classOf(number).name()))
+            .toList();
+    List<Map<String, Object>> targets = new ArrayList<>();
+    for (int engine = 0; engine < engines.size(); engine++) {
+      targets.add(
+          target(
+              engineName(engine),
+              "engine",
+              "base",
+              scenario.domainOf(engine),
+              engines.get(engine).address(),
+              scenario.slots(),
+              scenario.maxBatch()));
+    }
+    targets.add(
+        target("orders-1", "service", "orders", scenario.domainOf(0), orders.address(), 0, 0));
+    Map<String, Object> all = new LinkedHashMap<>();
+    all.put("models", List.of(Map.of("name", "base")));
+    all.put("adapters", adapters);
+    all.put(
+        "services",
+        List.of(
+            Map.of(
+                "name",
+                "orders",
+                "path",
+                "/orders",
+                "repeatable",
+                false,
+                "identityHeader",
+                IDENTITY_HEADER)));
+    all.put("targets", targets);
+    all.put(
+        "policy",
+        Map.of(
+            "stallWeight", scenario.stallWeight(),
+            "loadsPerSecond", scenario.store().loadsPerSecond(),
+            "loadsInFlight", scenario.store().loadsInFlight(),
+            "requestTimeoutMs", scenario.requestTimeoutMs()));
+    return all;
+  }
+
+  private static Map<String, Object> target(
+      String name,
+      String kind,
+      String serves,
+      String domain,
+      InetSocketAddress address,
+      int slots,
+      int maxBatch) {
+    Map<String, Object> target = new LinkedHashMap<>();
+    target.put("name", name);
+    target.put("kind", kind);
+    target.put("serves", serves);
+    target.put("domain", domain);
+    target.put("address", "127.0.0.1:" + address.getPort());
+    target.put("fencing", kind.equals("engine") ? "enforced" : "ignored");
+    target.put("slots", slots);
+    target.put("maxBatch", maxBatch);
+    return target;
+  }
+
+  private void awaitConfiguration() throws InterruptedException, IOException {
+    long deadlineMs = ControlThread.nowMs() + CONFIGURATION_TIMEOUT_MS;
+    for (EntryInstance entry : entries) {
+      while (entry.configuration().current().number() == 0) {
+        if (ControlThread.nowMs() > deadlineMs) {
+          throw new IOException("an instance has no declarations in force");
+        }
+        Thread.sleep(CONFIGURATION_POLL_MS);
+      }
+    }
+  }
+
+  private void slowOrders(HttpCaller http) {
+    String url = "http://127.0.0.1:" + orders.address().getPort() + "/faults";
+    byte[] body = ("{\"slow_ms\":" + scenario.orders().runMs() + "}").getBytes();
+    http.send(
+            org.apricotstand.http.HttpCall.json(
+                "POST", url, body, ControlThread.nowMs() + CONFIGURATION_TIMEOUT_MS))
+        .join();
+  }
+
+  List<InetSocketAddress> callerAddresses() {
+    return entries.stream().map(EntryInstance::callerAddress).toList();
+  }
+
+  List<StandInEngine> engines() {
+    return engines;
+  }
+
+  StandInPlatform platform() {
+    return platform;
+  }
+
+  StandInService orders() {
+    return orders;
+  }
+
+  @Override
+  public void close() {
+    entries.forEach(EntryInstance::close);
+    engines.forEach(StandInEngine::close);
+    orders.close();
+    platform.close();
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/apricotstand/bench/HopMeasurement.java
@@ -0,0 +1,102 @@
+package org.apricotstand.bench;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Locale;
+import org.HdrHistogram.Histogram;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.http.HttpCall;
+import org.apricotstand.http.HttpCaller;
+import org.apricotstand.http.HttpReply;
+
+/**
+ * Measures what the hop from an entry instance to the owner on another instance adds. Two instances
+ * in two domains share one engine; only the instance of its domain can own it.
+ */
+final class HopMeasurement {
+
+  private static final int WARM_UP = 300;
+  private static final int SAMPLES = 500;
+  private static final long TIMEOUT_MS = 30_000;
+  private static final int OWNER = 0;
+  private static final int OTHER = 1;
+  private static final double NANOS_PER_MS = 1_000_000;
+  private static final long MAX_NANOS = 60_000_000_000L;
+
+  private HopMeasurement() {}
+
+  /** Times of a whole one-token answer, in milliseconds, through the owner and through a peer. */
+  record Hop(
+      double ownerP50Ms, double ownerP95Ms, double peerP50Ms, double peerP95Ms, int samples) {
+    @Override
+    public String toString() {
+      return String.format(
+          Locale.ROOT,
+          "peer hop: p50 %.3f ms against %.3f ms at the owner itself (+%.3f ms), p95 %.3f ms"
+              + " against %.3f ms, %d samples each",
+          peerP50Ms,
+          ownerP50Ms,
+          peerP50Ms - ownerP50Ms,
+          peerP95Ms,
+          ownerP95Ms,
+          samples);
+    }
+  }
+
+  static Hop measure(
+      Scenario scenario, EventLoopGroup group, HttpCaller http, DeclarationWriter writer)
+      throws IOException, InterruptedException {
+    Scenario small =
+        new Scenario(
+            "hop",
+            List.of("owner", "other"),
+            2,
+            1,
+            1,
+            scenario.maxBatch(),
+            1,
+            0,
+            1,
+            scenario.store(),
+            1,
+            TIMEOUT_MS,
+            scenario.arrivals(),
+            scenario.classes(),
+            scenario.orders());
+    try (Fleet fleet = new Fleet(small, Experiment.POLICIES.getFirst(), group, http, writer)) {
+      List<InetSocketAddress> entries = fleet.callerAddresses();
+      Histogram owner = new Histogram(MAX_NANOS, 3);
+      Histogram other = new Histogram(MAX_NANOS, 3);
+      for (int i = 0; i < WARM_UP + SAMPLES; i++) {
+        long ownerNanos = call(http, entries.get(OWNER));
+        long otherNanos = call(http, entries.get(OTHER));
+        if (i >= WARM_UP) {
+          owner.recordValue(Math.min(MAX_NANOS, ownerNanos));
+          other.recordValue(Math.min(MAX_NANOS, otherNanos));
+        }
+      }
+      return new Hop(ms(owner, 50), ms(owner, 95), ms(other, 50), ms(other, 95), SAMPLES);
+    }
+  }
+
+  private static double ms(Histogram histogram, double percentile) {
+    return histogram.getValueAtPercentile(percentile) / NANOS_PER_MS;
+  }
+
+  private static long call(HttpCaller http, InetSocketAddress entry) throws IOException {
+    byte[] body =
+        "{\"model\":\"adapter-0\",\"prompt\":\"x\",\"max_tokens\":1}"
+            .getBytes(StandardCharsets.UTF_8);
+    String url = "http://127.0.0.1:" + entry.getPort() + "/v1/completions";
+    long startNanos = System.nanoTime();
+    HttpReply reply =
+        http.send(HttpCall.json("POST", url, body, ControlThread.nowMs() + TIMEOUT_MS)).join();
+    if (!reply.isSuccess()) {
+      throw new IOException("the hop cannot be measured: " + reply.text());
+    }
+    return System.nanoTime() - startNanos;
+  }
+}
--- /dev/null
+++ b/cli/src/main/java/org/apricotstand/bench/Scenario.java
@@ -0,0 +1,148 @@
+package org.apricotstand.bench;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.Result;
+import org.apricotstand.settings.YamlFiles;
+
+/**
+ * An experiment: the fleet, the weight store and the arrivals.
+ *
+ * @param name name in reports
+ * @param domains failure domains; entry instances and engines are spread over them in turn
+ * @param entries number of entry instances
+ * @param engines number of engines
+ * @param slots adapter slots of each engine
+ * @param maxBatch sequences that an engine runs at once
+ * @param stepMs time of one decoding step
+ * @param reportLagMs age of the engines' state reports
+ * @param adapters number of adapters
+ * @param store weight store
+ * @param stallWeight declared weight, 1 avoids load stalls, 0 fills batches
+ * @param requestTimeoutMs longest time a request may take
+ * @param arrivals model requests
+ * @param classes request classes of the adapters
+ * @param orders calls to the plain service
+ */
+public record Scenario(
+    String name,
+    List<String> domains,
+    int entries,
+    int engines,
+    int slots,
+    int maxBatch,
+    long stepMs,
+    long reportLagMs,
+    int adapters,
+    Store store,
+    double stallWeight,
+    long requestTimeoutMs,
+    Arrivals arrivals,
+    List<ClassShare> classes,
+    Orders orders) {
+
+  private static final List<String> BUILT_IN = List.of("steppe-haze", "lakeshore");
+
+  /**
+   * Limits of the weight store.
+   *
+   * @param loadsPerSecond rate limit
+   * @param loadBurst loads that may start at once
+   * @param loadsInFlight loads in flight at full speed
+   * @param loadMs time of one load at full speed
+   */
+  public record Store(double loadsPerSecond, int loadBurst, int loadsInFlight, long loadMs) {}
+
+  /**
+   * Poisson arrivals of model requests with Zipf popularity.
+   *
+   * @param requestsPerSecond mean rate
+   * @param zipfExponent exponent of the popularity by rank
+   * @param shiftAt fraction of the duration after which popularity shifts
+   * @param shiftShare fraction of the ranks whose adapters are exchanged at random by the shift
+   */
+  public record Arrivals(
+      double requestsPerSecond, double zipfExponent, double shiftAt, double shiftShare) {}
+
+  /**
+   * A class of adapters.
+   *
+   * @param name interactive, standard or background
+   * @param share fraction of the adapters
+   * @param tokens tokens of an answer
+   * @param promptCharacters length of a prompt
+   */
+  public record ClassShare(String name, double share, int tokens, int promptCharacters) {}
+
+  /**
+   * Poisson arrivals of orders at the plain service.
+   *
+   * @param ordersPerSecond mean rate of new orders
+   * @param repeatShare fraction of orders that their caller sends again
+   * @param repeatAfterMs time from an order to its repeat
+   * @param runMs time that the service needs for a run; longer than the time to the repeat, so that
+   *     a repeat can arrive during the run
+   */
+  public record Orders(
+      double ordersPerSecond, double repeatShare, long repeatAfterMs, long runMs) {}
+
+  /** Reads a built-in scenario by name, or a YAML file. */
+  public static Result<Scenario> read(String nameOrFile) throws IOException {
+    if (!BUILT_IN.contains(nameOrFile)) {
+      return YamlFiles.read(Path.of(nameOrFile), Scenario.class);
+    }
+    Path copy = Files.createTempFile(nameOrFile, ".yaml");
+    try (InputStream resource = Scenario.class.getResourceAsStream(nameOrFile + ".yaml")) {
+      Files.write(copy, resource.readAllBytes());
+      return YamlFiles.read(copy, Scenario.class);
+    } finally {
+      Files.delete(copy);
+    }
+  }
+
+  /** Reads a built-in scenario, which is valid. */
+  public static Scenario builtIn(String name) {
+    try {
+      return switch (read(name)) {
+        case Result.Ok<Scenario>(Scenario scenario) -> scenario;
+        case Result.Failed<Scenario>(Failure failure) ->
+            throw new IllegalArgumentException(failure.toString());
+      };
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** Returns the class of an adapter; the shares apply by number, so that they are exact. */
+  ClassShare classOf(int adapter) {
+    double position = (adapter % 100) / 100.0;
+    double end = 0;
+    for (ClassShare share : classes) {
+      end += share.share();
+      if (position < end) {
+        return share;
+      }
+    }
+    return classes.getLast();
+  }
+
+  /** Returns the name of an adapter. */
+  static String adapterName(int adapter) {
+    return "adapter-" + adapter;
+  }
+
+  /** Returns the only version of an adapter. */
+  static String adapterVersion(int adapter) {
+    return adapterName(adapter) + "@v1";
+  }
+
+  /** Returns the domain of the n-th entry instance or engine. */
+  String domainOf(int number) {
+    return domains.get(number % domains.size());
+  }
+}
--- a/cli/src/main/java/org/apricotstand/cli/Main.java
+++ b/cli/src/main/java/org/apricotstand/cli/Main.java
@@ -30,6 +30,7 @@
     commands.put("entry", new EntryCommand());
     commands.put("apply", new ApplyCommand());
     commands.put("stand-in", new StandInCommand());
+    commands.put("bench", new BenchCommand());
     commands.put("try", new TryCommand());
     JCommander parser = JCommander.newBuilder().programName("apricotstand").addObject(this).build();
     commands.forEach(parser::addCommand);
--- a/standin/src/main/java/org/apricotstand/standin/engine/EngineEvent.java
+++ b/standin/src/main/java/org/apricotstand/standin/engine/EngineEvent.java
@@ -9,6 +9,8 @@
  * @param incarnation incarnation of the engine
  * @param requestId identifier of the request, or empty
  * @param attempt number of the attempt, or 0
+ * @param user the {@code user} field of the request body, by which a judge finds the request of a
+ *     caller, or empty
  * @param adapterVersion adapter version concerned, or empty
  * @param inUse sequences that ran or waited on the adapter version at that moment
  */
@@ -19,6 +21,7 @@
     long incarnation,
     String requestId,
     int attempt,
+    String user,
     String adapterVersion,
     int inUse) {
 
--- a/standin/src/main/java/org/apricotstand/standin/engine/EngineJournal.java
+++ b/standin/src/main/java/org/apricotstand/standin/engine/EngineJournal.java
@@ -19,7 +19,8 @@
 
   synchronized void adapter(EngineEvent.Kind kind, long incarnation, String adapter, int inUse) {
     events.add(
-        new EngineEvent(ControlThread.nowMs(), kind, engine, incarnation, "", 0, adapter, inUse));
+        new EngineEvent(
+            ControlThread.nowMs(), kind, engine, incarnation, "", 0, "", adapter, inUse));
   }
 
   synchronized void request(EngineEvent.Kind kind, long incarnation, Sequence sequence) {
@@ -32,6 +33,7 @@
             incarnation,
             sequence.requestId(),
             sequence.attempt(),
+            sequence.user(),
             adapter.toString(),
             0));
   }
--- a/standin/src/main/java/org/apricotstand/standin/engine/EngineProcess.java
+++ b/standin/src/main/java/org/apricotstand/standin/engine/EngineProcess.java
@@ -93,6 +93,7 @@
               AdapterVersion.parse(name),
               incarnation,
               promptOf(body),
+              body.path("user").asText(),
               body.path("stream").asBoolean(),
               body.path("max_tokens").asInt(settings.tokens()));
       journal.request(EngineEvent.Kind.ACCEPTED, incarnation, sequence);
--- a/standin/src/main/java/org/apricotstand/standin/engine/Sequence.java
+++ b/standin/src/main/java/org/apricotstand/standin/engine/Sequence.java
@@ -17,6 +17,7 @@
   private final AdapterVersion adapterVersion;
   private final RequestClass priority;
   private final String prompt;
+  private final String user;
   private final boolean streamed;
   private final int tokens;
   private final Map<String, String> headers = new LinkedHashMap<>();
@@ -31,6 +32,7 @@
       AdapterVersion adapterVersion,
       long incarnation,
       String prompt,
+      String user,
       boolean streamed,
       int tokens) {
     this.exchange = exchange;
@@ -39,6 +41,7 @@
     this.priority = priorityOf(headerOr(exchange, EngineHeaders.PRIORITY, "STANDARD"));
     this.adapterVersion = adapterVersion;
     this.prompt = prompt;
+    this.user = user;
     this.streamed = streamed;
     this.tokens = tokens;
     headers.put("content-type", streamed ? "text/event-stream" : "application/json");
@@ -81,6 +84,10 @@
     return prompt;
   }
 
+  String user() {
+    return user;
+  }
+
   void prefill(int steps) {
     prefillSteps = steps;
   }
