--- /dev/null
+++ b/standin/src/test/java/org/apricotstand/standin/TestGroup.java
@@ -0,0 +1,65 @@
+package org.apricotstand.standin;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.http.HttpCall;
+import org.apricotstand.http.HttpCaller;
+import org.apricotstand.http.HttpReply;
+
+/** Event loops and an HTTP client of one test. */
+public final class TestGroup implements AutoCloseable {
+
+  private static final long LIMIT_MS = 60_000;
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+  private final HttpCaller http = new HttpCaller(group);
+
+  /** Returns the event loops. */
+  public EventLoopGroup group() {
+    return group;
+  }
+
+  /** Returns the client. */
+  public HttpCaller http() {
+    return http;
+  }
+
+  /** Sends a POST request on a connection of its own. */
+  public CompletableFuture<HttpReply> post(String url, String body, String... headers) {
+    HttpCall call =
+        HttpCall.json(
+                "POST",
+                url,
+                body.getBytes(StandardCharsets.UTF_8),
+                ControlThread.nowMs() + LIMIT_MS)
+            .onFreshConnection();
+    for (int i = 0; i < headers.length; i += 2) {
+      call = call.with(headers[i], headers[i + 1]);
+    }
+    return http.send(call);
+  }
+
+  /** Sends a GET request and waits for its answer. */
+  public HttpReply get(String url) {
+    return http.send(HttpCall.get(url, ControlThread.nowMs() + LIMIT_MS).onFreshConnection())
+        .join();
+  }
+
+  /** Returns the URL of an address. */
+  public static String url(InetSocketAddress address) {
+    return "http://127.0.0.1:" + address.getPort();
+  }
+
+  @Override
+  public void close() {
+    http.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+}
