--- /dev/null
+++ b/core/src/main/java/org/apricotstand/suspect/package-info.java
@@ -0,0 +1,2 @@
+/** Requests that crash targets. */
+package org.apricotstand.suspect;
