Claim calls to services that must not be repeated; pass headers, retry, limit

Cause: an order that was sent twice was run twice; calls lost most headers and used one target. Change: package claims carries claim rows, waits at the holder and removals; ServiceRoute uses it, passes method, query, end-to-end headers and body, takes targets in turn, retries within the budget and refuses beyond the admission limits with 429 and retry-after.

--- a/core/src/main/java/org/apricotstand/suspect/SuspectRegistry.java
+++ b/core/src/main/java/org/apricotstand/suspect/SuspectRegistry.java
@@ -71,14 +71,14 @@
   public void handle(SuspectEvent event, long nowMs) {
     switch (event) {
       case SuspectEvent.ConnectionLost(String fingerprint, TargetId target, long incarnation) -> {
-        Suspicion suspicion = open(fingerprint, nowMs);
+        Suspicion suspicion = open(fingerprint);
         Crash crash = new Crash(target, incarnation);
         if (!suspicion.crashedUntilMs.containsKey(crash)) {
           suspicion.openUntilMs.put(crash, nowMs + SETTLE_MS);
         }
       }
       case SuspectEvent.Crashed(String fingerprint, TargetId target, long incarnation) -> {
-        Suspicion suspicion = open(fingerprint, nowMs);
+        Suspicion suspicion = open(fingerprint);
         Crash crash = new Crash(target, incarnation);
         suspicion.openUntilMs.remove(crash);
         suspicion.crashedUntilMs.putIfAbsent(crash, nowMs + REFUSAL_MS);
@@ -93,7 +93,7 @@
       }
       case SuspectEvent.Finished(String fingerprint) -> suspicions.remove(fingerprint);
       case SuspectEvent.TrialStarted(String fingerprint, long deadlineMs) ->
-          open(fingerprint, nowMs).trialUntilMs = deadlineMs;
+          open(fingerprint).trialUntilMs = deadlineMs;
       case SuspectEvent.TrialEnded(String fingerprint) -> {
         Suspicion suspicion = suspicions.get(fingerprint);
         if (suspicion != null) {
@@ -138,14 +138,11 @@
     return suspicions.size();
   }
 
-  private Suspicion open(String fingerprint, long nowMs) {
+  private Suspicion open(String fingerprint) {
     if (!suspicions.containsKey(fingerprint) && suspicions.size() >= MAX_FINGERPRINTS) {
-      suspicions.values().removeIf(suspicion -> suspicion.isOver(nowMs));
       Iterator<String> oldest = suspicions.keySet().iterator();
-      if (suspicions.size() >= MAX_FINGERPRINTS) {
-        oldest.next();
-        oldest.remove();
-      }
+      oldest.next();
+      oldest.remove();
     }
     return suspicions.computeIfAbsent(fingerprint, key -> new Suspicion());
   }
--- a/core/src/test/java/org/apricotstand/suspect/SuspectRegistryTest.java
+++ b/core/src/test/java/org/apricotstand/suspect/SuspectRegistryTest.java
@@ -44,6 +44,20 @@
     assertThat(registry.verdict("g", 2)).isEqualTo(new Verdict.Free());
   }
 
+  /** Guards against a second run elsewhere while it is open how the first one ended. */
+  @Test
+  void refusesWhileItIsOpenWhetherATargetCrashed() {
+    registry.handle(new SuspectEvent.ConnectionLost("f", FIRST, 1), 0);
+    assertThat(registry.verdict("f", 1))
+        .isEqualTo(new Verdict.Refused(SuspectRegistry.UNSETTLED, 1_000));
+    registry.handle(new SuspectEvent.Crashed("f", FIRST, 1), 2);
+    registry.handle(new SuspectEvent.TrialStarted("f", 500), 3);
+    assertThat(registry.verdict("f", 499))
+        .isEqualTo(new Verdict.Refused(SuspectRegistry.ON_TRIAL, 1_000));
+    registry.handle(new SuspectEvent.TrialEnded("f"), 499);
+    assertThat(registry.verdict("f", 499)).isEqualTo(new Verdict.Alone(Set.of(FIRST)));
+  }
+
   /** Guards against memory that grows with the number of requests that were ever suspected. */
   @Test
   void keepsABoundedNumber() {
--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -92,10 +92,13 @@
     peers.listen(remote);
     ModelRoute models =
         new ModelRoute(self, incarnation, control, configuration, ownership, owner, remote);
-    ServiceRoute services = new ServiceRoute(configuration, http);
+    Metrics metrics = new Metrics();
+    ServiceParts parts =
+        ServiceParts.create(
+            settings, incarnation, control, configuration, platform, peers, http, metrics);
     InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
     Kernel kernel = new Kernel();
-    kernel.register("metrics", new Metrics());
+    kernel.register("metrics", metrics);
     kernel.register("control", control);
     kernel.register("platform", platform);
     kernel.register("configuration", configuration);
@@ -106,8 +109,8 @@
     kernel.register("remote-answers", remote);
     kernel.register("peer-requests", new PeerRequests(control, peers, owner));
     kernel.register("models", models);
-    kernel.register("services", services);
-    kernel.register("callers", new CallerInterface(group, callers, models, services));
+    parts.register(kernel);
+    kernel.register("callers", new CallerInterface(group, callers, models, parts.services()));
     return kernel;
   }
 
--- a/node/src/main/java/org/apricotstand/entry/ErrorAnswer.java
+++ b/node/src/main/java/org/apricotstand/entry/ErrorAnswer.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.apricotstand.claim.ClaimCodes;
 import org.apricotstand.http.HttpExchange;
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.Outcome;
@@ -18,6 +19,8 @@
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int BAD_GATEWAY = 502;
+  private static final int UNPROCESSABLE = 422;
+  private static final long MS_PER_S = 1_000;
 
   private ErrorAnswer() {}
 
@@ -25,27 +28,44 @@
   static void send(HttpExchange exchange, Outcome outcome) {
     switch (outcome) {
       case Outcome.NotRun(Failure failure) ->
-          send(exchange, SERVICE_UNAVAILABLE, "not_run", failure);
+          send(exchange, statusOf(failure), "not_run", failure, Map.of());
       case Outcome.OutcomeUnknown(Failure failure) ->
-          send(exchange, BAD_GATEWAY, "unknown", failure);
+          send(exchange, BAD_GATEWAY, "unknown", failure, Map.of());
       case Outcome.Answered answered -> throw new IllegalArgumentException("not an error");
     }
   }
 
   /** Refuses a request that was not run. */
   static void refuse(HttpExchange exchange, int status, Failure failure) {
-    send(exchange, status, "not_run", failure);
+    send(exchange, status, "not_run", failure, Map.of());
   }
 
-  private static void send(HttpExchange exchange, int status, String outcome, Failure failure) {
+  /** Refuses a request that was not run and may be sent again after a time. */
+  static void refuse(HttpExchange exchange, int status, Failure failure, long retryAfterMs) {
+    long seconds = Math.max(1, (retryAfterMs + MS_PER_S - 1) / MS_PER_S);
+    send(exchange, status, "not_run", failure, Map.of("retry-after", Long.toString(seconds)));
+  }
+
+  /** A request that contradicts an earlier one stays wrong; all others may be sent again. */
+  private static int statusOf(Failure failure) {
+    return failure.code().equals(ClaimCodes.IDENTITY_REUSED) ? UNPROCESSABLE : SERVICE_UNAVAILABLE;
+  }
+
+  private static void send(
+      HttpExchange exchange,
+      int status,
+      String outcome,
+      Failure failure,
+      Map<String, String> moreHeaders) {
     Map<String, String> error = new LinkedHashMap<>();
     error.put("code", failure.code());
     error.put("message", failure.detail());
     error.put("outcome", outcome);
     error.put("step", failure.step().name().toLowerCase(java.util.Locale.ROOT));
     error.put("peer", failure.peer());
-    Map<String, String> headers =
-        Map.of("content-type", "application/json", OUTCOME_HEADER, outcome);
+    Map<String, String> headers = new LinkedHashMap<>(moreHeaders);
+    headers.put("content-type", "application/json");
+    headers.put(OUTCOME_HEADER, outcome);
     exchange.respond(
         status, headers, encode(Map.of("error", error)).getBytes(StandardCharsets.UTF_8));
   }
--- a/node/src/main/java/org/apricotstand/entry/ServiceRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceRoute.java
@@ -1,32 +1,53 @@
 package org.apricotstand.entry;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
+import org.apricotstand.claim.ClaimEnding;
+import org.apricotstand.claim.ClaimEvent;
+import org.apricotstand.claim.ClaimHash;
+import org.apricotstand.claim.StoredAnswer;
+import org.apricotstand.claims.ClaimService;
+import org.apricotstand.claims.ClaimedCall;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.configuration.Revision;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.declaration.DeclarationSet.PlainService;
 import org.apricotstand.declaration.DeclarationSet.Target;
-import org.apricotstand.http.HttpCall;
-import org.apricotstand.http.HttpCaller;
 import org.apricotstand.http.HttpExchange;
 import org.apricotstand.http.HttpReply;
 import org.apricotstand.http.HttpRequest;
 import org.apricotstand.kernel.Service;
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.Outcome;
+import org.apricotstand.model.RequestClass;
 import org.apricotstand.model.Step;
 
-/** Serves calls to plain services, each with one attempt on a connection of its own. */
+/** Serves calls to plain services: directly, or through a claim when they must not be repeated. */
 final class ServiceRoute implements Service {
 
   private final ConfigurationService configuration;
-  private final HttpCaller http;
+  private final ControlThread control;
+  private final Admission admission;
+  private final ServiceTargets targets;
+  private final ServiceCalls calls;
+  private final ClaimService claims;
 
-  ServiceRoute(ConfigurationService configuration, HttpCaller http) {
+  ServiceRoute(
+      ConfigurationService configuration,
+      ControlThread control,
+      Admission admission,
+      ServiceTargets targets,
+      ServiceCalls calls,
+      ClaimService claims) {
     this.configuration = configuration;
-    this.http = http;
+    this.control = control;
+    this.admission = admission;
+    this.targets = targets;
+    this.calls = calls;
+    this.claims = claims;
   }
 
   /** Answers a call when its path belongs to a service. */
@@ -36,70 +57,119 @@
         revision.declarations().services().stream()
             .filter(declared -> exchange.request().path().startsWith(declared.path()))
             .findFirst();
-    service.ifPresent(found -> forward(exchange, revision, found));
+    service.ifPresent(found -> control.execute(() -> admit(exchange, revision, found)));
     return service.isPresent();
   }
 
-  private void forward(HttpExchange exchange, Revision revision, PlainService service) {
-    Optional<Target> target =
-        revision.declarations().targets().stream()
-            .filter(declared -> !declared.runsModel())
-            .filter(declared -> declared.serves().equals(service.name()))
-            .findFirst();
-    if (target.isEmpty()) {
-      ErrorAnswer.send(
-          exchange,
-          new Outcome.NotRun(
-              new Failure(Step.PLACEMENT, service.name(), "no_target", "no target serves it")));
-      return;
-    }
+  private void admit(HttpExchange exchange, Revision revision, PlainService service) {
     long deadlineMs = ControlThread.nowMs() + revision.declarations().policy().requestTimeoutMs();
-    http.send(toCall(exchange.request(), target.get(), service, deadlineMs))
-        .whenComplete((reply, error) -> answer(exchange, target.get(), reply, error));
+    admission
+        .admit(exchange, RequestClass.INTERACTIVE)
+        .ifPresent(release -> new Call(exchange, revision, service, deadlineMs, release).start());
   }
 
-  private static HttpCall toCall(
-      HttpRequest request, Target target, PlainService service, long deadlineMs) {
-    Map<String, String> headers = new LinkedHashMap<>();
-    copyHeader(request, headers, "content-type");
-    if (service.identityHeader() != null) {
-      copyHeader(request, headers, service.identityHeader());
+  /** One call; confined to the control thread. */
+  private final class Call implements ClaimedCall {
+    private final HttpExchange exchange;
+    private final Revision revision;
+    private final PlainService service;
+    private final long deadlineMs;
+    private final Runnable release;
+    private HttpReply wholeReply;
+
+    Call(
+        HttpExchange exchange,
+        Revision revision,
+        PlainService service,
+        long deadlineMs,
+        Runnable release) {
+      this.exchange = exchange;
+      this.revision = revision;
+      this.service = service;
+      this.deadlineMs = deadlineMs;
+      this.release = release;
     }
-    String query = request.query().isEmpty() ? "" : "?" + request.query();
-    return new HttpCall(
-            request.method(),
-            "http://" + target.address() + request.path() + query,
-            headers,
-            request.body(),
-            deadlineMs,
-            true)
-        .onFreshConnection();
-  }
 
-  private static void copyHeader(HttpRequest request, Map<String, String> headers, String name) {
-    String value = request.header(name);
-    if (value != null) {
-      headers.put(name, value);
+    void start() {
+      HttpRequest request = exchange.request();
+      Optional<String> identity = IdentityReader.read(request, service);
+      if (service.repeatable()) {
+        send(ServiceCalls.Retry.ALWAYS, this::answer);
+      } else if (identity.isEmpty()) {
+        send(ServiceCalls.Retry.NEVER, this::answer);
+      } else {
+        String query = request.query().isEmpty() ? "" : "?" + request.query();
+        String fingerprint =
+            ClaimHash.fingerprint(request.method(), request.path() + query, request.body());
+        claims.claim(service.name(), identity.get(), fingerprint, deadlineMs, this);
+      }
+    }
+
+    private void send(ServiceCalls.Retry retry, Consumer<ServiceEnd> done) {
+      List<Target> order = targets.next(revision, service);
+      if (order.isEmpty()) {
+        done.accept(
+            new ServiceEnd.NotSent(
+                new Failure(Step.PLACEMENT, service.name(), "no_target", "no target serves it")));
+      } else {
+        calls.send(exchange.request(), order, retry, deadlineMs, done);
+      }
+    }
+
+    private void answer(ServiceEnd end) {
+      release.run();
+      switch (end) {
+        case ServiceEnd.Replied(HttpReply reply) -> pass(reply);
+        case ServiceEnd.NotSent(Failure failure) ->
+            ErrorAnswer.send(exchange, new Outcome.NotRun(failure));
+        case ServiceEnd.Lost(Failure failure) ->
+            ErrorAnswer.send(exchange, new Outcome.OutcomeUnknown(failure));
+      }
+    }
+
+    @Override
+    public void dispatch(Consumer<ClaimEvent> ended) {
+      send(ServiceCalls.Retry.WHILE_NOT_SENT, end -> ended.accept(eventOf(end)));
+    }
+
+    private ClaimEvent eventOf(ServiceEnd end) {
+      return switch (end) {
+        case ServiceEnd.Replied(HttpReply reply) -> {
+          wholeReply = reply;
+          Map<String, String> headers = EndToEndHeaders.of(reply.headers());
+          yield new ClaimEvent.CallAnswered(StoredAnswer.of(reply.status(), headers, reply.body()));
+        }
+        case ServiceEnd.NotSent(Failure failure) -> new ClaimEvent.CallNotSent(failure);
+        case ServiceEnd.Lost(Failure failure) -> new ClaimEvent.CallLost(failure);
+      };
+    }
+
+    @Override
+    public void finish(ClaimEnding ending) {
+      release.run();
+      switch (ending) {
+        case ClaimEnding.Answered(StoredAnswer stored) -> {
+          if (wholeReply != null) {
+            pass(wholeReply);
+          } else {
+            respond(stored.status(), stored.headers(), stored.body());
+          }
+        }
+        case ClaimEnding.NotRun(Failure failure) ->
+            ErrorAnswer.send(exchange, new Outcome.NotRun(failure));
+        case ClaimEnding.Unknown(Failure failure) ->
+            ErrorAnswer.send(exchange, new Outcome.OutcomeUnknown(failure));
+      }
+    }
+
+    private void pass(HttpReply reply) {
+      respond(reply.status(), EndToEndHeaders.of(reply.headers()), reply.body());
     }
-  }
 
-  private static void answer(
-      HttpExchange exchange, Target target, HttpReply reply, Throwable error) {
-    if (error == null) {
-      Map<String, String> headers = new LinkedHashMap<>();
-      headers.put("content-type", reply.headers().get("content-type", "application/json"));
-      headers.put(ErrorAnswer.OUTCOME_HEADER, "answered");
-      exchange.respond(reply.status(), headers, reply.body());
-      return;
+    private void respond(int status, Map<String, String> headers, byte[] body) {
+      Map<String, String> withOutcome = new LinkedHashMap<>(headers);
+      withOutcome.put(ErrorAnswer.OUTCOME_HEADER, "answered");
+      exchange.respond(status, withOutcome, body);
     }
-    boolean sent = !(error instanceof HttpCaller.CallException call) || call.failure().sent();
-    Failure failure =
-        new Failure(
-            sent ? Step.ANSWER : Step.DISPATCH,
-            target.name(),
-            sent ? "no_answer" : "not_sent",
-            String.valueOf(error.getMessage()));
-    ErrorAnswer.send(
-        exchange, sent ? new Outcome.OutcomeUnknown(failure) : new Outcome.NotRun(failure));
   }
 }
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -148,13 +148,21 @@
   record SuspectNoted(String fingerprint, String target, long targetIncarnation)
       implements PeerMessage {}
 
-  /** Asks the holder of a claim for the answer. */
-  record ClaimWaited(String waitId, String claimKey, long remainingMs) implements PeerMessage {}
+  /**
+   * Asks the holder of a claim for the ending of one attempt.
+   *
+   * @param waitId identifies the repeat that waits
+   * @param claimKey key of the claim row
+   * @param attemptNonce attempt that made the claim
+   * @param remainingMs time that the repeat can wait
+   */
+  record ClaimWaited(String waitId, String claimKey, String attemptNonce, long remainingMs)
+      implements PeerMessage {}
 
   /**
    * Answers {@link ClaimWaited}.
    *
-   * @param state "answered" or "unknown"
+   * @param state "answered", "not_run" or "unknown"
    */
   record ClaimAnswered(
       String waitId, String state, int status, Map<String, String> headers, byte[] body)
