--- a/node/src/main/java/org/apricotstand/entry/ModelRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelRoute.java
@@ -37,6 +37,9 @@
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
+  // Covers a handover and the start of an instance; a takeover takes longer than callers wait.
+  private static final long REROUTE_MS = 3_000;
+  private static final long REROUTE_PAUSE_MS = 100;
 
   private final InstanceId self;
   private final ControlThread control;
@@ -122,7 +125,21 @@
   }
 
   private void route(HttpExchange exchange, Revision revision, Resolved resolved) {
-    AnswerSink sink = new ExchangeSink(exchange);
+    long untilMs = ControlThread.nowMs() + REROUTE_MS;
+    routeOnce(exchange, revision, resolved, untilMs);
+  }
+
+  /** Sends a request to the owner; looks for the owner again when it was refused as none. */
+  private void routeOnce(
+      HttpExchange exchange, Revision revision, Resolved resolved, long untilMs) {
+    AnswerSink sink =
+        new RerouteSink(
+            new ExchangeSink(exchange),
+            () -> ControlThread.nowMs() < untilMs,
+            () ->
+                control.executeAt(
+                    ControlThread.nowMs() + REROUTE_PAUSE_MS,
+                    () -> routeOnce(exchange, revision, resolved, untilMs)));
     long nowMs = ControlThread.nowMs();
     Optional<TargetId> target =
         choice.choose(
