--- a/cli/src/main/java/org/apricotstand/bench/Fleet.java
+++ b/cli/src/main/java/org/apricotstand/bench/Fleet.java
@@ -116,7 +116,15 @@
   private InstanceSettings settings(
       InstanceSettings.Peer self, List<InstanceSettings.Peer> peers, String policy) {
     return new InstanceSettings(
-        self.instance(), self.domain(), LOCAL, self.address(), LOCAL, null, platform.url(), peers);
+        self.instance(),
+        self.domain(),
+        LOCAL,
+        self.address(),
+        LOCAL,
+        null,
+        platform.url(),
+        peers,
+        policy);
   }
 
   private static String reservedAddress() throws IOException {
