Check declarations as a whole, spread revisions through peers, add the operators' side

Declarations were bound field by field with the first fault only, every instance polled the head row alone, the version of a request was an arbitrary key of the route, and a path prefix matched half segments.

- core.declaration checks a whole set and reports every fault with file, line and field; VersionChoice picks a version by the hash of the request id; ServicePaths matches whole segments, longest first; DeclarationDiff compares field by field.
- core.revision decides which revision is in force (never back), how it spreads (fan-out 4 on first sight, jittered poll as fallback, content from store or peer) and how a change is applied (compare-and-set, read back by nonce).
- node.configuration decodes and checks content on a thread of its own; content is stored compressed, named by the hash of its JSON.
- node.settings reads YAML with the line of each field.
- node.operator serves /live, /ready, /metrics, /status, /explain and /drain; the commands check, diff, status, explain and drain use it.
An instance without a revision answers 503.

jqwik: 150 worlds of up to 9 instances with loss, duplication and reordering converge and never go back; 60 instances send at most 4 announcements each for one revision.

--- a/cli/src/main/java/org/apricotstand/cli/ApplyCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/ApplyCommand.java
@@ -3,8 +3,17 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.UUID;
+import org.apricotstand.configuration.DeclarationApplier;
+import org.apricotstand.configuration.DeclarationFiles;
+import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.Result;
+import org.apricotstand.revision.ApplyOutcome;
+import org.apricotstand.revision.Head;
+import org.apricotstand.settings.Checked;
 
 /** Applies a set of declaration files as a whole. */
 @Parameters(commandDescription = "applies a set of declaration files as a whole")
@@ -13,21 +22,80 @@
   @Parameter(names = "--platform", description = "URL of the platform", required = true)
   private String platformUrl;
 
-  @Parameter(names = "--files", description = "folder of declaration files", required = true)
-  private String folder;
+  @Parameter(
+      names = "--files",
+      description = "folder of declaration files, or one file",
+      required = true)
+  private String files;
+
+  @Parameter(
+      names = "--base",
+      description = "revision on which the change is based; the current one when absent")
+  private Long base;
 
   @Override
-  public int run() throws Exception {
-    Result<Long> result = DeclarationApplier.apply(platformUrl, Path.of(folder));
-    return switch (result) {
-      case Result.Ok<Long>(Long revision) -> {
+  public int run() {
+    return switch (DeclarationFiles.read(Path.of(files))) {
+      case Checked.Valid<DeclarationSet>(DeclarationSet set) -> apply(set);
+      case Checked.Faulty<DeclarationSet> faulty -> {
+        System.err.println(faulty.report());
+        System.err.println("not accepted: " + faulty.faults().size() + " fault(s) in the files");
+        yield ExitCodes.INVALID_FILE;
+      }
+    };
+  }
+
+  private int apply(DeclarationSet set) {
+    OptionalLong from = base == null ? OptionalLong.empty() : OptionalLong.of(base);
+    try (HttpSession session = new HttpSession()) {
+      DeclarationApplier applier = session.applier(platformUrl);
+      return report(applier, set, applier.apply(set, UUID.randomUUID().toString(), from));
+    }
+  }
+
+  private static int report(DeclarationApplier applier, DeclarationSet set, ApplyOutcome outcome) {
+    return switch (outcome) {
+      case ApplyOutcome.Accepted(long revision) -> {
         System.out.println("accepted revision=" + revision);
         yield ExitCodes.OK;
       }
-      case Result.Failed<Long>(Failure failure) -> {
+      case ApplyOutcome.Unchanged(long revision) -> {
+        System.out.println("unchanged revision=" + revision);
+        yield ExitCodes.OK;
+      }
+      case ApplyOutcome.Conflict conflict -> {
+        System.err.println(describe(applier, set, conflict));
+        yield ExitCodes.CONFLICT;
+      }
+      case ApplyOutcome.Refused(Failure failure) -> {
         System.err.println("not accepted: " + failure);
-        yield failure.code().equals("conflict") ? ExitCodes.CONFLICT : ExitCodes.FAILED;
+        yield ExitCodes.FAILED;
+      }
+      case ApplyOutcome.Unknown(long revision, Failure failure) -> {
+        System.err.println(
+            "unknown whether accepted as revision " + revision + ", see diff: " + failure);
+        yield ExitCodes.OUTCOME_UNKNOWN;
       }
     };
   }
+
+  private static String describe(
+      DeclarationApplier applier, DeclarationSet set, ApplyOutcome.Conflict conflict) {
+    String from =
+        conflict.base().map(Head::revision).map(number -> "revision " + number).orElse("none");
+    String message =
+        "not accepted: conflict with revision "
+            + conflict.other().revision()
+            + ", which was accepted meanwhile (base: "
+            + from
+            + ")";
+    return switch (applier.fieldsInConflict(set, conflict)) {
+      case Result.Ok<List<String>>(List<String> fields) when fields.isEmpty() ->
+          message + "\nno field was changed by both";
+      case Result.Ok<List<String>>(List<String> fields) ->
+          message + "\nchanged by both:\n  " + String.join("\n  ", fields);
+      case Result.Failed<List<String>>(Failure failure) ->
+          message + "\nthe fields in conflict cannot be read: " + failure;
+    };
+  }
 }
--- /dev/null
+++ b/cli/src/main/java/org/apricotstand/cli/DiffCommand.java
@@ -0,0 +1,74 @@
+package org.apricotstand.cli;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.apricotstand.configuration.DeclarationApplier;
+import org.apricotstand.configuration.DeclarationFiles;
+import org.apricotstand.declaration.DeclarationDiff;
+import org.apricotstand.declaration.DeclarationDiff.Change;
+import org.apricotstand.declaration.DeclarationSet;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.Result;
+import org.apricotstand.revision.HeadRow;
+import org.apricotstand.settings.Checked;
+
+/** Shows what apply would change, field by field. */
+@Parameters(commandDescription = "shows what apply would change, field by field")
+final class DiffCommand implements Command {
+
+  @Parameter(names = "--platform", description = "URL of the platform", required = true)
+  private String platformUrl;
+
+  @Parameter(
+      names = "--files",
+      description = "folder of declaration files, or one file",
+      required = true)
+  private String files;
+
+  @Override
+  public int run() {
+    return switch (DeclarationFiles.read(Path.of(files))) {
+      case Checked.Valid<DeclarationSet>(DeclarationSet set) -> compare(set);
+      case Checked.Faulty<DeclarationSet> faulty -> {
+        System.err.println(faulty.report());
+        yield ExitCodes.INVALID_FILE;
+      }
+    };
+  }
+
+  private int compare(DeclarationSet set) {
+    try (HttpSession session = new HttpSession()) {
+      DeclarationApplier applier = session.applier(platformUrl);
+      return switch (applier.readHead()) {
+        case Result.Ok<Optional<HeadRow>>(Optional<HeadRow> row) -> compare(applier, row, set);
+        case Result.Failed<Optional<HeadRow>>(Failure failure) -> failed(failure);
+      };
+    }
+  }
+
+  private static int compare(
+      DeclarationApplier applier, Optional<HeadRow> row, DeclarationSet set) {
+    Result<DeclarationSet> accepted =
+        row.map(HeadRow::head)
+            .map(applier::readSet)
+            .orElseGet(() -> Result.ok(DeclarationSet.empty()));
+    return switch (accepted) {
+      case Result.Ok<DeclarationSet>(DeclarationSet before) -> {
+        List<Change> changes = DeclarationDiff.between(before, set);
+        changes.forEach(System.out::println);
+        long revision = row.map(read -> read.head().revision()).orElse(0L);
+        System.out.println("revision=" + revision + " changes=" + changes.size());
+        yield ExitCodes.OK;
+      }
+      case Result.Failed<DeclarationSet>(Failure failure) -> failed(failure);
+    };
+  }
+
+  private static int failed(Failure failure) {
+    System.err.println("failed: " + failure);
+    return ExitCodes.FAILED;
+  }
+}
--- a/cli/src/main/java/org/apricotstand/cli/EntryCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/EntryCommand.java
@@ -5,10 +5,8 @@
 import java.nio.file.Path;
 import java.util.concurrent.CountDownLatch;
 import org.apricotstand.entry.EntryInstance;
-import org.apricotstand.model.Failure;
-import org.apricotstand.model.Result;
+import org.apricotstand.settings.Checked;
 import org.apricotstand.settings.InstanceSettings;
-import org.apricotstand.settings.YamlFiles;
 
 /** Runs an entry instance until the process is asked to stop. */
 @Parameters(commandDescription = "runs an entry instance")
@@ -19,10 +17,10 @@
 
   @Override
   public int run() throws InterruptedException {
-    return switch (YamlFiles.read(Path.of(settingsFile), InstanceSettings.class)) {
-      case Result.Ok<InstanceSettings>(InstanceSettings settings) -> serve(settings);
-      case Result.Failed<InstanceSettings>(Failure failure) -> {
-        System.err.println(failure);
+    return switch (InstanceSettings.read(Path.of(settingsFile))) {
+      case Checked.Valid<InstanceSettings>(InstanceSettings settings) -> serve(settings);
+      case Checked.Faulty<InstanceSettings> faulty -> {
+        System.err.println(faulty.report());
         yield ExitCodes.INVALID_FILE;
       }
     };
@@ -30,7 +28,8 @@
 
   private static int serve(InstanceSettings settings) throws InterruptedException {
     EntryInstance instance = EntryInstance.start(settings);
-    System.out.println("ready callers=" + instance.callerAddress());
+    System.out.println(
+        "ready callers=" + instance.callerAddress() + " operators=" + instance.operatorAddress());
     Runtime.getRuntime().addShutdownHook(new Thread(instance::close, "shutdown"));
     new CountDownLatch(1).await();
     return ExitCodes.OK;
--- a/cli/src/main/java/org/apricotstand/cli/Main.java
+++ b/cli/src/main/java/org/apricotstand/cli/Main.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.ParameterException;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.logging.Level;
@@ -28,11 +29,22 @@
     LogFormat.install(Level.INFO);
     Map<String, Command> commands = new LinkedHashMap<>();
     commands.put("entry", new EntryCommand());
+    commands.put("check", new CheckCommand());
     commands.put("apply", new ApplyCommand());
+    commands.put("diff", new DiffCommand());
+    commands.put("status", new StatusCommand());
+    commands.put("explain", new ExplainCommand());
+    commands.put("drain", new DrainCommand());
     commands.put("stand-in", new StandInCommand());
     commands.put("try", new TryCommand());
     JCommander parser = JCommander.newBuilder().programName("apricotstand").addObject(this).build();
     commands.forEach(parser::addCommand);
+    if (args.length > 1 && commands.containsKey(args[0]) && asksForHelp(args)) {
+      StringBuilder text = new StringBuilder();
+      parser.getUsageFormatter().usage(args[0], text);
+      System.out.println(text + ExitCodes.HELP);
+      return ExitCodes.OK;
+    }
     try {
       parser.parse(args);
     } catch (ParameterException e) {
@@ -42,8 +54,13 @@
     String name = parser.getParsedCommand();
     if (help || name == null) {
       parser.usage();
+      System.out.println(ExitCodes.HELP);
       return help ? ExitCodes.OK : ExitCodes.USAGE;
     }
     return commands.get(name).run();
   }
+
+  private static boolean asksForHelp(String[] args) {
+    return Arrays.stream(args).anyMatch(arg -> arg.equals("--help") || arg.equals("-h"));
+  }
 }
--- /dev/null
+++ b/cli/src/main/java/org/apricotstand/cli/OperatorClient.java
@@ -0,0 +1,93 @@
+package org.apricotstand.cli;
+
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.declaration.Addresses;
+import org.apricotstand.http.HttpCall;
+import org.apricotstand.http.HttpReply;
+
+/** Options and calls of the commands that use the operator interface. */
+final class OperatorClient {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final long CALL_TIMEOUT_MS = 5_000;
+  private static final String TOKEN_VARIABLE = "APRICOTSTAND_OPERATOR_TOKEN";
+
+  @Parameter(
+      names = "--operator",
+      description = "IP number and port of an operator interface; several separated by commas",
+      required = true)
+  private List<String> addresses;
+
+  @Parameter(
+      names = "--token-file",
+      description = "file with the operator token; else " + TOKEN_VARIABLE + " of the environment")
+  private String tokenFile;
+
+  /** A reply, or why there is none. */
+  sealed interface Reply {
+
+    /** The instance answered. */
+    record Answered(int status, JsonNode body) implements Reply {
+
+      String error() {
+        return body.path("error").path("code").asText("status_" + status)
+            + ": "
+            + body.path("error").path("detail").asText("");
+      }
+    }
+
+    /** The instance could not be asked. */
+    record Unreachable(String reason) implements Reply {}
+  }
+
+  List<String> addresses() {
+    return addresses;
+  }
+
+  /** Returns what is wrong with the addresses, or an empty text. */
+  String fault() {
+    return addresses.stream()
+        .filter(address -> !Addresses.isValid(address, 1))
+        .findFirst()
+        .map(address -> "--operator " + address + ": " + Addresses.EXPECTED)
+        .orElse("");
+  }
+
+  Reply call(HttpSession session, String method, String address, String path) throws IOException {
+    HttpCall call =
+        new HttpCall(
+            method,
+            "http://" + address + path,
+            java.util.Map.of(),
+            new byte[0],
+            ControlThread.nowMs() + CALL_TIMEOUT_MS,
+            false);
+    String token = token();
+    try {
+      HttpReply reply =
+          session
+              .http()
+              .send(token == null ? call : call.with("authorization", "Bearer " + token))
+              .join();
+      return new Reply.Answered(reply.status(), JSON.readTree(reply.body()));
+    } catch (CompletionException e) {
+      return new Reply.Unreachable(String.valueOf(e.getCause().getMessage()));
+    } catch (com.fasterxml.jackson.core.JsonProcessingException e) {
+      return new Reply.Unreachable("the answer is not JSON");
+    }
+  }
+
+  private String token() throws IOException {
+    return tokenFile == null
+        ? System.getenv(TOKEN_VARIABLE)
+        : Files.readString(Path.of(tokenFile)).strip();
+  }
+}
--- a/cli/src/main/java/org/apricotstand/cli/TryCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/TryCommand.java
@@ -4,20 +4,26 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import org.apricotstand.configuration.DeclarationApplier;
+import org.apricotstand.configuration.DeclarationFiles;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.engine.EngineHeaders;
 import org.apricotstand.entry.EntryInstance;
 import org.apricotstand.http.HttpCall;
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.http.HttpReply;
-import org.apricotstand.model.Failure;
-import org.apricotstand.model.Result;
+import org.apricotstand.platform.PlatformClient;
+import org.apricotstand.revision.ApplyOutcome;
+import org.apricotstand.settings.Checked;
 import org.apricotstand.settings.InstanceSettings;
 import org.apricotstand.standin.engine.EngineSettings;
 import org.apricotstand.standin.engine.StandInEngine;
@@ -61,9 +67,9 @@
         StandInService orders =
             StandInService.start(group, InstanceSettings.parseAddress(LOCAL), "x-order-id");
         EntryInstance instance = EntryInstance.start(settings(platform.url()))) {
-      Result<Long> applied = applyDeclarations(platform, first, second, orders);
-      if (applied instanceof Result.Failed<Long>(Failure failure)) {
-        System.err.println("not accepted: " + failure);
+      ApplyOutcome applied = applyDeclarations(http, platform, first, second, orders);
+      if (!(applied instanceof ApplyOutcome.Accepted)) {
+        System.err.println("not accepted: " + applied);
         return ExitCodes.FAILED;
       }
       awaitConfiguration(instance);
@@ -83,19 +89,29 @@
     return new InstanceSettings("entry-1", "a", LOCAL, LOCAL, LOCAL, null, platformUrl, List.of());
   }
 
-  private static Result<Long> applyDeclarations(
-      StandInPlatform platform, StandInEngine first, StandInEngine second, StandInService orders)
-      throws Exception {
-    Path folder = Files.createTempDirectory("apricotstand-try");
+  private static ApplyOutcome applyDeclarations(
+      HttpCaller http,
+      StandInPlatform platform,
+      StandInEngine first,
+      StandInEngine second,
+      StandInService orders)
+      throws IOException {
     String declarations =
         DECLARATIONS.formatted(
             text(first.address()), text(second.address()), text(orders.address()));
-    Path file = Files.writeString(folder.resolve("declarations.yaml"), declarations);
+    Path file = Files.createTempFile("apricotstand-try", ".yaml");
     try {
-      return DeclarationApplier.apply(platform.url(), folder);
+      Files.writeString(file, declarations);
+      return switch (DeclarationFiles.read(file)) {
+        case Checked.Valid<DeclarationSet>(DeclarationSet set) -> {
+          PlatformClient client = new PlatformClient(http, platform.url());
+          yield DeclarationApplier.over(client, client).apply(set, "try", OptionalLong.empty());
+        }
+        case Checked.Faulty<DeclarationSet> faulty ->
+            throw new IllegalStateException(faulty.report());
+      };
     } finally {
       Files.delete(file);
-      Files.delete(folder);
     }
   }
 
--- a/core/src/main/java/org/apricotstand/declaration/DeclarationSet.java
+++ b/core/src/main/java/org/apricotstand/declaration/DeclarationSet.java
@@ -50,6 +50,9 @@
    * @param requestClass priority class of its requests: interactive, standard or background
    * @param replicas targets that should keep the adapter loaded at least
    * @param pinned whether it is never evicted
+   * @param shift staged move of requests to a version, or null
+   * @param stallWeight stall weight of its requests, or null for that of the policy
+   * @param maxInFlight most requests of it that one instance admits at once, or null
    */
   public record Adapter(
       String name,
@@ -58,7 +61,10 @@
       Map<String, Integer> route,
       String requestClass,
       Integer replicas,
-      Boolean pinned) {
+      Boolean pinned,
+      Shift shift,
+      Double stallWeight,
+      Integer maxInFlight) {
 
     /** Replaces missing values by their defaults. */
     public Adapter {
@@ -69,12 +75,39 @@
       pinned = pinned != null && pinned;
     }
 
+    /** Creates an adapter without a shift, limits or a stall weight of its own. */
+    public Adapter(
+        String name,
+        String model,
+        List<String> versions,
+        Map<String, Integer> route,
+        String requestClass,
+        Integer replicas,
+        Boolean pinned) {
+      this(name, model, versions, route, requestClass, replicas, pinned, null, null, null);
+    }
+
     /** Returns the given version of this adapter. */
     public AdapterVersion at(String version) {
       return new AdapterVersion(name, version);
     }
   }
 
+  /**
+   * A staged move of requests to a version. A greater percentage moves further requests and moves
+   * none back.
+   *
+   * @param to version that takes the share
+   * @param percent share in percent of the requests that name no version
+   */
+  public record Shift(String to, Double percent) {
+
+    /** Replaces a missing percentage by 0. */
+    public Shift {
+      percent = percent == null ? 0.0 : percent;
+    }
+  }
+
   /** A further name of an adapter. */
   public record Alias(String name, String adapter) {}
 
@@ -135,11 +168,41 @@
    * @param loadsPerSecond rate limit of the weight store, over all instances
    * @param loadsInFlight limit of loads in flight, over all instances
    * @param requestTimeoutMs longest time a request may take
+   * @param leavingTimeMs time after which a target that the platform lists as leaving receives no
+   *     new work
+   * @param maxQueuedPerCaller most waiting requests of one caller at one instance
+   * @param maxQueuedPerClass most waiting requests of one class at one instance
+   * @param retryBudgetRatio retries as a fraction of traffic
    */
   public record Policy(
-      double stallWeight, double loadsPerSecond, int loadsInFlight, long requestTimeoutMs) {
+      Double stallWeight,
+      Double loadsPerSecond,
+      Integer loadsInFlight,
+      Long requestTimeoutMs,
+      Long leavingTimeMs,
+      Integer maxQueuedPerCaller,
+      Integer maxQueuedPerClass,
+      Double retryBudgetRatio) {
 
     /** Used when a set declares no policy. */
-    public static final Policy DEFAULT = new Policy(0.5, 2.0, 8, 30_000);
+    public static final Policy DEFAULT = new Policy(null, null, null, null, null, null, null, null);
+
+    /** Replaces missing values by their defaults. */
+    public Policy {
+      stallWeight = stallWeight == null ? 0.5 : stallWeight;
+      loadsPerSecond = loadsPerSecond == null ? 2.0 : loadsPerSecond;
+      loadsInFlight = loadsInFlight == null ? 8 : loadsInFlight;
+      requestTimeoutMs = requestTimeoutMs == null ? 30_000 : requestTimeoutMs;
+      leavingTimeMs = leavingTimeMs == null ? 3_000 : leavingTimeMs;
+      maxQueuedPerCaller = maxQueuedPerCaller == null ? 64 : maxQueuedPerCaller;
+      maxQueuedPerClass = maxQueuedPerClass == null ? 1_024 : maxQueuedPerClass;
+      retryBudgetRatio = retryBudgetRatio == null ? 0.1 : retryBudgetRatio;
+    }
+
+    /** Creates a policy with default limits. */
+    public Policy(
+        double stallWeight, double loadsPerSecond, int loadsInFlight, long requestTimeoutMs) {
+      this(stallWeight, loadsPerSecond, loadsInFlight, requestTimeoutMs, null, null, null, null);
+    }
   }
 }
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/configuration/DeclarationApplier.java
@@ -0,0 +1,190 @@
+package org.apricotstand.configuration;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
+import java.util.function.LongSupplier;
+import org.apricotstand.declaration.DeclarationDiff;
+import org.apricotstand.declaration.DeclarationSet;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.Result;
+import org.apricotstand.model.Step;
+import org.apricotstand.platform.ObjectStore;
+import org.apricotstand.platform.TableService;
+import org.apricotstand.platform.TableService.CommitResult;
+import org.apricotstand.platform.TableService.Condition;
+import org.apricotstand.platform.TableService.Row;
+import org.apricotstand.platform.TableService.Transaction;
+import org.apricotstand.platform.TableService.Write;
+import org.apricotstand.revision.ApplyAction;
+import org.apricotstand.revision.ApplyEvent;
+import org.apricotstand.revision.ApplyMachine;
+import org.apricotstand.revision.ApplyOutcome;
+import org.apricotstand.revision.Head;
+import org.apricotstand.revision.HeadRow;
+
+/**
+ * Applies a checked set of declarations on the platform. Blocks the calling thread.
+ *
+ * <pre>{@code
+ * DeclarationApplier applier = DeclarationApplier.over(platform, platform);
+ * ApplyOutcome outcome = applier.apply(set, nonce, OptionalLong.empty());
+ * }</pre>
+ */
+public final class DeclarationApplier {
+
+  private static final long CALL_TIMEOUT_MS = 5_000;
+  private static final long RETRY_TIME_MS = 20_000;
+
+  private final TableService tables;
+  private final ObjectStore objects;
+  private final LongSupplier clockMs;
+  private final LongConsumer waitUntilMs;
+
+  /**
+   * Creates an applier.
+   *
+   * @param clockMs monotonic time
+   * @param waitUntilMs returns at the given monotonic time
+   */
+  public DeclarationApplier(
+      TableService tables, ObjectStore objects, LongSupplier clockMs, LongConsumer waitUntilMs) {
+    this.tables = tables;
+    this.objects = objects;
+    this.clockMs = clockMs;
+    this.waitUntilMs = waitUntilMs;
+  }
+
+  /** Creates an applier on the system's clock. */
+  public static DeclarationApplier over(TableService tables, ObjectStore objects) {
+    return new DeclarationApplier(
+        tables,
+        objects,
+        org.apricotstand.control.ControlThread::nowMs,
+        DeclarationApplier::sleepUntil);
+  }
+
+  private static void sleepUntil(long dueMs) {
+    try {
+      Thread.sleep(Math.max(0, dueMs - org.apricotstand.control.ControlThread.nowMs()));
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /**
+   * Applies a set.
+   *
+   * @param nonce random text that is new for each call
+   * @param base revision on which the change was based; the current one when absent
+   */
+  public ApplyOutcome apply(DeclarationSet set, String nonce, OptionalLong base) {
+    DeclarationContent content = DeclarationContent.of(set);
+    ApplyMachine machine =
+        new ApplyMachine(content.hash(), nonce, base, clockMs.getAsLong() + RETRY_TIME_MS);
+    ApplyAction action = machine.start(clockMs.getAsLong());
+    while (!(action instanceof ApplyAction.Finish)) {
+      ApplyEvent event = perform(action, content);
+      action = machine.handle(event, clockMs.getAsLong());
+    }
+    return ((ApplyAction.Finish) action).outcome();
+  }
+
+  private ApplyEvent perform(ApplyAction action, DeclarationContent content) {
+    return switch (action) {
+      case ApplyAction.ReadHead(long dueMs) -> {
+        waitUntilMs.accept(dueMs);
+        yield switch (readHead()) {
+          case Result.Ok<Optional<HeadRow>>(Optional<HeadRow> row) -> new ApplyEvent.HeadRead(row);
+          case Result.Failed<Optional<HeadRow>>(Failure failure) ->
+              new ApplyEvent.HeadUnreadable(failure);
+        };
+      }
+      case ApplyAction.StoreContent(long dueMs) -> {
+        waitUntilMs.accept(dueMs);
+        yield switch (await(objects.put(content.hash(), content.bytes(), deadlineMs()))) {
+          case Result.Ok<Void> ok -> new ApplyEvent.ContentStored();
+          case Result.Failed<Void>(Failure failure) -> new ApplyEvent.ContentNotStored(failure);
+        };
+      }
+      case ApplyAction.Commit commit -> {
+        waitUntilMs.accept(commit.dueMs());
+        yield commit(commit);
+      }
+      case ApplyAction.Finish finish -> throw new IllegalStateException("already finished");
+    };
+  }
+
+  private ApplyEvent commit(ApplyAction.Commit commit) {
+    Transaction transaction =
+        new Transaction(
+            List.of(new Condition(HeadRows.TABLE, HeadRows.KEY, commit.expectedVersion())),
+            List.of(new Write(HeadRows.TABLE, HeadRows.KEY, HeadRows.encode(commit.next()))));
+    return switch (await(tables.commit(transaction, deadlineMs()))) {
+      case Result.Ok<CommitResult>(CommitResult.Committed committed) -> new ApplyEvent.Committed();
+      case Result.Ok<CommitResult>(CommitResult.Conflict(List<Row> rows)) -> conflicted(rows);
+      case Result.Failed<CommitResult>(Failure failure)
+          when failure.code().equals(TableService.UNREACHABLE) ->
+          new ApplyEvent.CommitNotSent(failure);
+      case Result.Failed<CommitResult>(Failure failure) -> new ApplyEvent.CommitUnknown(failure);
+    };
+  }
+
+  private static ApplyEvent conflicted(List<Row> rows) {
+    Optional<Row> row = rows.stream().findFirst();
+    return switch (HeadRows.decode(Result.ok(row))) {
+      case Result.Ok<Optional<HeadRow>>(Optional<HeadRow> current) ->
+          new ApplyEvent.Conflicted(current);
+      case Result.Failed<Optional<HeadRow>>(Failure failure) ->
+          new ApplyEvent.CommitUnknown(failure);
+    };
+  }
+
+  /** Reads the head row. */
+  public Result<Optional<HeadRow>> readHead() {
+    return HeadRows.decode(await(tables.read(HeadRows.TABLE, HeadRows.KEY, deadlineMs())));
+  }
+
+  /** Reads the declarations of an accepted revision. */
+  public Result<DeclarationSet> readSet(Head head) {
+    return switch (await(objects.get(head.contentHash(), deadlineMs()))) {
+      case Result.Failed<Optional<byte[]>>(Failure failure) -> Result.failed(failure);
+      case Result.Ok<Optional<byte[]>>(Optional<byte[]> content) when content.isPresent() ->
+          DeclarationContent.decode(head.contentHash(), content.get());
+      case Result.Ok<Optional<byte[]>> absent ->
+          Result.failed(
+              new Failure(
+                  Step.PLATFORM,
+                  "object store",
+                  "content_missing",
+                  "no content of revision " + head.revision()));
+    };
+  }
+
+  /** Returns the fields that a refused change and the accepted one both changed. */
+  public Result<List<String>> fieldsInConflict(
+      DeclarationSet refused, ApplyOutcome.Conflict conflict) {
+    Result<DeclarationSet> base =
+        conflict.base().map(this::readSet).orElseGet(() -> Result.ok(DeclarationSet.empty()));
+    return switch (base) {
+      case Result.Failed<DeclarationSet>(Failure failure) -> Result.failed(failure);
+      case Result.Ok<DeclarationSet>(DeclarationSet from) ->
+          readSet(conflict.other())
+              .map(accepted -> DeclarationDiff.inBoth(from, refused, accepted));
+    };
+  }
+
+  private long deadlineMs() {
+    return clockMs.getAsLong() + CALL_TIMEOUT_MS;
+  }
+
+  private static <T> Result<T> await(CompletableFuture<Result<T>> call) {
+    return call.exceptionally(
+            error ->
+                Result.failed(
+                    new Failure(Step.PLATFORM, "platform", TableService.UNKNOWN, error.toString())))
+        .join();
+  }
+}
--- a/node/src/main/java/org/apricotstand/configuration/Revision.java
+++ b/node/src/main/java/org/apricotstand/configuration/Revision.java
@@ -6,10 +6,12 @@
 import java.util.stream.Collectors;
 import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.declaration.DeclarationSet.Adapter;
+import org.apricotstand.declaration.DeclarationSet.PlainService;
 import org.apricotstand.declaration.DeclarationSet.Target;
+import org.apricotstand.declaration.ServicePaths;
 import org.apricotstand.model.TargetId;
 
-/** An accepted set of declarations with its number and indexes by name. */
+/** An accepted set of declarations with its number and indexes by name. Immutable. */
 public final class Revision {
 
   /** Stands for "no revision yet". */
@@ -20,6 +22,7 @@
   private final Map<String, Adapter> adapters;
   private final Map<String, String> aliases;
   private final Map<String, Target> targets;
+  private final ServicePaths services;
 
   /** Creates a revision. */
   public Revision(long number, DeclarationSet declarations) {
@@ -36,6 +39,7 @@
     this.targets =
         declarations.targets().stream()
             .collect(Collectors.toUnmodifiableMap(Target::name, Function.identity()));
+    this.services = new ServicePaths(declarations.services());
   }
 
   /** Returns the number; only greater numbers come into force. */
@@ -57,4 +61,9 @@
   public Optional<Target> target(TargetId id) {
     return Optional.ofNullable(targets.get(id.value()));
   }
+
+  /** Finds the plain service of a caller's path; the longest prefix of whole segments wins. */
+  public Optional<PlainService> service(String path) {
+    return services.find(path);
+  }
 }
--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -14,9 +14,12 @@
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.engine.EngineClient;
 import org.apricotstand.http.HttpCaller;
+import org.apricotstand.http.HttpLimits;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.operator.LiveInstance;
+import org.apricotstand.operator.OperatorInterface;
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.owner.PeerRequests;
 import org.apricotstand.peer.PeerMessage;
@@ -63,26 +66,27 @@
     long incarnation = System.currentTimeMillis();
     ControlThread control = new ControlThread();
     PlatformClient platform = new PlatformClient(http, settings.platformUrl());
-    ConfigurationService configuration = new ConfigurationService(control, platform);
     List<Peer> instances =
         Stream.concat(
                 Stream.of(new Peer(settings.instance(), settings.domain(), settings.peerAddress())),
                 settings.peers().stream())
             .toList();
-    Map<InstanceId, InetSocketAddress> addresses =
-        instances.stream()
-            .collect(
-                toMap(
-                    peer -> new InstanceId(peer.instance()),
-                    peer -> InstanceSettings.parseAddress(peer.address())));
+    Map<InstanceId, InetSocketAddress> addresses = addressesOf(instances);
+    PeerMessage.Hello hello =
+        new PeerMessage.Hello(
+            PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain());
     PeerNetwork peers =
         new PeerNetwork(
             group,
             InstanceSettings.parseAddress(settings.peerAddress()),
-            new PeerMessage.Hello(
-                PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain()),
+            hello,
             addresses::get,
             control);
+    Metrics metrics = new Metrics();
+    List<InstanceId> others =
+        settings.peers().stream().map(peer -> new InstanceId(peer.instance())).toList();
+    ConfigurationService configuration =
+        new ConfigurationService(control, platform, platform, peers, () -> others, metrics);
     RankedOwnership ownership = new RankedOwnership(self, configuration, instances);
     EngineClient engines = new EngineClient(http);
     OwnerService owner =
@@ -95,11 +99,11 @@
     ServiceRoute services = new ServiceRoute(configuration, http);
     InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
     Kernel kernel = new Kernel();
-    kernel.register("metrics", new Metrics());
+    kernel.register("metrics", metrics);
     kernel.register("control", control);
     kernel.register("platform", platform);
-    kernel.register("configuration", configuration);
     kernel.register("peers", peers);
+    kernel.register("configuration", configuration);
     kernel.register("ownership", ownership);
     kernel.register("engines", engines);
     kernel.register("owner", owner);
@@ -107,16 +111,56 @@
     kernel.register("peer-requests", new PeerRequests(control, peers, owner));
     kernel.register("models", models);
     kernel.register("services", services);
-    kernel.register("callers", new CallerInterface(group, callers, models, services));
+    kernel.register(
+        "callers",
+        new CallerInterface(
+            group, callers, limitsOf(settings), configuration::isReady, models, services));
+    LiveInstance view =
+        new LiveInstance(
+            hello, control, configuration, ownership, owner, peers::connected, () -> {});
+    kernel.register("operators", operatorInterface(group, settings, view, metrics));
     return kernel;
   }
 
+  private static Map<InstanceId, InetSocketAddress> addressesOf(List<Peer> instances) {
+    return instances.stream()
+        .collect(
+            toMap(
+                peer -> new InstanceId(peer.instance()),
+                peer -> InstanceSettings.parseAddress(peer.address())));
+  }
+
+  private static OperatorInterface operatorInterface(
+      EventLoopGroup group, InstanceSettings settings, LiveInstance view, Metrics metrics) {
+    return new OperatorInterface(
+        group,
+        InstanceSettings.parseAddress(settings.operatorAddress()),
+        settings.operatorToken(),
+        view,
+        metrics);
+  }
+
+  private static HttpLimits limitsOf(InstanceSettings settings) {
+    InstanceSettings.CallerLimits limits = settings.callerLimits();
+    return new HttpLimits(
+        limits.maxHeaderBytes(),
+        limits.maxBodyBytes(),
+        limits.maxConnections(),
+        limits.idleTimeMs(),
+        limits.requestTimeMs());
+  }
+
   /** Returns the address for callers. */
   public InetSocketAddress callerAddress() {
     return kernel.find("callers", CallerInterface.class).address();
   }
 
-  /** Returns the service of a name. */
+  /** Returns the address for operators. */
+  public InetSocketAddress operatorAddress() {
+    return kernel.find("operators", OperatorInterface.class).address();
+  }
+
+  /** Returns the service that keeps the declarations. */
   public ConfigurationService configuration() {
     return kernel.find("configuration", ConfigurationService.class);
   }
--- a/node/src/main/java/org/apricotstand/entry/ModelRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelRoute.java
@@ -12,6 +12,7 @@
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.declaration.DeclarationSet.Adapter;
 import org.apricotstand.declaration.DeclarationSet.Target;
+import org.apricotstand.declaration.VersionChoice;
 import org.apricotstand.engine.EngineHeaders;
 import org.apricotstand.engine.EngineRequest;
 import org.apricotstand.http.HttpExchange;
@@ -70,7 +71,8 @@
   /** Answers a completion or chat request. */
   void handle(HttpExchange exchange) {
     Revision revision = configuration.current();
-    switch (resolve(exchange.request(), revision)) {
+    RequestId id = new RequestId(idPrefix + nextId.incrementAndGet());
+    switch (resolve(exchange.request(), revision, id)) {
       case Result.Ok<Resolved>(Resolved resolved) ->
           control.execute(() -> route(exchange, revision, resolved));
       case Result.Failed<Resolved>(Failure failure) ->
@@ -78,9 +80,10 @@
     }
   }
 
-  private record Resolved(AdapterVersion adapterVersion, Adapter adapter, byte[] body) {}
+  private record Resolved(
+      RequestId id, AdapterVersion adapterVersion, Adapter adapter, byte[] body) {}
 
-  private Result<Resolved> resolve(HttpRequest request, Revision revision) {
+  private Result<Resolved> resolve(HttpRequest request, Revision revision, RequestId id) {
     try {
       JsonNode body = JSON.readTree(request.body());
       if (!(body instanceof ObjectNode object) || !object.path("model").isTextual()) {
@@ -91,13 +94,17 @@
       Optional<Adapter> adapter = revision.adapter(at < 0 ? model : model.substring(0, at));
       Optional<String> version =
           adapter.flatMap(
-              found -> at < 0 ? routed(found) : declared(found, model.substring(at + 1)));
+              found ->
+                  at < 0
+                      ? VersionChoice.choose(found, id.value())
+                      : declared(found, model.substring(at + 1)));
       if (version.isEmpty()) {
         return refused("unknown_model", "no adapter version for " + model);
       }
       AdapterVersion adapterVersion = adapter.get().at(version.get());
       object.put("model", adapterVersion.toString());
-      return Result.ok(new Resolved(adapterVersion, adapter.get(), JSON.writeValueAsBytes(object)));
+      return Result.ok(
+          new Resolved(id, adapterVersion, adapter.get(), JSON.writeValueAsBytes(object)));
     } catch (IOException e) {
       return refused("invalid_body", "the body is not JSON");
     }
@@ -107,12 +114,6 @@
     return adapter.versions().stream().filter(version::equals).findFirst();
   }
 
-  private static Optional<String> routed(Adapter adapter) {
-    return adapter.route().keySet().stream()
-        .findFirst()
-        .or(() -> adapter.versions().stream().findFirst());
-  }
-
   private Result<Resolved> refused(String code, String detail) {
     return Result.failed(new Failure(Step.ADMISSION, self.value(), code, detail));
   }
@@ -155,7 +156,7 @@
       HttpRequest request, Revision revision, Resolved resolved, long nowMs) {
     ScheduledRequest scheduled =
         new ScheduledRequest(
-            new RequestId(idPrefix + nextId.incrementAndGet()),
+            resolved.id(),
             1,
             resolved.adapterVersion(),
             RequestClass.valueOf(resolved.adapter().requestClass().toUpperCase(Locale.ROOT)),
--- a/node/src/main/java/org/apricotstand/entry/ServiceRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceRoute.java
@@ -32,10 +32,7 @@
   /** Answers a call when its path belongs to a service. */
   boolean handle(HttpExchange exchange) {
     Revision revision = configuration.current();
-    Optional<PlainService> service =
-        revision.declarations().services().stream()
-            .filter(declared -> exchange.request().path().startsWith(declared.path()))
-            .findFirst();
+    Optional<PlainService> service = revision.service(exchange.request().path());
     service.ifPresent(found -> forward(exchange, revision, found));
     return service.isPresent();
   }
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/operator/OperatorInterface.java
@@ -0,0 +1,193 @@
+package org.apricotstand.operator;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.apricotstand.http.HttpExchange;
+import org.apricotstand.http.HttpLimits;
+import org.apricotstand.http.HttpRequest;
+import org.apricotstand.http.HttpServer;
+import org.apricotstand.kernel.Service;
+import org.apricotstand.observe.EventLog;
+import org.apricotstand.observe.Metrics;
+
+/**
+ * HTTP interface for operators: {@code /live}, {@code /ready}, {@code /metrics}, {@code /status},
+ * {@code /explain?model=NAME} and {@code POST /drain}.
+ *
+ * <p>{@code /live} and {@code /ready} need no token, since load balancers that probe them cannot
+ * send one. All other paths need it when the settings name one.
+ */
+public final class OperatorInterface implements Service {
+
+  private static final EventLog LOG = EventLog.of(OperatorInterface.class);
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final HttpLimits LIMITS = new HttpLimits(8_192, 16_384, 64, 30_000, 5_000);
+  private static final String BEARER = "Bearer ";
+  private static final String PROMETHEUS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
+  private static final Set<String> READ_PATHS = Set.of("/metrics", "/status", "/explain");
+  private static final int OK = 200;
+  private static final int ACCEPTED = 202;
+  private static final int BAD_REQUEST = 400;
+  private static final int UNAUTHORIZED = 401;
+  private static final int NOT_FOUND = 404;
+  private static final int METHOD_NOT_ALLOWED = 405;
+  private static final int INTERNAL_ERROR = 500;
+  private static final int UNAVAILABLE = 503;
+
+  private final EventLoopGroup group;
+  private final InetSocketAddress bindAddress;
+  private final byte[] token;
+  private final InstanceView instance;
+  private final Metrics metrics;
+  private HttpServer server;
+
+  /**
+   * Creates the interface.
+   *
+   * @param token token that operators send, or null for none
+   */
+  public OperatorInterface(
+      EventLoopGroup group,
+      InetSocketAddress bindAddress,
+      String token,
+      InstanceView instance,
+      Metrics metrics) {
+    this.group = group;
+    this.bindAddress = bindAddress;
+    this.token = token == null ? null : token.getBytes(StandardCharsets.UTF_8);
+    this.instance = instance;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void start() {
+    server = HttpServer.start(group, bindAddress, LIMITS, this::handle);
+  }
+
+  /** Returns the address that operators connect to. */
+  public InetSocketAddress address() {
+    return server.address();
+  }
+
+  @Override
+  public void stop() {
+    server.close();
+  }
+
+  private void handle(HttpExchange exchange) {
+    HttpRequest request = exchange.request();
+    switch (request.path()) {
+      case "/live" -> exchange.respondJson(OK, "{\"live\":true}");
+      case "/ready" -> {
+        boolean ready = instance.isReady();
+        exchange.respondJson(ready ? OK : UNAVAILABLE, "{\"ready\":" + ready + "}");
+      }
+      default -> {
+        if (isAuthorized(request)) {
+          handleAuthorized(exchange, request);
+        } else {
+          metrics.count("operator.unauthorized");
+          LOG.warn("operator_unauthorized", "remote", request.remote(), "path", request.path());
+          error(exchange, UNAUTHORIZED, "unauthorized", "expected a valid bearer token");
+        }
+      }
+    }
+  }
+
+  private boolean isAuthorized(HttpRequest request) {
+    if (token == null) {
+      return true;
+    }
+    String header = request.header("authorization");
+    return header != null
+        && header.regionMatches(true, 0, BEARER, 0, BEARER.length())
+        && MessageDigest.isEqual(
+            token, header.substring(BEARER.length()).strip().getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void handleAuthorized(HttpExchange exchange, HttpRequest request) {
+    boolean drain = request.path().equals("/drain");
+    if (!drain && !READ_PATHS.contains(request.path())) {
+      error(exchange, NOT_FOUND, "unknown_path", "no such path");
+      return;
+    }
+    String expectedMethod = drain ? "POST" : "GET";
+    if (!request.method().equals(expectedMethod)) {
+      error(exchange, METHOD_NOT_ALLOWED, "method_not_allowed", "expected " + expectedMethod);
+      return;
+    }
+    switch (request.path()) {
+      case "/metrics" -> metrics(exchange, request);
+      case "/status" -> answer(exchange, instance.status());
+      case "/explain" -> explain(exchange, request);
+      default -> {
+        LOG.info("drain_requested", "remote", request.remote());
+        instance.drain();
+        exchange.respondJson(ACCEPTED, "{\"draining\":true}");
+      }
+    }
+  }
+
+  private void metrics(HttpExchange exchange, HttpRequest request) {
+    if (parameter(request, "format").equals("json")) {
+      exchange.respondJson(OK, metrics.json());
+    } else {
+      exchange.respond(
+          OK,
+          Map.of("content-type", PROMETHEUS_TYPE),
+          metrics.prometheus().getBytes(StandardCharsets.UTF_8));
+    }
+  }
+
+  private void explain(HttpExchange exchange, HttpRequest request) {
+    String model = parameter(request, "model");
+    if (model.isEmpty()) {
+      error(exchange, BAD_REQUEST, "missing_model", "expected /explain?model=NAME");
+    } else {
+      answer(exchange, instance.explain(model));
+    }
+  }
+
+  private static String parameter(HttpRequest request, String name) {
+    QueryStringDecoder query = new QueryStringDecoder(request.query(), false);
+    return query.parameters().getOrDefault(name, List.of("")).getFirst();
+  }
+
+  private static void answer(HttpExchange exchange, CompletableFuture<?> result) {
+    result.whenComplete(
+        (value, failure) -> {
+          Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+          if (cause == null) {
+            exchange.respondJson(OK, text(value));
+          } else if (cause instanceof IllegalArgumentException) {
+            error(exchange, NOT_FOUND, "unknown_model", cause.getMessage());
+          } else {
+            LOG.warn("operator_request_failed", "error", cause.toString());
+            error(exchange, INTERNAL_ERROR, "internal", cause.toString());
+          }
+        });
+  }
+
+  private static void error(HttpExchange exchange, int status, String code, String detail) {
+    exchange.respondJson(
+        status, text(Map.of("error", Map.of("code", code, "detail", String.valueOf(detail)))));
+  }
+
+  private static String text(Object value) {
+    try {
+      return JSON.writeValueAsString(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/operator/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP interface for operators. */
+package org.apricotstand.operator;
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/settings/SettingsCheck.java
@@ -0,0 +1,153 @@
+package org.apricotstand.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.net.InetAddresses;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.apricotstand.declaration.Addresses;
+import org.apricotstand.declaration.Fault;
+import org.apricotstand.settings.InstanceSettings.CallerLimits;
+import org.apricotstand.settings.InstanceSettings.Peer;
+
+/** Checks the settings of one instance. */
+final class SettingsCheck {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int MIN_TOKEN_LENGTH = 16;
+
+  private final YamlDocument document;
+  private final List<Fault> faults = new ArrayList<>();
+  private final Set<String> misfits = new HashSet<>();
+
+  private SettingsCheck(YamlDocument document) {
+    this.document = document;
+    faults.addAll(document.faults());
+  }
+
+  static Checked<InstanceSettings> read(YamlDocument document) {
+    SettingsCheck check = new SettingsCheck(document);
+    if (!check.faults.isEmpty()) {
+      return new Checked.Faulty<>(check.faults);
+    }
+    new RecordBinder(check::misfit).prune(document.root(), InstanceSettings.class, "");
+    try {
+      InstanceSettings settings = JSON.treeToValue(document.root(), InstanceSettings.class);
+      check.check(settings);
+      return check.faults.isEmpty()
+          ? new Checked.Valid<>(settings)
+          : new Checked.Faulty<>(check.faults);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a pruned tree fits its record", e);
+    }
+  }
+
+  private void misfit(String path, String expected) {
+    misfits.add(path);
+    faults.add(new Fault(document.file(), document.line(path), path, expected));
+  }
+
+  private void require(boolean holds, String path, String expected) {
+    if (!holds && !misfits.contains(path)) {
+      faults.add(new Fault(document.file(), document.line(path), path, expected));
+    }
+  }
+
+  private void check(InstanceSettings settings) {
+    requireName("instance", settings.instance());
+    requireName("domain", settings.domain());
+    requireAddress("callerAddress", settings.callerAddress());
+    requireAddress("peerAddress", settings.peerAddress());
+    requireAddress("operatorAddress", settings.operatorAddress());
+    require(
+        !"0.0.0.0".equals(hostOf(settings.peerAddress())),
+        "peerAddress",
+        "expected the IP number that peers connect to, not the wildcard");
+    checkToken(settings);
+    require(
+        isHttpUrl(settings.platformUrl()),
+        "platformUrl",
+        "expected a URL such as http://10.0.0.2:9100, got " + settings.platformUrl());
+    checkPeers(settings);
+    checkLimits(settings.callerLimits());
+  }
+
+  private void checkToken(InstanceSettings settings) {
+    String token = settings.operatorToken();
+    boolean loopback =
+        !Addresses.isValid(settings.operatorAddress(), 0)
+            || Addresses.isLoopback(settings.operatorAddress());
+    require(
+        loopback || token != null,
+        "operatorToken",
+        "expected a token, since operatorAddress is not a loopback address");
+    require(
+        token == null || token.length() >= MIN_TOKEN_LENGTH,
+        "operatorToken",
+        "expected at least " + MIN_TOKEN_LENGTH + " characters");
+  }
+
+  private void checkPeers(InstanceSettings settings) {
+    Set<String> names = new HashSet<>();
+    for (int i = 0; i < settings.peers().size(); i++) {
+      Peer peer = settings.peers().get(i);
+      String path = "peers[" + i + "]";
+      requireName(path + ".instance", peer.instance());
+      requireName(path + ".domain", peer.domain());
+      requireAddress(path + ".address", peer.address());
+      require(
+          peer.instance() == null || names.add(peer.instance()),
+          path + ".instance",
+          "duplicate instance " + peer.instance());
+      require(
+          peer.instance() == null || !peer.instance().equals(settings.instance()),
+          path + ".instance",
+          "expected other instances only");
+    }
+  }
+
+  private void checkLimits(CallerLimits limits) {
+    requireAtLeast("callerLimits.maxHeaderBytes", limits.maxHeaderBytes(), 1_024);
+    requireAtLeast("callerLimits.maxBodyBytes", limits.maxBodyBytes(), 1_024);
+    requireAtLeast("callerLimits.maxAnswerBytes", limits.maxAnswerBytes(), 1_024);
+    requireAtLeast("callerLimits.maxConnections", limits.maxConnections(), 1);
+    requireAtLeast("callerLimits.idleTimeMs", limits.idleTimeMs(), 1);
+    requireAtLeast("callerLimits.requestTimeMs", limits.requestTimeMs(), 1);
+  }
+
+  private void requireName(String path, String name) {
+    require(name != null && !name.isBlank(), path, "expected a name");
+  }
+
+  private void requireAddress(String path, String address) {
+    require(Addresses.isValid(address, 0), path, Addresses.EXPECTED + ", got " + address);
+  }
+
+  private void requireAtLeast(String path, long value, long minimum) {
+    require(value >= minimum, path, "expected " + minimum + " or more, got " + value);
+  }
+
+  private static String hostOf(String address) {
+    return address == null || address.lastIndexOf(':') < 0
+        ? ""
+        : address.substring(0, address.lastIndexOf(':'));
+  }
+
+  private static boolean isHttpUrl(String url) {
+    if (url == null || url.endsWith("/")) {
+      return false;
+    }
+    try {
+      URI uri = new URI(url);
+      return "http".equals(uri.getScheme())
+          && uri.getHost() != null
+          && InetAddresses.isUriInetAddress(uri.getHost());
+    } catch (URISyntaxException e) {
+      return false;
+    }
+  }
+}
