--- a/node/src/main/java/org/apricotstand/configuration/DeclarationFiles.java
+++ b/node/src/main/java/org/apricotstand/configuration/DeclarationFiles.java
@@ -101,7 +101,7 @@
   private void mergeSection(
       YamlDocument document, String name, JsonNode section, Map<String, Integer> offsets) {
     JsonNode present = merged.get(name);
-    if (present == null) {
+    if (present == null || present.isNull()) {
       merged.set(name, section);
     } else if (present instanceof ArrayNode earlier && section instanceof ArrayNode later) {
       offsets.put(name, earlier.size());
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/configuration/DeclarationApplierTest.java
@@ -0,0 +1,109 @@
+package org.apricotstand.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Random;
+import java.util.stream.IntStream;
+import org.apricotstand.declaration.DeclarationSet;
+import org.apricotstand.declaration.DeclarationSet.Adapter;
+import org.apricotstand.declaration.DeclarationSet.Model;
+import org.apricotstand.model.Result;
+import org.apricotstand.revision.ApplyOutcome;
+import org.junit.jupiter.api.Test;
+
+class DeclarationApplierTest {
+
+  private final FakePlatform platform = new FakePlatform(new Random(1));
+  private final DeclarationApplier applier =
+      new DeclarationApplier(platform, platform, () -> 0, dueMs -> {});
+
+  private static DeclarationSet set(int weightOfA, int weightOfB) {
+    List<Adapter> adapters =
+        List.of(
+            new Adapter("a", "base", List.of("v1"), Map.of("v1", weightOfA), null, null, null),
+            new Adapter("b", "base", List.of("v1"), Map.of("v1", weightOfB), null, null, null));
+    return new DeclarationSet(List.of(new Model("base")), adapters, null, null, null, null);
+  }
+
+  private ApplyOutcome apply(DeclarationSet set, String nonce, OptionalLong base) {
+    return applier.apply(set, nonce, base);
+  }
+
+  // Guards against a change that silently undoes one that its author had not seen.
+  @Test
+  void changeOfAnOlderBaseIsRefusedWithTheFieldsThatBothChanged() {
+    assertThat(apply(set(1, 1), "n1", OptionalLong.empty()))
+        .isEqualTo(new ApplyOutcome.Accepted(1));
+    assertThat(apply(set(2, 1), "n2", OptionalLong.of(1))).isEqualTo(new ApplyOutcome.Accepted(2));
+    DeclarationSet late = set(3, 9);
+    ApplyOutcome outcome = apply(late, "n3", OptionalLong.of(1));
+    assertThat(outcome).isInstanceOf(ApplyOutcome.Conflict.class);
+    ApplyOutcome.Conflict conflict = (ApplyOutcome.Conflict) outcome;
+    assertThat(conflict.other().revision()).isEqualTo(2);
+    assertThat(conflict.base().orElseThrow().revision()).isEqualTo(1);
+    assertThat(applier.fieldsInConflict(late, conflict))
+        .isEqualTo(Result.ok(List.of("adapters.a.route.v1")));
+    assertThat(platform.heads).hasSize(2);
+  }
+
+  // Guards against a new revision for the same content, which every instance would fetch.
+  @Test
+  void sameContentMakesNoRevision() {
+    apply(set(1, 1), "n1", OptionalLong.empty());
+    assertThat(apply(set(1, 1), "n2", OptionalLong.empty()))
+        .isEqualTo(new ApplyOutcome.Unchanged(1));
+    assertThat(platform.heads).hasSize(1);
+  }
+
+  // Guards against a hash that depends on the order in which a map happens to iterate, and against
+  // fields that the stored form loses.
+  @Test
+  void contentIsStableAndComplete() {
+    Map<String, Integer> route = new java.util.LinkedHashMap<>();
+    Map<String, Integer> reversed = new java.util.LinkedHashMap<>();
+    List<String> versions = IntStream.range(0, 20).mapToObj(i -> "v" + i).toList();
+    versions.forEach(version -> route.put(version, 1));
+    versions.reversed().forEach(version -> reversed.put(version, 1));
+    DeclarationContent first = DeclarationContent.of(with(versions, route));
+    assertThat(first.hash()).isEqualTo(DeclarationContent.of(with(versions, reversed)).hash());
+    assertThat(DeclarationContent.decode(first.hash(), first.bytes()))
+        .isEqualTo(Result.ok(with(versions, route)));
+  }
+
+  private static DeclarationSet with(List<String> versions, Map<String, Integer> route) {
+    Adapter adapter =
+        new Adapter(
+            "a",
+            "base",
+            versions,
+            route,
+            "background",
+            2,
+            true,
+            new DeclarationSet.Shift("v1", 2.5),
+            0.0,
+            4);
+    return new DeclarationSet(
+        List.of(new Model("base")),
+        List.of(adapter),
+        List.of(new DeclarationSet.Alias("x", "a")),
+        List.of(new DeclarationSet.PlainService("s", "/s", false, null, "/id")),
+        List.of(
+            new DeclarationSet.Target("s1", "service", "s", "d", "10.0.0.1:80", "ignored", 0, 0)),
+        new DeclarationSet.Policy(0.0, 1.0, 2, 3L, 0L, 5, 6, 0.0));
+  }
+
+  // Guards against content that was damaged on its way being put in force.
+  @Test
+  void damagedContentIsRefused() {
+    DeclarationContent content = DeclarationContent.of(set(1, 1));
+    DeclarationContent other = DeclarationContent.of(set(2, 1));
+    byte[] cut = java.util.Arrays.copyOf(content.bytes(), content.bytes().length - 9);
+    assertThat(DeclarationContent.decode(content.hash(), cut)).isInstanceOf(Result.Failed.class);
+    assertThat(DeclarationContent.decode(content.hash(), other.bytes()))
+        .isInstanceOf(Result.Failed.class);
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/configuration/ExamplesTest.java
@@ -0,0 +1,28 @@
+package org.apricotstand.configuration;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import org.apricotstand.settings.Checked;
+import org.apricotstand.settings.InstanceSettings;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards the examples that operators copy against fields that no longer exist. */
+class ExamplesTest {
+
+  private static final Path EXAMPLES = Path.of("..", "examples");
+
+  @ParameterizedTest
+  @ValueSource(strings = {"steppe-haze", "lakeshore"})
+  void declarationsAreValid(String folder) {
+    assertThat(DeclarationFiles.read(EXAMPLES.resolve(folder))).isInstanceOf(Checked.Valid.class);
+  }
+
+  @Test
+  void settingsAreValid() {
+    assertThat(InstanceSettings.read(EXAMPLES.resolve("entry.yaml")))
+        .isInstanceOf(Checked.Valid.class);
+  }
+}
