--- a/cli/src/main/java/org/apricotstand/cli/EntryCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/EntryCommand.java
@@ -3,7 +3,6 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
 import org.apricotstand.entry.EntryInstance;
 import org.apricotstand.settings.Checked;
 import org.apricotstand.settings.InstanceSettings;
@@ -31,7 +30,7 @@
     System.out.println(
         "ready callers=" + instance.callerAddress() + " operators=" + instance.operatorAddress());
     Runtime.getRuntime().addShutdownHook(new Thread(instance::close, "shutdown"));
-    new CountDownLatch(1).await();
+    instance.awaitDrainRequest();
     return ExitCodes.OK;
   }
 }
--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -1,15 +1,17 @@
 package org.apricotstand.entry;
 
-import static java.util.stream.Collectors.toMap;
-
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
+import java.util.concurrent.TimeoutException;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.engine.EngineClient;
@@ -17,16 +19,17 @@
 import org.apricotstand.http.HttpLimits;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.model.InstanceId;
+import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.operator.LiveInstance;
 import org.apricotstand.operator.OperatorInterface;
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.owner.PeerRequests;
+import org.apricotstand.ownership.OwnershipService;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.PeerNetwork;
 import org.apricotstand.platform.PlatformClient;
 import org.apricotstand.settings.InstanceSettings;
-import org.apricotstand.settings.InstanceSettings.Peer;
 
 /**
  * One running instance.
@@ -39,13 +42,19 @@
  */
 public final class EntryInstance implements AutoCloseable {
 
+  private static final EventLog LOG = EventLog.of(EntryInstance.class);
   private static final int TRAFFIC_THREADS = 2;
+  // Longer than the default time a request may take.
+  private static final long DRAIN_LIMIT_MS = 45_000;
 
   private final Kernel kernel;
   private final EventLoopGroup group;
   private final HttpCaller http;
+  private final CountDownLatch drainRequested;
 
-  private EntryInstance(Kernel kernel, EventLoopGroup group, HttpCaller http) {
+  private EntryInstance(
+      Kernel kernel, EventLoopGroup group, HttpCaller http, CountDownLatch drainRequested) {
+    this.drainRequested = drainRequested;
     this.kernel = kernel;
     this.group = group;
     this.http = http;
@@ -56,48 +65,47 @@
     EventLoopGroup group =
         new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
     HttpCaller http = new HttpCaller(group);
-    Kernel kernel = assemble(settings, group, http);
+    CountDownLatch drainRequested = new CountDownLatch(1);
+    Kernel kernel = assemble(settings, group, http, drainRequested);
     kernel.start();
-    return new EntryInstance(kernel, group, http);
+    return new EntryInstance(kernel, group, http, drainRequested);
   }
 
-  private static Kernel assemble(InstanceSettings settings, EventLoopGroup group, HttpCaller http) {
+  private static Kernel assemble(
+      InstanceSettings settings,
+      EventLoopGroup group,
+      HttpCaller http,
+      CountDownLatch drainRequested) {
     InstanceId self = new InstanceId(settings.instance());
     long incarnation = System.currentTimeMillis();
     ControlThread control = new ControlThread();
     PlatformClient platform = new PlatformClient(http, settings.platformUrl());
-    List<Peer> instances =
-        Stream.concat(
-                Stream.of(new Peer(settings.instance(), settings.domain(), settings.peerAddress())),
-                settings.peers().stream())
-            .toList();
-    Map<InstanceId, InetSocketAddress> addresses = addressesOf(instances);
-    PeerMessage.Hello hello =
-        new PeerMessage.Hello(
-            PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain());
-    PeerNetwork peers =
-        new PeerNetwork(
-            group,
-            InstanceSettings.parseAddress(settings.peerAddress()),
-            hello,
-            addresses::get,
-            control);
+    Map<InstanceId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+    PeerNetwork peers = peerNetwork(settings, group, incarnation, addresses, control);
     Metrics metrics = new Metrics();
-    List<InstanceId> others =
-        settings.peers().stream().map(peer -> new InstanceId(peer.instance())).toList();
     ConfigurationService configuration =
-        new ConfigurationService(control, platform, platform, peers, () -> others, metrics);
-    RankedOwnership ownership = new RankedOwnership(self, configuration, instances);
+        new ConfigurationService(
+            control, platform, platform, peers, () -> others(self, addresses), metrics);
+    OwnershipService ownership =
+        new OwnershipService(
+            settings,
+            incarnation,
+            control,
+            peers,
+            platform,
+            platform,
+            configuration::current,
+            addresses);
     EngineClient engines = new EngineClient(http);
     OwnerService owner =
         new OwnerService(
             control, engines, ownership, target -> configuration.current().target(target));
+    ownership.drive(owner);
     RemoteAnswers remote = new RemoteAnswers(peers);
     peers.listen(remote);
     ModelRoute models =
         new ModelRoute(self, incarnation, control, configuration, ownership, owner, remote);
     ServiceRoute services = new ServiceRoute(configuration, http);
-    InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
     Kernel kernel = new Kernel();
     kernel.register("metrics", metrics);
     kernel.register("control", control);
@@ -111,33 +119,75 @@
     kernel.register("peer-requests", new PeerRequests(control, peers, owner));
     kernel.register("models", models);
     kernel.register("services", services);
-    kernel.register(
-        "callers",
-        new CallerInterface(
-            group, callers, limitsOf(settings), configuration::isReady, models, services));
-    LiveInstance view =
-        new LiveInstance(
-            hello, control, configuration, ownership, owner, peers::connected, () -> {});
-    kernel.register("operators", operatorInterface(group, settings, view, metrics));
+    addInterfaces(kernel, settings, group, incarnation, drainRequested);
     return kernel;
   }
 
-  private static Map<InstanceId, InetSocketAddress> addressesOf(List<Peer> instances) {
-    return instances.stream()
-        .collect(
-            toMap(
-                peer -> new InstanceId(peer.instance()),
-                peer -> InstanceSettings.parseAddress(peer.address())));
+  private static PeerNetwork peerNetwork(
+      InstanceSettings settings,
+      EventLoopGroup group,
+      long incarnation,
+      Map<InstanceId, InetSocketAddress> addresses,
+      ControlThread control) {
+    settings
+        .peers()
+        .forEach(
+            peer ->
+                addresses.put(
+                    new InstanceId(peer.instance()),
+                    InstanceSettings.parseAddress(peer.address())));
+    return new PeerNetwork(
+        group,
+        InstanceSettings.parseAddress(settings.peerAddress()),
+        hello(settings, incarnation),
+        addresses::get,
+        control);
   }
 
-  private static OperatorInterface operatorInterface(
-      EventLoopGroup group, InstanceSettings settings, LiveInstance view, Metrics metrics) {
-    return new OperatorInterface(
-        group,
-        InstanceSettings.parseAddress(settings.operatorAddress()),
-        settings.operatorToken(),
-        view,
-        metrics);
+  private static PeerMessage.Hello hello(InstanceSettings settings, long incarnation) {
+    return new PeerMessage.Hello(
+        PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain());
+  }
+
+  private static List<InstanceId> others(
+      InstanceId self, Map<InstanceId, InetSocketAddress> addresses) {
+    return addresses.keySet().stream().filter(peer -> !peer.equals(self)).sorted().toList();
+  }
+
+  /** Adds the interfaces for callers and operators, which use the services of the kernel. */
+  private static void addInterfaces(
+      Kernel kernel,
+      InstanceSettings settings,
+      EventLoopGroup group,
+      long incarnation,
+      CountDownLatch drainRequested) {
+    ConfigurationService configuration = kernel.find("configuration", ConfigurationService.class);
+    kernel.register(
+        "callers",
+        new CallerInterface(
+            group,
+            InstanceSettings.parseAddress(settings.callerAddress()),
+            limitsOf(settings),
+            configuration::isReady,
+            kernel.find("models", ModelRoute.class),
+            kernel.find("services", ServiceRoute.class)));
+    LiveInstance view =
+        new LiveInstance(
+            hello(settings, incarnation),
+            kernel.find("control", ControlThread.class),
+            configuration,
+            kernel.find("ownership", OwnershipService.class),
+            kernel.find("owner", OwnerService.class),
+            kernel.find("peers", PeerNetwork.class)::connected,
+            drainRequested::countDown);
+    kernel.register(
+        "operators",
+        new OperatorInterface(
+            group,
+            InstanceSettings.parseAddress(settings.operatorAddress()),
+            settings.operatorToken(),
+            view,
+            kernel.find("metrics", Metrics.class)));
   }
 
   private static HttpLimits limitsOf(InstanceSettings settings) {
@@ -160,13 +210,38 @@
     return kernel.find("operators", OperatorInterface.class).address();
   }
 
+  /** Waits until an operator asks this instance to leave. */
+  public void awaitDrainRequest() throws InterruptedException {
+    drainRequested.await();
+  }
+
   /** Returns the service that keeps the declarations. */
   public ConfigurationService configuration() {
     return kernel.find("configuration", ConfigurationService.class);
   }
 
+  /** Hands over what this instance owns and waits for requests in progress, up to a limit. */
+  public void drain() {
+    CallerInterface callers = kernel.find("callers", CallerInterface.class);
+    OwnerService owner = kernel.find("owner", OwnerService.class);
+    OwnershipService ownership = kernel.find("ownership", OwnershipService.class);
+    kernel.find("operators", OperatorInterface.class).drain();
+    callers.drain();
+    CompletableFuture<Void> done = ownership.drain(() -> callers.isIdle() && owner.isIdle());
+    try {
+      done.get(DRAIN_LIMIT_MS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      LOG.warn("drain_incomplete", "limit_ms", DRAIN_LIMIT_MS);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Override
   public void close() {
+    drain();
     kernel.close();
     http.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/node/src/main/java/org/apricotstand/operator/OperatorInterface.java
+++ b/node/src/main/java/org/apricotstand/operator/OperatorInterface.java
@@ -79,6 +79,11 @@
     return server.address();
   }
 
+  /** Marks the instance as leaving, so that load balancers send nothing more. */
+  public void drain() {
+    instance.drain();
+  }
+
   @Override
   public void stop() {
     server.close();
