--- a/node/src/main/java/org/apricotstand/owner/OwnerService.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnerService.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.declaration.DeclarationSet.Target;
 import org.apricotstand.engine.EngineClient;
 import org.apricotstand.engine.EngineRequest;
@@ -17,6 +19,7 @@
 import org.apricotstand.model.Step;
 import org.apricotstand.model.TargetId;
 import org.apricotstand.peer.PeerMessage;
+import org.apricotstand.schedule.TargetScheduler;
 
 /**
  * Runs model requests on the engines that this instance owns. All methods run on the control
@@ -35,6 +38,8 @@
   private final EngineClient engines;
   private final Ownership ownership;
   private final Function<TargetId, Optional<Target>> targets;
+  private final Supplier<DeclarationSet> declarations;
+  private final Function<TargetId, TargetScheduler> schedulers;
   private final Map<TargetId, OwnedEngine> owned = new HashMap<>();
   private final Map<TargetId, List<OwnedEngine>> lost = new HashMap<>();
 
@@ -42,16 +47,22 @@
    * Creates the service.
    *
    * @param targets finds the declaration of a target
+   * @param declarations declarations in force
+   * @param schedulers makes the scheduler of an engine
    */
   public OwnerService(
       ControlThread control,
       EngineClient engines,
       Ownership ownership,
-      Function<TargetId, Optional<Target>> targets) {
+      Function<TargetId, Optional<Target>> targets,
+      Supplier<DeclarationSet> declarations,
+      Function<TargetId, TargetScheduler> schedulers) {
     this.control = control;
     this.engines = engines;
     this.ownership = ownership;
     this.targets = targets;
+    this.declarations = declarations;
+    this.schedulers = schedulers;
   }
 
   @Override
@@ -122,7 +133,8 @@
   }
 
   private OwnedEngine take(TargetId id, Target declared) {
-    return new OwnedEngine(id, declared, control, engines, ownership);
+    return new OwnedEngine(
+        id, declared, control, engines, ownership, declarations, schedulers.apply(id));
   }
 
   /** Cancels a request. */
--- a/node/src/main/java/org/apricotstand/settings/InstanceSettings.java
+++ b/node/src/main/java/org/apricotstand/settings/InstanceSettings.java
@@ -20,6 +20,7 @@
  * @param operatorToken token that operators send; required unless the operator address is loopback
  * @param platformUrl URL of the platform
  * @param peers other instances that are known from the start
+ * @param policy name of the traffic policy; affinity unless a baseline is compared
  * @param callerLimits limits of the interface for callers
  */
 public record InstanceSettings(
@@ -31,16 +32,20 @@
     String operatorToken,
     String platformUrl,
     List<Peer> peers,
+    String policy,
     CallerLimits callerLimits) {
 
-  /** Replaces a missing list by an empty one and missing limits by the defaults. */
+  private static final String DEFAULT_POLICY = "affinity";
+
+  /** Replaces missing values by their defaults. */
   public InstanceSettings {
     peers = peers == null ? List.of() : List.copyOf(peers);
+    policy = policy == null ? DEFAULT_POLICY : policy;
     callerLimits =
         callerLimits == null ? new CallerLimits(null, null, null, null, null, null) : callerLimits;
   }
 
-  /** Creates settings with default limits. */
+  /** Creates settings with the default policy and limits. */
   public InstanceSettings(
       String instance,
       String domain,
@@ -59,6 +64,7 @@
         operatorToken,
         platformUrl,
         peers,
+        null,
         null);
   }
 
--- a/node/src/main/java/org/apricotstand/settings/SettingsCheck.java
+++ b/node/src/main/java/org/apricotstand/settings/SettingsCheck.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.apricotstand.declaration.Addresses;
 import org.apricotstand.declaration.Fault;
+import org.apricotstand.placement.Policy;
 import org.apricotstand.settings.InstanceSettings.CallerLimits;
 import org.apricotstand.settings.InstanceSettings.Peer;
 
@@ -72,6 +73,10 @@
         isHttpUrl(settings.platformUrl()),
         "platformUrl",
         "expected a URL such as http://10.0.0.2:9100, got " + settings.platformUrl());
+    require(
+        Policy.NAMES.contains(settings.policy()),
+        "policy",
+        "expected one of " + Policy.NAMES + ", got " + settings.policy());
     checkPeers(settings);
     checkLimits(settings.callerLimits());
   }
