--- a/cli/src/main/java/org/apricotstand/cli/HttpSession.java
+++ b/cli/src/main/java/org/apricotstand/cli/HttpSession.java
@@ -3,10 +3,20 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.nio.file.Path;
+import java.util.OptionalLong;
+import java.util.UUID;
 import java.util.concurrent.TimeUnit;
 import org.apricotstand.configuration.DeclarationApplier;
+import org.apricotstand.configuration.DeclarationFiles;
+import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.http.HttpCaller;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.Result;
+import org.apricotstand.model.Step;
 import org.apricotstand.platform.PlatformClient;
+import org.apricotstand.revision.ApplyOutcome;
+import org.apricotstand.settings.Checked;
 
 /** HTTP client for the time of one command. */
 final class HttpSession implements AutoCloseable {
@@ -24,6 +34,27 @@
     return DeclarationApplier.over(platform, platform);
   }
 
+  /** Checks and applies a folder of declaration files and returns the accepted revision. */
+  static Result<Long> apply(String platformUrl, Path files) {
+    return switch (DeclarationFiles.read(files)) {
+      case Checked.Faulty<DeclarationSet> faulty -> failed("invalid_file", faulty.report());
+      case Checked.Valid<DeclarationSet>(DeclarationSet set) -> {
+        try (HttpSession session = new HttpSession()) {
+          String nonce = UUID.randomUUID().toString();
+          yield switch (session.applier(platformUrl).apply(set, nonce, OptionalLong.empty())) {
+            case ApplyOutcome.Accepted(long revision) -> Result.ok(revision);
+            case ApplyOutcome.Unchanged(long revision) -> Result.ok(revision);
+            case ApplyOutcome other -> failed("not_accepted", other.toString());
+          };
+        }
+      }
+    };
+  }
+
+  private static Result<Long> failed(String code, String detail) {
+    return Result.failed(new Failure(Step.ADMISSION, "declarations", code, detail));
+  }
+
   @Override
   public void close() {
     http.close();
--- a/cli/src/main/java/org/apricotstand/cli/Main.java
+++ b/cli/src/main/java/org/apricotstand/cli/Main.java
@@ -36,6 +36,7 @@
     commands.put("explain", new ExplainCommand());
     commands.put("drain", new DrainCommand());
     commands.put("stand-in", new StandInCommand());
+    commands.put("bench", new BenchCommand());
     commands.put("try", new TryCommand());
     JCommander parser = JCommander.newBuilder().programName("apricotstand").addObject(this).build();
     commands.forEach(parser::addCommand);
--- a/node/src/main/java/org/apricotstand/configuration/ConfigurationService.java
+++ b/node/src/main/java/org/apricotstand/configuration/ConfigurationService.java
@@ -65,6 +65,9 @@
   private List<InstanceId> knownPeers = List.of();
   private Candidate candidate;
   private byte[] contentInForce;
+  // Written on the control thread, read by the gauges.
+  private volatile long knownRevision;
+  private volatile long headReadMs = ControlThread.nowMs();
   private volatile InForce inForce = new InForce(Revision.NONE, "", Instant.EPOCH);
 
   private record Candidate(Head head, Revision revision, byte[] content) {}
@@ -125,6 +128,8 @@
   @Override
   public void start() {
     metrics.gauge("configuration.revision", () -> current().number());
+    metrics.gauge("configuration.known_revision", () -> knownRevision);
+    metrics.gauge("configuration.head_age_ms", () -> ControlThread.nowMs() - headReadMs);
     metrics.gauge("configuration.adapters", () -> current().declarations().adapters().size());
     peers.listen(this);
     control.execute(this::tick);
@@ -175,7 +180,9 @@
   }
 
   private void handle(RevisionEvent event) {
-    machine.handle(event, ControlThread.nowMs()).forEach(this::perform);
+    List<RevisionAction> actions = machine.handle(event, ControlThread.nowMs());
+    knownRevision = machine.known().map(Head::revision).orElse(0L);
+    actions.forEach(this::perform);
   }
 
   private void perform(RevisionAction action) {
@@ -216,6 +223,7 @@
 
   private void headRead(Result<Optional<HeadRow>> result) {
     if (result instanceof Result.Ok<Optional<HeadRow>>(Optional<HeadRow> row)) {
+      headReadMs = ControlThread.nowMs();
       handle(new RevisionEvent.HeadRead(row.map(HeadRow::head)));
     } else {
       metrics.count("configuration.head_unreadable");
--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -4,39 +4,18 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.stream.Stream;
-import org.apricotstand.budget.LoadBudget;
-import org.apricotstand.budget.Sharers;
 import org.apricotstand.configuration.ConfigurationService;
-import org.apricotstand.control.ControlThread;
-import org.apricotstand.engine.EngineClient;
 import org.apricotstand.http.HttpCaller;
-import org.apricotstand.http.HttpLimits;
 import org.apricotstand.kernel.Kernel;
-import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.EventLog;
-import org.apricotstand.observe.Metrics;
-import org.apricotstand.operator.LiveInstance;
 import org.apricotstand.operator.OperatorInterface;
-import org.apricotstand.owner.LoadTokens;
 import org.apricotstand.owner.OwnerService;
-import org.apricotstand.owner.PeerRequests;
 import org.apricotstand.ownership.OwnershipService;
-import org.apricotstand.peer.PeerMessage;
-import org.apricotstand.peer.PeerNetwork;
-import org.apricotstand.placement.Placement;
-import org.apricotstand.placement.Policy;
-import org.apricotstand.platform.PlatformClient;
-import org.apricotstand.schedule.TargetScheduler;
 import org.apricotstand.settings.InstanceSettings;
 
 /**
@@ -74,177 +53,12 @@
         new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
     HttpCaller http = new HttpCaller(group);
     CountDownLatch drainRequested = new CountDownLatch(1);
-    Kernel kernel = assemble(settings, group, http, drainRequested);
+    Kernel kernel =
+        new InstanceAssembly(settings, group, http, drainRequested::countDown).assemble();
     kernel.start();
     return new EntryInstance(kernel, group, http, drainRequested);
   }
 
-  private static Kernel assemble(
-      InstanceSettings settings,
-      EventLoopGroup group,
-      HttpCaller http,
-      CountDownLatch drainRequested) {
-    InstanceId self = new InstanceId(settings.instance());
-    long incarnation = System.currentTimeMillis();
-    ControlThread control = new ControlThread();
-    PlatformClient platform = new PlatformClient(http, settings.platformUrl());
-    Map<InstanceId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
-    PeerNetwork peers = peerNetwork(settings, group, incarnation, addresses, control);
-    Metrics metrics = new Metrics();
-    ConfigurationService configuration =
-        new ConfigurationService(
-            control, platform, platform, peers, () -> others(self, addresses), metrics);
-    OwnershipService ownership =
-        new OwnershipService(
-            settings,
-            incarnation,
-            control,
-            peers,
-            platform,
-            platform,
-            configuration::current,
-            addresses);
-    EngineClient engines = new EngineClient(http);
-    Policy policy = Policy.parse(settings.policy());
-    SplittableRandom random = new SplittableRandom(incarnation ^ self.hashCode());
-    LoadBudget budget = new LoadBudget(ControlThread.nowMs());
-    OwnerService owner =
-        new OwnerService(
-            control,
-            engines,
-            ownership,
-            target -> configuration.current().target(target),
-            () -> configuration.current().declarations(),
-            target -> new TargetScheduler(target, policy, budget, random.split()));
-    ownership.drive(owner);
-    LoadTokens tokens = loadTokens(settings, control, peers, budget, configuration);
-    peers.listen(tokens);
-    EngineChoice choice = new EngineChoice(control, new Placement(policy, random.split()));
-    peers.listen(choice);
-    RemoteAnswers remote = new RemoteAnswers(peers);
-    peers.listen(remote);
-    ModelRoute models =
-        new ModelRoute(self, incarnation, control, configuration, ownership, owner, remote, choice);
-    ServiceRoute services = new ServiceRoute(configuration, http);
-    Kernel kernel = new Kernel();
-    kernel.register("metrics", metrics);
-    kernel.register("control", control);
-    kernel.register("platform", platform);
-    kernel.register("peers", peers);
-    kernel.register("configuration", configuration);
-    kernel.register("ownership", ownership);
-    kernel.register("engines", engines);
-    kernel.register("owner", owner);
-    kernel.register("load-tokens", tokens);
-    kernel.register("remote-answers", remote);
-    kernel.register("peer-requests", new PeerRequests(control, peers, owner));
-    kernel.register("models", models);
-    kernel.register("services", services);
-    addInterfaces(kernel, settings, group, incarnation, drainRequested);
-    return kernel;
-  }
-
-  private static PeerNetwork peerNetwork(
-      InstanceSettings settings,
-      EventLoopGroup group,
-      long incarnation,
-      Map<InstanceId, InetSocketAddress> addresses,
-      ControlThread control) {
-    settings
-        .peers()
-        .forEach(
-            peer ->
-                addresses.put(
-                    new InstanceId(peer.instance()),
-                    InstanceSettings.parseAddress(peer.address())));
-    return new PeerNetwork(
-        group,
-        InstanceSettings.parseAddress(settings.peerAddress()),
-        hello(settings, incarnation),
-        addresses::get,
-        control);
-  }
-
-  private static PeerMessage.Hello hello(InstanceSettings settings, long incarnation) {
-    return new PeerMessage.Hello(
-        PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain());
-  }
-
-  private static List<InstanceId> others(
-      InstanceId self, Map<InstanceId, InetSocketAddress> addresses) {
-    return addresses.keySet().stream().filter(peer -> !peer.equals(self)).sorted().toList();
-  }
-
-  /** Adds the interfaces for callers and operators, which use the services of the kernel. */
-  private static void addInterfaces(
-      Kernel kernel,
-      InstanceSettings settings,
-      EventLoopGroup group,
-      long incarnation,
-      CountDownLatch drainRequested) {
-    ConfigurationService configuration = kernel.find("configuration", ConfigurationService.class);
-    kernel.register(
-        "callers",
-        new CallerInterface(
-            group,
-            InstanceSettings.parseAddress(settings.callerAddress()),
-            limitsOf(settings),
-            configuration::isReady,
-            kernel.find("models", ModelRoute.class),
-            kernel.find("services", ServiceRoute.class)));
-    LiveInstance view =
-        new LiveInstance(
-            hello(settings, incarnation),
-            kernel.find("control", ControlThread.class),
-            configuration,
-            kernel.find("ownership", OwnershipService.class),
-            kernel.find("owner", OwnerService.class),
-            kernel.find("peers", PeerNetwork.class)::connected,
-            drainRequested::countDown);
-    kernel.register(
-        "operators",
-        new OperatorInterface(
-            group,
-            InstanceSettings.parseAddress(settings.operatorAddress()),
-            settings.operatorToken(),
-            view,
-            kernel.find("metrics", Metrics.class)));
-  }
-
-  private static HttpLimits limitsOf(InstanceSettings settings) {
-    InstanceSettings.CallerLimits limits = settings.callerLimits();
-    return new HttpLimits(
-        limits.maxHeaderBytes(),
-        limits.maxBodyBytes(),
-        limits.maxConnections(),
-        limits.idleTimeMs(),
-        limits.requestTimeMs());
-  }
-
-  private static LoadTokens loadTokens(
-      InstanceSettings settings,
-      ControlThread control,
-      PeerNetwork peers,
-      LoadBudget budget,
-      ConfigurationService configuration) {
-    InstanceId self = new InstanceId(settings.instance());
-    // The settings of all instances name the same set; lists that lag could differ.
-    List<InstanceId> sharing =
-        Stream.concat(
-                Stream.of(self),
-                settings.peers().stream().map(peer -> new InstanceId(peer.instance())))
-            .sorted()
-            .toList();
-    Sharers sharers = new Sharers(sharing.size(), sharing.indexOf(self));
-    return new LoadTokens(
-        control,
-        peers,
-        budget,
-        sharing.stream().filter(other -> !other.equals(self)).toList(),
-        () -> sharers,
-        () -> configuration.current().declarations());
-  }
-
   /** Returns the address for callers. */
   public InetSocketAddress callerAddress() {
     return kernel.find("callers", CallerInterface.class).address();
--- a/node/src/test/java/org/apricotstand/configuration/ExamplesTest.java
+++ b/node/src/test/java/org/apricotstand/configuration/ExamplesTest.java
@@ -15,7 +15,7 @@
   private static final Path EXAMPLES = Path.of("..", "examples");
 
   @ParameterizedTest
-  @ValueSource(strings = {"steppe-haze", "lakeshore"})
+  @ValueSource(strings = {"first", "steppe-haze", "lakeshore"})
   void declarationsAreValid(String folder) {
     assertThat(DeclarationFiles.read(EXAMPLES.resolve(folder))).isInstanceOf(Checked.Valid.class);
   }
