--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -1,29 +1,39 @@
 package org.apricotstand.entry;
 
-import static java.util.stream.Collectors.toMap;
-
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.stream.Stream;
+import org.apricotstand.budget.LoadBudget;
+import org.apricotstand.budget.Sharers;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.engine.EngineClient;
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.model.InstanceId;
+import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.owner.LoadTokens;
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.owner.PeerRequests;
+import org.apricotstand.ownership.OwnershipService;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.PeerNetwork;
+import org.apricotstand.placement.Placement;
+import org.apricotstand.placement.Policy;
 import org.apricotstand.platform.PlatformClient;
+import org.apricotstand.schedule.TargetScheduler;
 import org.apricotstand.settings.InstanceSettings;
-import org.apricotstand.settings.InstanceSettings.Peer;
 
 /**
  * One running instance.
@@ -36,7 +46,10 @@
  */
 public final class EntryInstance implements AutoCloseable {
 
+  private static final EventLog LOG = EventLog.of(EntryInstance.class);
   private static final int TRAFFIC_THREADS = 2;
+  // Longer than the default time a request may take.
+  private static final long DRAIN_LIMIT_MS = 45_000;
 
   private final Kernel kernel;
   private final EventLoopGroup group;
@@ -64,38 +77,51 @@
     ControlThread control = new ControlThread();
     PlatformClient platform = new PlatformClient(http, settings.platformUrl());
     ConfigurationService configuration = new ConfigurationService(control, platform);
-    List<Peer> instances =
-        Stream.concat(
-                Stream.of(new Peer(settings.instance(), settings.domain(), settings.peerAddress())),
-                settings.peers().stream())
-            .toList();
-    Map<InstanceId, InetSocketAddress> addresses =
-        instances.stream()
-            .collect(
-                toMap(
-                    peer -> new InstanceId(peer.instance()),
-                    peer -> InstanceSettings.parseAddress(peer.address())));
-    PeerNetwork peers =
-        new PeerNetwork(
-            group,
-            InstanceSettings.parseAddress(settings.peerAddress()),
-            new PeerMessage.Hello(
-                PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain()),
-            addresses::get,
-            control);
-    RankedOwnership ownership = new RankedOwnership(self, configuration, instances);
+    Map<InstanceId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+    PeerNetwork peers = peerNetwork(settings, group, incarnation, addresses, control);
+    OwnershipService ownership =
+        new OwnershipService(
+            settings,
+            incarnation,
+            control,
+            peers,
+            platform,
+            platform,
+            configuration::current,
+            addresses);
     EngineClient engines = new EngineClient(http);
+    Policy policy = Policy.parse(settings.policy());
+    SplittableRandom random = new SplittableRandom(incarnation ^ self.hashCode());
+    LoadBudget budget = new LoadBudget(ControlThread.nowMs());
     OwnerService owner =
         new OwnerService(
-            control, engines, ownership, target -> configuration.current().target(target));
+            control,
+            engines,
+            ownership,
+            target -> configuration.current().target(target),
+            () -> configuration.current().declarations(),
+            target -> new TargetScheduler(target, policy, budget, random.split()));
+    ownership.drive(owner);
+    LoadTokens tokens = loadTokens(settings, control, peers, budget, configuration);
+    peers.listen(tokens);
+    EngineChoice choice = new EngineChoice(control, new Placement(policy, random.split()));
+    peers.listen(choice);
     RemoteAnswers remote = new RemoteAnswers(peers);
     peers.listen(remote);
     ModelRoute models =
-        new ModelRoute(self, incarnation, control, configuration, ownership, owner, remote);
+        new ModelRoute(self, incarnation, control, configuration, ownership, owner, remote, choice);
     Metrics metrics = new Metrics();
     ServiceParts parts =
         ServiceParts.create(
-            settings, incarnation, control, configuration, platform, peers, http, metrics);
+            settings,
+            incarnation,
+            control,
+            configuration,
+            platform,
+            peers,
+            http,
+            metrics,
+            ownership::isLeaving);
     InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
     Kernel kernel = new Kernel();
     kernel.register("metrics", metrics);
@@ -106,6 +132,7 @@
     kernel.register("ownership", ownership);
     kernel.register("engines", engines);
     kernel.register("owner", owner);
+    kernel.register("load-tokens", tokens);
     kernel.register("remote-answers", remote);
     kernel.register("peer-requests", new PeerRequests(control, peers, owner));
     kernel.register("models", models);
@@ -114,6 +141,52 @@
     return kernel;
   }
 
+  private static PeerNetwork peerNetwork(
+      InstanceSettings settings,
+      EventLoopGroup group,
+      long incarnation,
+      Map<InstanceId, InetSocketAddress> addresses,
+      ControlThread control) {
+    settings
+        .peers()
+        .forEach(
+            peer ->
+                addresses.put(
+                    new InstanceId(peer.instance()),
+                    InstanceSettings.parseAddress(peer.address())));
+    return new PeerNetwork(
+        group,
+        InstanceSettings.parseAddress(settings.peerAddress()),
+        new PeerMessage.Hello(
+            PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain()),
+        addresses::get,
+        control);
+  }
+
+  private static LoadTokens loadTokens(
+      InstanceSettings settings,
+      ControlThread control,
+      PeerNetwork peers,
+      LoadBudget budget,
+      ConfigurationService configuration) {
+    InstanceId self = new InstanceId(settings.instance());
+    // The settings of all instances name the same set; lists that lag could differ.
+    List<InstanceId> sharing =
+        Stream.concat(
+                Stream.of(self),
+                settings.peers().stream().map(peer -> new InstanceId(peer.instance())))
+            .sorted()
+            .toList();
+    Sharers sharers = new Sharers(sharing.size(), sharing.indexOf(self));
+    return new LoadTokens(
+        control,
+        peers,
+        budget,
+        sharing.stream().filter(other -> !other.equals(self)).toList(),
+        () -> sharers,
+        () -> configuration.current().declarations());
+  }
+
   /** Returns the address for callers. */
   public InetSocketAddress callerAddress() {
     return kernel.find("callers", CallerInterface.class).address();
@@ -124,8 +197,27 @@
     return kernel.find("configuration", ConfigurationService.class);
   }
 
+  /** Hands over what this instance owns and waits for requests in progress, up to a limit. */
+  public void drain() {
+    CallerInterface callers = kernel.find("callers", CallerInterface.class);
+    OwnerService owner = kernel.find("owner", OwnerService.class);
+    OwnershipService ownership = kernel.find("ownership", OwnershipService.class);
+    callers.drain();
+    CompletableFuture<Void> done = ownership.drain(() -> callers.isIdle() && owner.isIdle());
+    try {
+      done.get(DRAIN_LIMIT_MS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      LOG.warn("drain_incomplete", "limit_ms", DRAIN_LIMIT_MS);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Override
   public void close() {
+    drain();
     kernel.close();
     http.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/node/src/main/java/org/apricotstand/entry/ServiceParts.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceParts.java
@@ -1,6 +1,7 @@
 package org.apricotstand.entry;
 
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import org.apricotstand.claims.ClaimService;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.control.ControlThread;
@@ -9,6 +10,7 @@
 import org.apricotstand.limit.Backoff;
 import org.apricotstand.limit.RetryBudget;
 import org.apricotstand.model.InstanceId;
+import org.apricotstand.model.TargetId;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.peer.PeerNetwork;
 import org.apricotstand.platform.PlatformClient;
@@ -35,7 +37,8 @@
       PlatformClient platform,
       PeerNetwork peers,
       HttpCaller http,
-      Metrics metrics) {
+      Metrics metrics,
+      Predicate<TargetId> leaving) {
     InstanceId self = new InstanceId(settings.instance());
     SplittableRandom random = new SplittableRandom(incarnation ^ self.hashCode());
     Admission admission = new Admission(self, control, metrics);
@@ -45,7 +48,7 @@
     RetryBudget budget = new RetryBudget(RetryBudget.DEFAULT_FRACTION, RetryBudget.DEFAULT_RESERVE);
     Backoff backoff = new Backoff(random.split(), RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
     ServiceCalls calls = new ServiceCalls(http, control, budget, backoff, metrics);
-    ServiceTargets targets = new ServiceTargets(settings.domain(), target -> false);
+    ServiceTargets targets = new ServiceTargets(settings.domain(), leaving);
     return new ServiceParts(
         admission,
         claims,
--- a/node/src/main/java/org/apricotstand/owner/OwnerService.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnerService.java
@@ -1,11 +1,14 @@
 package org.apricotstand.owner;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.declaration.DeclarationSet.Target;
 import org.apricotstand.engine.EngineClient;
 import org.apricotstand.engine.EngineRequest;
@@ -16,6 +19,7 @@
 import org.apricotstand.model.Step;
 import org.apricotstand.model.TargetId;
 import org.apricotstand.peer.PeerMessage;
+import org.apricotstand.schedule.TargetScheduler;
 
 /**
  * Runs model requests on the engines that this instance owns. All methods run on the control
@@ -25,7 +29,7 @@
  * control.execute(() -> owner.submit(target, request, sink));
  * }</pre>
  */
-public final class OwnerService implements Service {
+public final class OwnerService implements Service, OwnershipListener {
 
   private static final long TICK_MS = 50;
   private static final long STATE_POLL_MS = 500;
@@ -34,44 +38,103 @@
   private final EngineClient engines;
   private final Ownership ownership;
   private final Function<TargetId, Optional<Target>> targets;
+  private final Supplier<DeclarationSet> declarations;
+  private final Function<TargetId, TargetScheduler> schedulers;
   private final Map<TargetId, OwnedEngine> owned = new HashMap<>();
+  private final Map<TargetId, List<OwnedEngine>> lost = new HashMap<>();
 
   /**
    * Creates the service.
    *
    * @param targets finds the declaration of a target
+   * @param declarations declarations in force
+   * @param schedulers makes the scheduler of an engine
    */
   public OwnerService(
       ControlThread control,
       EngineClient engines,
       Ownership ownership,
-      Function<TargetId, Optional<Target>> targets) {
+      Function<TargetId, Optional<Target>> targets,
+      Supplier<DeclarationSet> declarations,
+      Function<TargetId, TargetScheduler> schedulers) {
     this.control = control;
     this.engines = engines;
     this.ownership = ownership;
     this.targets = targets;
+    this.declarations = declarations;
+    this.schedulers = schedulers;
   }
 
   @Override
   public void start() {
-    control.executeEvery(TICK_MS, () -> owned.values().forEach(OwnedEngine::tick));
+    control.executeEvery(TICK_MS, this::tick);
     control.executeEvery(STATE_POLL_MS, () -> owned.values().forEach(OwnedEngine::pollState));
   }
 
+  private void tick() {
+    owned.values().forEach(OwnedEngine::tick);
+    lost.values().forEach(engines -> engines.forEach(OwnedEngine::tick));
+    for (TargetId target : List.copyOf(lost.keySet())) {
+      List<OwnedEngine> ended = lost.get(target);
+      ended.removeIf(OwnedEngine::isIdle);
+      if (ended.isEmpty()) {
+        lost.remove(target);
+        ownership.requestsEnded(target);
+      }
+    }
+  }
+
+  @Override
+  public void gained(TargetId target, boolean quarantined) {
+    Optional<Target> declared = targets.apply(target);
+    if (declared.isEmpty()) {
+      return;
+    }
+    OwnedEngine engine = take(target, declared.get());
+    owned.put(target, engine);
+    if (quarantined) {
+      engine.inherited();
+    }
+  }
+
+  @Override
+  public void quarantineEnded(TargetId target) {
+    OwnedEngine engine = owned.get(target);
+    if (engine != null) {
+      engine.quarantineEnded();
+    }
+  }
+
+  @Override
+  public void lost(TargetId target, String reason) {
+    OwnedEngine engine = owned.remove(target);
+    if (engine != null) {
+      lost.computeIfAbsent(target, key -> new ArrayList<>()).add(engine);
+      engine.lost(reason);
+    }
+  }
+
+  /** Returns whether no request waits or runs. */
+  public boolean isIdle() {
+    return lost.isEmpty() && owned.values().stream().allMatch(OwnedEngine::isIdle);
+  }
+
   /** Queues a request for an engine; the sink gets the answer or the failure. */
   public void submit(TargetId target, EngineRequest request, AnswerSink sink) {
-    Optional<Target> declared = targets.apply(target);
-    if (declared.isEmpty() || !ownership.mayDispatch(target)) {
+    OwnedEngine engine = owned.get(target);
+    if (engine == null || !ownership.mayDispatch(target)) {
       sink.failed(
           new Outcome.NotRun(
               new Failure(
                   Step.QUEUE, target.value(), "not_owner", "this instance does not own it")));
       return;
     }
-    owned
-        .computeIfAbsent(
-            target, id -> new OwnedEngine(id, declared.get(), control, engines, ownership))
-        .submit(request, sink);
+    engine.submit(request, sink);
+  }
+
+  private OwnedEngine take(TargetId id, Target declared) {
+    return new OwnedEngine(
+        id, declared, control, engines, ownership, declarations, schedulers.apply(id));
   }
 
   /** Cancels a request. */
@@ -80,6 +143,7 @@
     if (engine != null) {
       engine.cancel(id);
     }
+    lost.getOrDefault(target, List.of()).forEach(former -> former.cancel(id));
   }
 
   /** Returns the load of an engine for the instances that send requests to it. */
