Run suspects alone, refuse them after two crashes, retry model requests once

Cause: a prompt that crashes its engine was sent on to the next one; a lost attempt ended the request even when no byte had gone to the caller. Change: a lost engine connection is settled before the caller learns of it; crashes go to all instances; a suspect runs alone on one fixed engine and is refused for 600 s after its second crash. A model request that was not run, or whose engine or owner was lost, gets one further attempt on another engine within the retry budget. Requests beyond the limits of their caller or class get 429 with retry-after. The assembly of an instance is split by concern.

--- a/node/src/main/java/org/apricotstand/engine/EngineClient.java
+++ b/node/src/main/java/org/apricotstand/engine/EngineClient.java
@@ -24,6 +24,7 @@
  */
 public final class EngineClient implements Service {
 
+  private static final String NO_ANSWER = "no_answer";
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final HttpCaller http;
@@ -106,7 +107,9 @@
   }
 
   private static <T> Result<T> lost(String address, Throwable error) {
-    return Result.failed(new Failure(Step.LOAD, address, "no_answer", error.getMessage()));
+    String code =
+        error instanceof HttpCaller.CallException call ? call.failure().code() : NO_ANSWER;
+    return Result.failed(new Failure(Step.LOAD, address, code, String.valueOf(error.getMessage())));
   }
 
   private static String url(String address, String path) {
--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -4,7 +4,6 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
@@ -12,27 +11,20 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.stream.Stream;
-import org.apricotstand.budget.LoadBudget;
-import org.apricotstand.budget.Sharers;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.control.ControlThread;
-import org.apricotstand.engine.EngineClient;
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
-import org.apricotstand.owner.LoadTokens;
 import org.apricotstand.owner.OwnerService;
-import org.apricotstand.owner.PeerRequests;
 import org.apricotstand.ownership.OwnershipService;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.PeerNetwork;
 import org.apricotstand.placement.Placement;
 import org.apricotstand.placement.Policy;
 import org.apricotstand.platform.PlatformClient;
-import org.apricotstand.schedule.TargetScheduler;
 import org.apricotstand.settings.InstanceSettings;
 
 /**
@@ -89,55 +81,39 @@
             platform,
             configuration::current,
             addresses);
-    EngineClient engines = new EngineClient(http);
-    Policy policy = Policy.parse(settings.policy());
-    SplittableRandom random = new SplittableRandom(incarnation ^ self.hashCode());
-    LoadBudget budget = new LoadBudget(ControlThread.nowMs());
-    OwnerService owner =
-        new OwnerService(
-            control,
-            engines,
-            ownership,
-            target -> configuration.current().target(target),
-            () -> configuration.current().declarations(),
-            target -> new TargetScheduler(target, policy, budget, random.split()));
-    ownership.drive(owner);
-    LoadTokens tokens = loadTokens(settings, control, peers, budget, configuration);
-    peers.listen(tokens);
-    EngineChoice choice = new EngineChoice(control, new Placement(policy, random.split()));
-    peers.listen(choice);
-    RemoteAnswers remote = new RemoteAnswers(peers);
-    peers.listen(remote);
-    ModelRoute models =
-        new ModelRoute(self, incarnation, control, configuration, ownership, owner, remote, choice);
-    Metrics metrics = new Metrics();
-    ServiceParts parts =
-        ServiceParts.create(
+    InstanceBase base =
+        new InstanceBase(
             settings,
+            self,
             incarnation,
             control,
-            configuration,
+            http,
             platform,
+            configuration,
+            addresses,
             peers,
-            http,
-            metrics,
-            ownership::isLeaving);
-    InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
+            ownership,
+            new Metrics());
+    Policy policy = Policy.parse(settings.policy());
+    SplittableRandom random = new SplittableRandom(incarnation ^ self.hashCode());
+    OwnerParts owning = OwnerParts.create(base, policy, random.split());
+    ServiceParts services = ServiceParts.create(base, random.split());
+    Placement placement = new Placement(policy, random.split());
+    ModelParts models =
+        ModelParts.create(base, owning, services.admission(), placement, random.split());
     Kernel kernel = new Kernel();
-    kernel.register("metrics", metrics);
+    kernel.register("metrics", base.metrics());
     kernel.register("control", control);
     kernel.register("platform", platform);
     kernel.register("configuration", configuration);
     kernel.register("peers", peers);
     kernel.register("ownership", ownership);
-    kernel.register("engines", engines);
-    kernel.register("owner", owner);
-    kernel.register("load-tokens", tokens);
-    kernel.register("remote-answers", remote);
-    kernel.register("peer-requests", new PeerRequests(control, peers, owner));
-    kernel.register("models", models);
-    parts.register(kernel);
-    kernel.register("callers", new CallerInterface(group, callers, models, parts.services()));
+    owning.register(kernel);
+    models.register(kernel);
+    services.register(kernel);
+    InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
+    kernel.register(
+        "callers", new CallerInterface(group, callers, models.route(), services.services()));
     return kernel;
   }
 
@@ -163,30 +139,6 @@
         control);
   }
 
-  private static LoadTokens loadTokens(
-      InstanceSettings settings,
-      ControlThread control,
-      PeerNetwork peers,
-      LoadBudget budget,
-      ConfigurationService configuration) {
-    InstanceId self = new InstanceId(settings.instance());
-    // The settings of all instances name the same set; lists that lag could differ.
-    List<InstanceId> sharing =
-        Stream.concat(
-                Stream.of(self),
-                settings.peers().stream().map(peer -> new InstanceId(peer.instance())))
-            .sorted()
-            .toList();
-    Sharers sharers = new Sharers(sharing.size(), sharing.indexOf(self));
-    return new LoadTokens(
-        control,
-        peers,
-        budget,
-        sharing.stream().filter(other -> !other.equals(self)).toList(),
-        () -> sharers,
-        () -> configuration.current().declarations());
-  }
-
   /** Returns the address for callers. */
   public InetSocketAddress callerAddress() {
     return kernel.find("callers", CallerInterface.class).address();
--- a/node/src/main/java/org/apricotstand/entry/ModelRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelRoute.java
@@ -4,13 +4,16 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.configuration.Revision;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.declaration.DeclarationSet.Adapter;
+import org.apricotstand.declaration.DeclarationSet.Target;
 import org.apricotstand.engine.EngineHeaders;
 import org.apricotstand.engine.EngineRequest;
 import org.apricotstand.http.HttpExchange;
@@ -19,17 +22,15 @@
 import org.apricotstand.model.AdapterVersion;
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.InstanceId;
-import org.apricotstand.model.Outcome;
 import org.apricotstand.model.RequestClass;
 import org.apricotstand.model.RequestId;
 import org.apricotstand.model.Result;
 import org.apricotstand.model.Step;
 import org.apricotstand.model.TargetId;
-import org.apricotstand.owner.AnswerSink;
-import org.apricotstand.owner.OwnerService;
-import org.apricotstand.owner.Ownership;
-import org.apricotstand.peer.PeerMessage;
+import org.apricotstand.placement.Rendezvous;
 import org.apricotstand.schedule.ScheduledRequest;
+import org.apricotstand.suspect.Verdict;
+import org.apricotstand.suspects.SuspectService;
 
 /** Serves model requests: resolves the adapter version, picks the engine, asks its owner. */
 final class ModelRoute implements Service {
@@ -41,29 +42,24 @@
   private final InstanceId self;
   private final ControlThread control;
   private final ConfigurationService configuration;
-  private final Ownership ownership;
-  private final OwnerService owner;
-  private final RemoteAnswers remote;
-  private final EngineChoice choice;
+  private final Admission admission;
+  private final SuspectService suspects;
+  private final ModelCall.Parts parts;
   private final String idPrefix;
   private final AtomicLong nextId = new AtomicLong();
 
   ModelRoute(
-      InstanceId self,
       long incarnation,
-      ControlThread control,
       ConfigurationService configuration,
-      Ownership ownership,
-      OwnerService owner,
-      RemoteAnswers remote,
-      EngineChoice choice) {
-    this.self = self;
-    this.control = control;
+      Admission admission,
+      SuspectService suspects,
+      ModelCall.Parts parts) {
+    this.self = parts.self();
+    this.control = parts.control();
     this.configuration = configuration;
-    this.ownership = ownership;
-    this.owner = owner;
-    this.remote = remote;
-    this.choice = choice;
+    this.admission = admission;
+    this.suspects = suspects;
+    this.parts = parts;
     this.idPrefix = self.value() + "-" + Long.toString(incarnation, Character.MAX_RADIX) + "-";
   }
 
@@ -122,73 +118,69 @@
   }
 
   private void route(HttpExchange exchange, Revision revision, Resolved resolved) {
-    AnswerSink sink = new ExchangeSink(exchange);
-    long nowMs = ControlThread.nowMs();
-    Optional<TargetId> target =
-        choice.choose(
-            resolved.adapterVersion(),
-            resolved.adapter().model(),
-            revision,
-            engine -> ownership.ownerOf(engine).isPresent());
-    Optional<InstanceId> targetOwner = target.flatMap(ownership::ownerOf);
-    if (targetOwner.isEmpty()) {
-      sink.failed(
-          new Outcome.NotRun(
-              new Failure(Step.PLACEMENT, self.value(), "no_owner", "no engine can be reached")));
+    EngineRequest request = toRequest(exchange.request(), revision, resolved);
+    Verdict verdict = suspects.verdict(request);
+    if (verdict instanceof Verdict.Refused(String code, long retryAfterMs)) {
+      admission.refuse(
+          exchange, code, "the request was running when an engine crashed", retryAfterMs);
       return;
     }
-    EngineRequest request = toRequest(exchange.request(), revision, resolved, nowMs);
-    CountedSink counted = choice.watch(target.get(), sink);
-    if (targetOwner.get().equals(self)) {
-      exchange.onClosed(
-          () -> {
-            counted.canceled();
-            control.execute(() -> owner.cancel(target.get(), request.scheduled().id()));
-          });
-      owner.submit(target.get(), request, counted);
-      choice.learn(owner.loadOf(target.get()));
+    admission
+        .admit(exchange, request.scheduled().requestClass())
+        .ifPresent(release -> start(exchange, revision, resolved, request, verdict, release));
+  }
+
+  private void start(
+      HttpExchange exchange,
+      Revision revision,
+      Resolved resolved,
+      EngineRequest request,
+      Verdict verdict,
+      Runnable release) {
+    String model = resolved.adapter().model();
+    if (verdict instanceof Verdict.Alone(Set<TargetId> crashed)) {
+      EngineRequest alone = request.runningAlone();
+      new ModelCall(parts, exchange, revision, model, alone, release)
+          .startOn(trialTarget(alone, revision, model, crashed));
     } else {
-      PeerMessage.Route route = toRoute(target.get(), request, revision, nowMs);
-      exchange.onClosed(
-          () -> {
-            counted.canceled();
-            remote.cancel(route);
-          });
-      remote.send(targetOwner.get(), route, counted);
+      new ModelCall(parts, exchange, revision, model, request, release).start();
     }
   }
 
-  private EngineRequest toRequest(
-      HttpRequest request, Revision revision, Resolved resolved, long nowMs) {
+  /**
+   * Returns the engine on which a suspect runs: the same one from all instances, so that they
+   * cannot send it to several engines at once, and not one that it crashed while there is another.
+   */
+  private static Optional<TargetId> trialTarget(
+      EngineRequest request, Revision revision, String model, Set<TargetId> crashed) {
+    List<Target> engines =
+        revision.declarations().targets().stream()
+            .filter(Target::runsModel)
+            .filter(engine -> engine.serves().equals(model))
+            .toList();
+    List<TargetId> ranked =
+        Rendezvous.rank(SuspectService.fingerprintOf(request), engines, Target::name).stream()
+            .map(engine -> new TargetId(engine.name()))
+            .toList();
+    return ranked.stream()
+        .filter(engine -> !crashed.contains(engine))
+        .findFirst()
+        .or(() -> ranked.stream().findFirst());
+  }
+
+  private EngineRequest toRequest(HttpRequest request, Revision revision, Resolved resolved) {
+    long nowMs = ControlThread.nowMs();
     ScheduledRequest scheduled =
         new ScheduledRequest(
             new RequestId(idPrefix + nextId.incrementAndGet()),
             1,
             resolved.adapterVersion(),
             RequestClass.valueOf(resolved.adapter().requestClass().toUpperCase(Locale.ROOT)),
-            request.remote(),
+            CallerName.of(request),
             nowMs,
             nowMs + revision.declarations().policy().requestTimeoutMs());
     String traceparent = request.header(EngineHeaders.TRACEPARENT);
     return new EngineRequest(
         scheduled, request.path(), traceparent == null ? "" : traceparent, resolved.body());
   }
-
-  private static PeerMessage.Route toRoute(
-      TargetId target, EngineRequest request, Revision revision, long nowMs) {
-    ScheduledRequest scheduled = request.scheduled();
-    return new PeerMessage.Route(
-        scheduled.id().value(),
-        scheduled.attempt(),
-        target.value(),
-        scheduled.adapterVersion().toString(),
-        revision.number(),
-        scheduled.deadlineMs() - nowMs,
-        scheduled.requestClass().name(),
-        scheduled.caller(),
-        request.path(),
-        request.traceparent(),
-        request.body(),
-        RemoteAnswers.CREDIT_BYTES);
-  }
 }
--- a/node/src/main/java/org/apricotstand/entry/RemoteAnswers.java
+++ b/node/src/main/java/org/apricotstand/entry/RemoteAnswers.java
@@ -22,6 +22,9 @@
   /** Answer bytes that an owner may send ahead of what the caller has taken. */
   static final int CREDIT_BYTES = 256 * 1024;
 
+  /** Code of a failure because the link to the owner closed. */
+  static final String LINK_CLOSED = "peer_link_closed";
+
   private final PeerSender peers;
   private final Map<Key, Open> open = new ConcurrentHashMap<>();
 
@@ -102,7 +105,7 @@
     List<Map.Entry<Key, Open>> lost =
         open.entrySet().stream().filter(entry -> entry.getValue().owner().equals(peer)).toList();
     Failure failure =
-        new Failure(Step.PEER, peer.value(), "peer_link_closed", "the link to the owner closed");
+        new Failure(Step.PEER, peer.value(), LINK_CLOSED, "the link to the owner closed");
     lost.stream()
         .filter(entry -> open.remove(entry.getKey(), entry.getValue()))
         .forEach(entry -> entry.getValue().sink().failed(new Outcome.OutcomeUnknown(failure)));
--- a/node/src/main/java/org/apricotstand/entry/ServiceParts.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceParts.java
@@ -1,20 +1,10 @@
 package org.apricotstand.entry;
 
 import java.util.SplittableRandom;
-import java.util.function.Predicate;
 import org.apricotstand.claims.ClaimService;
-import org.apricotstand.configuration.ConfigurationService;
-import org.apricotstand.control.ControlThread;
-import org.apricotstand.http.HttpCaller;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.limit.Backoff;
 import org.apricotstand.limit.RetryBudget;
-import org.apricotstand.model.InstanceId;
-import org.apricotstand.model.TargetId;
-import org.apricotstand.observe.Metrics;
-import org.apricotstand.peer.PeerNetwork;
-import org.apricotstand.platform.PlatformClient;
-import org.apricotstand.settings.InstanceSettings;
 
 /**
  * The parts of an instance that serve calls to plain services.
@@ -29,30 +19,28 @@
   private static final long MAX_RETRY_PAUSE_MS = 500;
 
   /** Creates the parts and connects them with each other. */
-  static ServiceParts create(
-      InstanceSettings settings,
-      long incarnation,
-      ControlThread control,
-      ConfigurationService configuration,
-      PlatformClient platform,
-      PeerNetwork peers,
-      HttpCaller http,
-      Metrics metrics,
-      Predicate<TargetId> leaving) {
-    InstanceId self = new InstanceId(settings.instance());
-    SplittableRandom random = new SplittableRandom(incarnation ^ self.hashCode());
-    Admission admission = new Admission(self, control, metrics);
+  static ServiceParts create(InstanceBase base, SplittableRandom random) {
+    Admission admission = new Admission(base.self(), base.control(), base.metrics());
     ClaimService claims =
-        new ClaimService(self, incarnation, control, peers, platform, metrics, random.split());
-    peers.listen(claims);
+        new ClaimService(
+            base.self(),
+            base.incarnation(),
+            base.control(),
+            base.peers(),
+            base.platform(),
+            base.metrics(),
+            random.split());
+    base.peers().listen(claims);
     RetryBudget budget = new RetryBudget(RetryBudget.DEFAULT_FRACTION, RetryBudget.DEFAULT_RESERVE);
     Backoff backoff = new Backoff(random.split(), RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
-    ServiceCalls calls = new ServiceCalls(http, control, budget, backoff, metrics);
-    ServiceTargets targets = new ServiceTargets(settings.domain(), leaving);
+    ServiceCalls calls =
+        new ServiceCalls(base.http(), base.control(), budget, backoff, base.metrics());
+    ServiceTargets targets =
+        new ServiceTargets(base.settings().domain(), base.ownership()::isLeaving);
     return new ServiceParts(
         admission,
         claims,
-        new ServiceRoute(configuration, control, admission, targets, calls, claims));
+        new ServiceRoute(base.configuration(), base.control(), admission, targets, calls, claims));
   }
 
   void register(Kernel kernel) {
--- a/node/src/main/java/org/apricotstand/http/CallFailure.java
+++ b/node/src/main/java/org/apricotstand/http/CallFailure.java
@@ -7,4 +7,14 @@
  * @param code connect_failed, timeout, connection_lost or answer_too_large
  * @param detail cause in words
  */
-public record CallFailure(boolean sent, String code, String detail) {}
+public record CallFailure(boolean sent, String code, String detail) {
+
+  /** No connection could be opened. */
+  public static final String CONNECT_FAILED = "connect_failed";
+
+  /** The deadline passed. */
+  public static final String TIMEOUT = "timeout";
+
+  /** The connection broke after the request was sent. */
+  public static final String CONNECTION_LOST = "connection_lost";
+}
--- a/node/src/main/java/org/apricotstand/http/HttpCaller.java
+++ b/node/src/main/java/org/apricotstand/http/HttpCaller.java
@@ -52,7 +52,7 @@
   public void stream(HttpCall call, ReplyListener listener) {
     long remainingMs = call.deadlineMs() - ControlThread.nowMs();
     if (remainingMs <= 0) {
-      listener.onFailure(new CallFailure(false, "timeout", "the deadline had passed"));
+      listener.onFailure(new CallFailure(false, CallFailure.TIMEOUT, "the deadline had passed"));
       return;
     }
     StreamHandler handler = new StreamHandler(listener);
--- a/node/src/main/java/org/apricotstand/http/StreamHandler.java
+++ b/node/src/main/java/org/apricotstand/http/StreamHandler.java
@@ -78,9 +78,9 @@
 
   private String codeOf(Throwable cause) {
     return switch (cause) {
-      case TimeoutException timeout -> "timeout";
-      case ConnectException refused -> "connect_failed";
-      default -> sent ? "connection_lost" : "connect_failed";
+      case TimeoutException timeout -> CallFailure.TIMEOUT;
+      case ConnectException refused -> CallFailure.CONNECT_FAILED;
+      default -> sent ? CallFailure.CONNECTION_LOST : CallFailure.CONNECT_FAILED;
     };
   }
 
--- a/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
@@ -36,12 +36,14 @@
   private final ControlThread control;
   private final EngineClient engines;
   private final Ownership ownership;
+  private final RequestGuard guard;
   private final TargetScheduler scheduler;
   private final Map<RequestId, Pending> pending = new HashMap<>();
   private final Supplier<DeclarationSet> declarations;
   private DeclarationSet applied;
   private boolean commandsAllowed = true;
   private boolean polling;
+  private long incarnation;
 
   private static final class Pending {
     private final EngineRequest request;
@@ -60,6 +62,7 @@
       ControlThread control,
       EngineClient engines,
       Ownership ownership,
+      RequestGuard guard,
       Supplier<DeclarationSet> declarations,
       TargetScheduler scheduler) {
     this.id = id;
@@ -67,6 +70,7 @@
     this.control = control;
     this.engines = engines;
     this.ownership = ownership;
+    this.guard = guard;
     this.declarations = declarations;
     this.scheduler = scheduler;
     applyDeclarations();
@@ -154,6 +158,7 @@
     polling = false;
     switch (result) {
       case Result.Ok<EngineState>(EngineState state) -> {
+        incarnation = state.incarnation();
         ownership.engineReported(id, state.running() + state.waiting());
         handle(
             new SchedulerEvent.EngineReported(
@@ -215,8 +220,10 @@
       control.execute(() -> handle(new SchedulerEvent.Finished(request.id())));
       return;
     }
+    AnswerSink watched =
+        guard.dispatched(id, target.address(), incarnation, dispatched.request, dispatched.sink);
     dispatched.reply =
-        new EngineReply(id, dispatched.request, dispatched.sink, ending(request.id(), dispatched));
+        new EngineReply(id, dispatched.request, watched, ending(request.id(), dispatched));
     engines.run(target.address(), ownership.fencingOf(id), dispatched.request, dispatched.reply);
   }
 
--- a/node/src/main/java/org/apricotstand/owner/OwnerService.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnerService.java
@@ -16,6 +16,7 @@
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.Outcome;
 import org.apricotstand.model.RequestId;
+import org.apricotstand.model.Result;
 import org.apricotstand.model.Step;
 import org.apricotstand.model.TargetId;
 import org.apricotstand.peer.PeerMessage;
@@ -37,6 +38,7 @@
   private final ControlThread control;
   private final EngineClient engines;
   private final Ownership ownership;
+  private final RequestGuard guard;
   private final Function<TargetId, Optional<Target>> targets;
   private final Supplier<DeclarationSet> declarations;
   private final Function<TargetId, TargetScheduler> schedulers;
@@ -54,12 +56,14 @@
       ControlThread control,
       EngineClient engines,
       Ownership ownership,
+      RequestGuard guard,
       Function<TargetId, Optional<Target>> targets,
       Supplier<DeclarationSet> declarations,
       Function<TargetId, TargetScheduler> schedulers) {
     this.control = control;
     this.engines = engines;
     this.ownership = ownership;
+    this.guard = guard;
     this.targets = targets;
     this.declarations = declarations;
     this.schedulers = schedulers;
@@ -129,12 +133,17 @@
                   Step.QUEUE, target.value(), "not_owner", "this instance does not own it")));
       return;
     }
-    engine.submit(request, sink);
+    switch (guard.admit(target, request)) {
+      case Result.Ok<EngineRequest>(EngineRequest admitted) ->
+          engine.submit(admitted, guard.queued(admitted, sink));
+      case Result.Failed<EngineRequest>(Failure failure) ->
+          sink.failed(new Outcome.NotRun(failure));
+    }
   }
 
   private OwnedEngine take(TargetId id, Target declared) {
     return new OwnedEngine(
-        id, declared, control, engines, ownership, declarations, schedulers.apply(id));
+        id, declared, control, engines, ownership, guard, declarations, schedulers.apply(id));
   }
 
   /** Cancels a request. */
--- a/node/src/main/java/org/apricotstand/owner/PeerRequests.java
+++ b/node/src/main/java/org/apricotstand/owner/PeerRequests.java
@@ -91,7 +91,8 @@
             RequestClass.valueOf(route.requestClass()),
             route.caller(),
             nowMs,
-            nowMs + route.remainingMs());
+            nowMs + route.remainingMs(),
+            route.alone());
     return new EngineRequest(scheduled, route.path(), route.traceparent(), route.body());
   }
 
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -65,6 +65,7 @@
    * @param traceparent W3C trace context
    * @param body body for the engine
    * @param creditBytes answer bytes that may be sent before a {@link RouteCredit}
+   * @param alone whether it must run alone in the engine's batch, as a suspect does
    */
   record Route(
       String requestId,
@@ -78,7 +79,8 @@
       String path,
       String traceparent,
       byte[] body,
-      int creditBytes)
+      int creditBytes,
+      boolean alone)
       implements PeerMessage {}
 
   /** Start of the answer to a {@link Route}. */
@@ -155,8 +157,14 @@
   /** Lends rights to start loads; unused ones are void after the given time. */
   record TokensLent(long round, int tokens, long validMs) implements PeerMessage {}
 
-  /** A request with this fingerprint was running when a target crashed. */
-  record SuspectNoted(String fingerprint, String target, long targetIncarnation)
+  /**
+   * A request with this fingerprint was running when a target crashed, or is no longer suspected.
+   *
+   * @param target target that crashed, or empty
+   * @param targetIncarnation incarnation that crashed, or 0
+   * @param state "crashed" or "cleared"
+   */
+  record SuspectNoted(String fingerprint, String target, long targetIncarnation, String state)
       implements PeerMessage {}
 
   /**
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/suspects/SuspectCodes.java
@@ -0,0 +1,29 @@
+package org.apricotstand.suspects;
+
+import java.util.Set;
+import org.apricotstand.suspect.SuspectRegistry;
+
+/** Codes of failures that have to do with requests that crash engines. */
+public final class SuspectCodes {
+
+  /** The engine crashed while it ran the request. */
+  public static final String ENGINE_CRASHED = "engine_crashed";
+
+  /** The owner knows the request as a suspect, but it was not sent to run alone. */
+  public static final String NOT_ALONE = "suspect_not_alone";
+
+  private static final Set<String> ALL =
+      Set.of(
+          ENGINE_CRASHED,
+          NOT_ALONE,
+          SuspectRegistry.REFUSED,
+          SuspectRegistry.UNSETTLED,
+          SuspectRegistry.ON_TRIAL);
+
+  private SuspectCodes() {}
+
+  /** Returns whether a failure with this code forbids a further attempt. */
+  public static boolean forbidsRetry(String code) {
+    return ALL.contains(code);
+  }
+}
--- a/node/src/test/java/org/apricotstand/entry/RemoteAnswersTest.java
+++ b/node/src/test/java/org/apricotstand/entry/RemoteAnswersTest.java
@@ -138,7 +138,8 @@
             "/v1/completions",
             "",
             new byte[0],
-            RemoteAnswers.CREDIT_BYTES);
+            RemoteAnswers.CREDIT_BYTES,
+            false);
     answers.send(OWNER, route, sink);
     return sink;
   }
