--- a/cli/src/test/java/org/apricotstand/it/ClaimTest.java
+++ b/cli/src/test/java/org/apricotstand/it/ClaimTest.java
@@ -102,7 +102,10 @@
   void holderThatDiesDuringTheRunLeavesAnUnknownOutcome() throws IOException {
     setFault("{\"slow_ms\":60000}");
     CompletableFuture<Answer> first = orderAsync("entry-1", "A-4");
-    Await.until("run", () -> runs("A-4") == 1);
+    Await.until("run or ending", () -> runs("A-4") == 1 || first.isDone());
+    assertWithMessage("ending before the run: %s", first.getNow(null))
+        .that(first.isDone())
+        .isFalse();
     CompletableFuture<Answer> waiting = orderAsync("entry-2", "A-4");
     cluster.process("entry-1").kill();
     assertThat(first.join().status()).isEqualTo(0);
--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -4,27 +4,16 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
-import java.util.Map;
-import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.apricotstand.configuration.ConfigurationService;
-import org.apricotstand.control.ControlThread;
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.kernel.Kernel;
-import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.EventLog;
-import org.apricotstand.observe.Metrics;
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.ownership.OwnershipService;
-import org.apricotstand.peer.PeerMessage;
-import org.apricotstand.peer.PeerNetwork;
-import org.apricotstand.placement.Placement;
-import org.apricotstand.placement.Policy;
-import org.apricotstand.platform.PlatformClient;
 import org.apricotstand.settings.InstanceSettings;
 
 /**
@@ -58,87 +47,11 @@
     EventLoopGroup group =
         new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
     HttpCaller http = new HttpCaller(group);
-    Kernel kernel = assemble(settings, group, http);
+    Kernel kernel = new InstanceAssembly(settings, group, http).assemble();
     kernel.start();
     return new EntryInstance(kernel, group, http);
   }
 
-  private static Kernel assemble(InstanceSettings settings, EventLoopGroup group, HttpCaller http) {
-    InstanceId self = new InstanceId(settings.instance());
-    long incarnation = System.currentTimeMillis();
-    ControlThread control = new ControlThread();
-    PlatformClient platform = new PlatformClient(http, settings.platformUrl());
-    ConfigurationService configuration = new ConfigurationService(control, platform);
-    Map<InstanceId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
-    PeerNetwork peers = peerNetwork(settings, group, incarnation, addresses, control);
-    OwnershipService ownership =
-        new OwnershipService(
-            settings,
-            incarnation,
-            control,
-            peers,
-            platform,
-            platform,
-            configuration::current,
-            addresses);
-    InstanceBase base =
-        new InstanceBase(
-            settings,
-            self,
-            incarnation,
-            control,
-            http,
-            platform,
-            configuration,
-            addresses,
-            peers,
-            ownership,
-            new Metrics());
-    Policy policy = Policy.parse(settings.policy());
-    SplittableRandom random = new SplittableRandom(incarnation ^ self.hashCode());
-    OwnerParts owning = OwnerParts.create(base, policy, random.split());
-    ServiceParts services = ServiceParts.create(base, random.split());
-    Placement placement = new Placement(policy, random.split());
-    ModelParts models =
-        ModelParts.create(base, owning, services.admission(), placement, random.split());
-    Kernel kernel = new Kernel();
-    kernel.register("metrics", base.metrics());
-    kernel.register("control", control);
-    kernel.register("platform", platform);
-    kernel.register("configuration", configuration);
-    kernel.register("peers", peers);
-    kernel.register("ownership", ownership);
-    owning.register(kernel);
-    models.register(kernel);
-    services.register(kernel);
-    InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
-    kernel.register(
-        "callers", new CallerInterface(group, callers, models.route(), services.services()));
-    return kernel;
-  }
-
-  private static PeerNetwork peerNetwork(
-      InstanceSettings settings,
-      EventLoopGroup group,
-      long incarnation,
-      Map<InstanceId, InetSocketAddress> addresses,
-      ControlThread control) {
-    settings
-        .peers()
-        .forEach(
-            peer ->
-                addresses.put(
-                    new InstanceId(peer.instance()),
-                    InstanceSettings.parseAddress(peer.address())));
-    return new PeerNetwork(
-        group,
-        InstanceSettings.parseAddress(settings.peerAddress()),
-        new PeerMessage.Hello(
-            PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain()),
-        addresses::get,
-        control);
-  }
-
   /** Returns the address for callers. */
   public InetSocketAddress callerAddress() {
     return kernel.find("callers", CallerInterface.class).address();
--- a/node/src/main/java/org/apricotstand/entry/ModelCall.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelCall.java
@@ -3,6 +3,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.apricotstand.configuration.Revision;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.engine.EngineRequest;
@@ -29,12 +30,21 @@
 final class ModelCall {
 
   private static final int MAX_ATTEMPTS = 2;
+  private static final String NO_OWNER = "no_owner";
+  private static final Set<String> NO_OWNER_CODES =
+      Set.of("not_owner", "lease_expired", NO_OWNER, "unknown_peer");
+
+  // Covers a handover and the start of an instance; a takeover takes longer than callers wait.
+  private static final long REROUTE_MS = 3_000;
+
+  private static final long REROUTE_PAUSE_MS = 100;
 
   /** What the calls of an instance share. */
   record Parts(
       InstanceId self,
       ControlThread control,
       Ownership ownership,
+      Predicate<TargetId> leaving,
       OwnerService owner,
       RemoteAnswers remote,
       EngineChoice choice,
@@ -49,12 +59,16 @@
   private final EngineRequest first;
   private final ExchangeSink sink;
   private final Runnable release;
+  private final Optional<TargetId> onlyTarget;
   private final Set<TargetId> tried = new HashSet<>();
+  private final long rerouteUntilMs = ControlThread.nowMs() + REROUTE_MS;
+  private volatile boolean callerGone;
 
   /**
    * Creates a call.
    *
    * @param model base model that the engine must serve
+   * @param onlyTarget target that must run it, or nothing when the placement chooses
    * @param first request of the first attempt
    * @param release runs when the call has ended
    */
@@ -63,54 +77,65 @@
       HttpExchange exchange,
       Revision revision,
       String model,
+      Optional<TargetId> onlyTarget,
       EngineRequest first,
       Runnable release) {
     this.parts = parts;
     this.exchange = exchange;
     this.revision = revision;
     this.model = model;
+    this.onlyTarget = onlyTarget;
     this.first = first;
     this.sink = new ExchangeSink(exchange);
     this.release = release;
   }
 
-  /** Starts the first attempt on the engine that the placement chooses. */
+  /** Starts the first attempt. */
   void start() {
     parts.budget().attempted();
-    startOn(chooseTarget());
+    attempt(first);
+  }
+
+  /** Returns a target whose owner is known. */
+  private Optional<TargetId> chooseTarget() {
+    if (onlyTarget.isPresent()) {
+      return onlyTarget.filter(this::isUsable);
+    }
+    return parts
+        .choice()
+        .choose(first.scheduled().adapterVersion(), model, revision, this::isUsable);
+  }
+
+  private boolean isUsable(TargetId target) {
+    return !tried.contains(target)
+        && !parts.leaving().test(target)
+        && parts.ownership().ownerOf(target).isPresent();
   }
 
-  /** Starts the first attempt on a given engine. */
-  void startOn(Optional<TargetId> target) {
-    if (target.flatMap(parts.ownership()::ownerOf).isEmpty()) {
-      release.run();
-      sink.failed(
+  private void attempt(EngineRequest request) {
+    if (callerGone) {
+      return;
+    }
+    Optional<TargetId> target = chooseTarget();
+    if (target.isEmpty()) {
+      failed(
+          request,
           new Outcome.NotRun(
               new Failure(
-                  Step.PLACEMENT, parts.self().value(), "no_owner", "no engine can be reached")));
+                  Step.PLACEMENT, parts.self().value(), NO_OWNER, "no engine can be reached")));
     } else {
-      attempt(target.get(), first);
+      send(target.get(), request);
     }
   }
 
-  private Optional<TargetId> chooseTarget() {
-    return parts
-        .choice()
-        .choose(
-            first.scheduled().adapterVersion(),
-            model,
-            revision,
-            engine -> !tried.contains(engine) && parts.ownership().ownerOf(engine).isPresent());
-  }
-
-  private void attempt(TargetId target, EngineRequest request) {
+  private void send(TargetId target, EngineRequest request) {
     tried.add(target);
     InstanceId owner = parts.ownership().ownerOf(target).orElseThrow();
     AttemptSink attempt =
         new AttemptSink(
             sink,
             release,
-            outcome -> parts.control().execute(() -> failed(target, request, outcome)));
+            outcome -> parts.control().execute(() -> attemptFailed(target, request, outcome)));
     CountedSink counted = parts.choice().watch(target, attempt);
     if (owner.equals(parts.self())) {
       onCallerGone(
@@ -131,34 +156,46 @@
   private void onCallerGone(CountedSink counted, Runnable cancel) {
     exchange.onClosed(
         () -> {
+          callerGone = true;
           release.run();
           counted.canceled();
           cancel.run();
         });
   }
 
-  private void failed(TargetId target, EngineRequest request, Outcome outcome) {
+  private void attemptFailed(TargetId target, EngineRequest request, Outcome outcome) {
+    if (isNoOwner(outcome)) {
+      // Nothing was tried there: the next owner of the target may take the request.
+      tried.remove(target);
+    }
+    failed(request, outcome);
+  }
+
+  private void failed(EngineRequest request, Outcome outcome) {
+    long nowMs = ControlThread.nowMs();
+    if (isNoOwner(outcome) && nowMs < rerouteUntilMs) {
+      parts.control().executeAt(nowMs + REROUTE_PAUSE_MS, () -> attempt(request));
+      return;
+    }
     int number = request.scheduled().attempt();
-    Optional<TargetId> other =
-        number < MAX_ATTEMPTS && mayRepeat(request, outcome) ? chooseTarget() : Optional.empty();
-    if (other.isEmpty() || !parts.budget().tryRetry()) {
-      release.run();
-      sink.failed(outcome);
+    if (number < MAX_ATTEMPTS
+        && mayRepeat(request, outcome)
+        && chooseTarget().isPresent()
+        && parts.budget().tryRetry()) {
+      parts.metrics().count("models.retried");
+      EngineRequest next = request.withAttempt(number + 1);
+      long dueMs = nowMs + parts.backoff().pauseMs(number);
+      parts.control().executeAt(dueMs, () -> attempt(next));
       return;
     }
-    parts.metrics().count("models.retried");
-    EngineRequest next = request.withAttempt(number + 1);
-    long dueMs = ControlThread.nowMs() + parts.backoff().pauseMs(number);
-    parts.control().executeAt(dueMs, () -> retry(other.get(), next, outcome));
+    release.run();
+    sink.failed(outcome);
   }
 
-  private void retry(TargetId target, EngineRequest request, Outcome former) {
-    if (parts.ownership().ownerOf(target).isEmpty()) {
-      release.run();
-      sink.failed(former);
-    } else {
-      attempt(target, request);
-    }
+  /** The request was refused before it was queued, by an instance that does not own the target. */
+  private static boolean isNoOwner(Outcome outcome) {
+    return outcome instanceof Outcome.NotRun(Failure failure)
+        && NO_OWNER_CODES.contains(failure.code());
   }
 
   /**
--- a/node/src/main/java/org/apricotstand/entry/ModelParts.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelParts.java
@@ -33,6 +33,7 @@
             base.self(),
             base.control(),
             base.ownership(),
+            base.ownership()::isLeaving,
             owning.owner(),
             remote,
             choice,
--- a/node/src/main/java/org/apricotstand/entry/ModelRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelRoute.java
@@ -140,10 +140,10 @@
     String model = resolved.adapter().model();
     if (verdict instanceof Verdict.Alone(Set<TargetId> crashed)) {
       EngineRequest alone = request.runningAlone();
-      new ModelCall(parts, exchange, revision, model, alone, release)
-          .startOn(trialTarget(alone, revision, model, crashed));
+      Optional<TargetId> target = trialTarget(alone, revision, model, crashed);
+      new ModelCall(parts, exchange, revision, model, target, alone, release).start();
     } else {
-      new ModelCall(parts, exchange, revision, model, request, release).start();
+      new ModelCall(parts, exchange, revision, model, Optional.empty(), request, release).start();
     }
   }
 
