--- a/cli/src/test/java/org/apricotstand/it/ClaimTest.java
+++ b/cli/src/test/java/org/apricotstand/it/ClaimTest.java
@@ -57,6 +57,8 @@
     if (!cluster.process("entry-1").isAlive()) {
       restartFirstEntry();
     }
+    // After failures, an instance refuses calls to the store for a moment.
+    Await.until("usable store", () -> order("entry-1", "ready").status() == 200);
   }
 
   private static void restartFirstEntry() throws IOException {
