--- a/core/src/main/java/org/apricotstand/lease/LeaseWatch.java
+++ b/core/src/main/java/org/apricotstand/lease/LeaseWatch.java
@@ -24,10 +24,17 @@
     return last == null ? null : last.found();
   }
 
-  /** Returns whether the term ended for good; it never becomes valid again. */
+  /**
+   * Returns whether the term ended for good; it never becomes valid again. A row with a lesser term
+   * was read before the term began and says nothing.
+   */
   boolean hasEnded(InstanceId holder, long term) {
     Seen last = seen.get(holder);
-    return last != null && (last.found().isAbsent() || !last.found().row().isHeld(term));
+    if (last == null || last.found().isAbsent()) {
+      return false;
+    }
+    LeaseRow row = last.found().row();
+    return row.term() > term || row.term() == term && !row.isHeld(term);
   }
 
   /** Returns whether the holder ended the term itself with no request left. */
--- a/core/src/main/java/org/apricotstand/lease/OwnerRows.java
+++ b/core/src/main/java/org/apricotstand/lease/OwnerRows.java
@@ -23,7 +23,7 @@
     this.incarnation = incarnation;
   }
 
-  long nextNonce() {
+  private long nextNonce() {
     return ++nonce;
   }
 
@@ -51,6 +51,14 @@
         formers.stream().skip(skipped).collect(toImmutableList()));
   }
 
+  /** Returns the lease row that ends the term under which the row is owned. */
+  LeaseRow voided(OwnerRow row, Versioned<LeaseRow> seen) {
+    return seen.isAbsent()
+        ? new LeaseRow(
+            row.owner(), row.incarnation(), row.term(), nextNonce(), LeaseRow.LeaseState.VOIDED)
+        : seen.row().voided(nextNonce());
+  }
+
   /**
    * Returns the own row with the present candidates and with the former owners still waited for.
    */
--- a/core/src/main/java/org/apricotstand/lease/OwnershipMachine.java
+++ b/core/src/main/java/org/apricotstand/lease/OwnershipMachine.java
@@ -405,7 +405,8 @@
     }
     boolean troubled =
         askedMs.containsKey(owner) && nowMs - askedMs.get(owner) < LeaseTimes.WATCH_MS;
-    if (live.contains(owner) && !troubled) {
+    boolean replaced = instances.getOrDefault(owner, 0L) > row.incarnation();
+    if (live.contains(owner) && !troubled && !replaced) {
       watch.forget(owner);
       return false;
     }
@@ -454,7 +455,7 @@
       released = watch.isReleased(from, row.term());
       if (!watch.hasEnded(from, row.term())) {
         Versioned<LeaseRow> seen = watch.row(from);
-        voided = Optional.of(new Versioned<>(seen.version(), seen.row().voided(rows.nextNonce())));
+        voided = Optional.of(new Versioned<>(seen.version(), rows.voided(row, seen)));
       }
     }
     OwnerRow next = rows.next(state, lease.term(), released, instances);
