--- a/core/src/main/java/org/apricotstand/lease/OwnershipMachine.java
+++ b/core/src/main/java/org/apricotstand/lease/OwnershipMachine.java
@@ -132,6 +132,11 @@
     return owners;
   }
 
+  /** Returns whether the own lease is valid without promises of others. */
+  public boolean isLeaseHeld(long nowMs) {
+    return lease.isHeld(nowMs);
+  }
+
   /** Returns whether the own lease is released, after which nothing more is to be done. */
   public boolean isReleased() {
     return lease.isReleased();
--- a/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
@@ -253,6 +253,10 @@
   }
 
   private void load(AdapterVersion adapterVersion, long order) {
+    if (!ownership.mayCommand(id)) {
+      control.execute(() -> loaded(adapterVersion, order, Result.failed(expired())));
+      return;
+    }
     engines
         .load(target.address(), adapterVersion, ownership.fencingOf(id), commandDeadlineMs())
         .thenAccept(result -> control.execute(() -> loaded(adapterVersion, order, result)));
@@ -269,6 +273,10 @@
   }
 
   private void unload(AdapterVersion adapterVersion, long order) {
+    if (!ownership.mayCommand(id)) {
+      control.execute(() -> unloaded(adapterVersion, order, Result.failed(expired())));
+      return;
+    }
     engines
         .unload(target.address(), adapterVersion, ownership.fencingOf(id), commandDeadlineMs())
         .thenAccept(result -> control.execute(() -> unloaded(adapterVersion, order, result)));
@@ -284,6 +292,10 @@
     }
   }
 
+  private Failure expired() {
+    return new Failure(Step.LOAD, id.value(), "lease_expired", "ownership ended or is frozen");
+  }
+
   private static long commandDeadlineMs() {
     return ControlThread.nowMs() + COMMAND_TIMEOUT_MS;
   }
--- a/node/src/main/java/org/apricotstand/ownership/OwnershipService.java
+++ b/node/src/main/java/org/apricotstand/ownership/OwnershipService.java
@@ -86,6 +86,7 @@
   private long nextListMs;
   private long nextAnnounceMs;
   private boolean listing;
+  private boolean leaseHeld;
   private Drain drain;
 
   /**
@@ -283,11 +284,20 @@
     announce(nowMs);
     cache.readWanted();
     handle(new OwnershipEvent.Tick());
+    logLease(nowMs);
     if (drain != null) {
       drain.advance();
     }
   }
 
+  private void logLease(long nowMs) {
+    boolean held = machine.isLeaseHeld(nowMs);
+    if (held != leaseHeld) {
+      leaseHeld = held;
+      LOG.info(held ? "lease_held" : "lease_not_held", "owned", rights.keySet());
+    }
+  }
+
   /** Sends heartbeats to the other candidates of own targets and over links that are in use. */
   private void watchLinks(long nowMs) {
     Set<InstanceId> wanted = new TreeSet<>(machine.neighbours());
