Answer requests that reach a draining instance; test failures of owners with real processes

A drain closed connections on which a request was on its way, which callers saw as a cut-off request. Such a connection now stays open for one second and its answer ends it.

--- a/cli/src/test/java/org/apricotstand/it/OwnerFailureTest.java
+++ b/cli/src/test/java/org/apricotstand/it/OwnerFailureTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -156,7 +157,7 @@
         IntStream.range(0, 4)
             .mapToObj(i -> CompletableFuture.supplyAsync(() -> streamFrom(owner)))
             .toList();
-    Await.until("requests at the leaving instance", () -> runningAtEngine() >= 4);
+    Await.until("requests at the leaving instance", () -> started("leaving") == 4);
     cluster.process(owner).terminate();
     cluster.process(owner).awaitExit();
     awaitNewOwner();
@@ -223,16 +224,29 @@
   }
 
   private Answer streamFrom(String entry) {
-    String body = "{\"model\":\"letters\",\"prompt\":\"Hello\",\"stream\":true,\"max_tokens\":400}";
+    String body =
+        "{\"model\":\"letters\",\"prompt\":\"Hello\",\"stream\":true,\"max_tokens\":400,"
+            + "\"user\":\"leaving\"}";
     return cluster.caller().post(cluster.callerAddress(entry), "/v1/completions", body, Map.of());
   }
 
-  private long runningAtEngine() {
-    return read(ENGINE, "/v1/state").path("running").asLong();
+  private long started(String user) {
+    return engineEvents()
+        .filter(event -> event.path("kind").asText().equals("STARTED"))
+        .filter(event -> event.path("user").asText().equals(user))
+        .count();
   }
 
   private long evictionsInUse() {
-    return read(ENGINE, "/statistics").path("evictedInUse").asLong();
+    return engineEvents()
+        .filter(event -> event.path("kind").asText().equals("UNLOADED"))
+        .filter(event -> event.path("inUse").asLong() > 0)
+        .count();
+  }
+
+  private Stream<JsonNode> engineEvents() {
+    String lines = cluster.caller().get(cluster.directAddress(ENGINE), "/events").body();
+    return lines.lines().map(OwnerFailureTest::parse);
   }
 
   private JsonNode ownerRow() {
@@ -241,8 +255,12 @@
   }
 
   private JsonNode read(String process, String path) {
+    return parse(cluster.caller().get(cluster.directAddress(process), path).body());
+  }
+
+  private static JsonNode parse(String text) {
     try {
-      return JSON.readTree(cluster.caller().get(cluster.directAddress(process), path).body());
+      return JSON.readTree(text);
     } catch (IOException e) {
       throw new java.io.UncheckedIOException(e);
     }
--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 
 /**
  * One connection of an {@link HttpServer}: answers its requests one after the other, in the order
@@ -20,10 +21,14 @@
   /** Pipelined requests kept for later; a caller that sends more is disconnected. */
   private static final int MAX_PIPELINED = 16;
 
+  /** Longer than a request takes from a caller of today to this instance. */
+  private static final long DRAIN_GRACE_MS = 1_000;
+
   private final HttpHandler handler;
   private final Queue<FullHttpRequest> pipelined = new ArrayDeque<>();
   private NettyExchange current;
   private boolean inputClosed;
+  private boolean draining;
   private ChannelHandlerContext active;
 
   HttpConnection(HttpHandler handler) {
@@ -35,9 +40,18 @@
     active = context;
   }
 
-  /** Closes the connection after the answer in progress. */
+  /**
+   * Closes the connection after the answer in progress. A connection without a request stays open
+   * for a short time, since a request may be on its way, which closing it would cut off.
+   */
   void drain() {
-    inputClosed = true;
+    draining = true;
+    if (current == null) {
+      active.executor().schedule(this::closeIfIdle, DRAIN_GRACE_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void closeIfIdle() {
     if (current == null) {
       active.close();
     }
@@ -59,6 +73,9 @@
       reject(context, request);
       return;
     }
+    if (draining) {
+      HttpUtil.setKeepAlive(request, false);
+    }
     current = new NettyExchange(context, request, this::finished);
     handler.handle(current);
   }
@@ -84,7 +101,7 @@
       } finally {
         next.release();
       }
-    } else if (!keepAlive || inputClosed) {
+    } else if (!keepAlive || inputClosed || draining) {
       context.close();
     }
   }
