--- /dev/null
+++ b/cli/src/test/java/org/apricotstand/it/FailureTimes.java
@@ -0,0 +1,94 @@
+package org.apricotstand.it;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Measures how long an engine is not served, or not by its usual owner, after failures of its
+ * owner. Not a test; run its main method.
+ */
+final class FailureTimes {
+
+  private static final List<String> ENTRIES = List.of("entry-1", "entry-2", "entry-3");
+  private static final String OWNER_ROW = "/tables/owners/rows/engine-1";
+
+  private FailureTimes() {}
+
+  /** Prints the time from each failure to the next answer at another instance. */
+  public static void main(String[] args) throws Exception {
+    measure("owner killed", (cluster, owner) -> cluster.process(owner).kill());
+    measure("owner paused", (cluster, owner) -> cluster.process(owner).pause());
+    measure(
+        "owner killed and restarted at once",
+        (cluster, owner) -> {
+          cluster.process(owner).kill();
+          try {
+            cluster.restart(owner);
+          } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+          }
+        });
+    measure("owner drained", (cluster, owner) -> cluster.process(owner).terminate());
+    measure(
+        "engine restarted cold",
+        (cluster, owner) ->
+            cluster
+                .caller()
+                .post(cluster.directAddress("engine-1"), "/faults", "{\"crash\":true}", Map.of()));
+    measure(
+        "platform partitioned from all instances",
+        (cluster, owner) ->
+            ENTRIES.forEach(entry -> cluster.proxy(Link.toPlatform(entry)).partition()));
+    measure(
+        "owner cut off from all and from the platform",
+        (cluster, owner) -> {
+          cluster.proxy(Link.toPlatform(owner)).partition();
+          for (String entry : ENTRIES) {
+            if (!entry.equals(owner)) {
+              cluster.proxy(Link.peer(owner, entry)).partition();
+              cluster.proxy(Link.peer(entry, owner)).partition();
+            }
+          }
+        });
+  }
+
+  /** Provokes a failure of the named owner. */
+  private interface Provocation {
+    void apply(ProcessCluster cluster, String owner);
+  }
+
+  private static void measure(String name, Provocation provocation) throws Exception {
+    try (ProcessCluster cluster = new ProcessCluster()) {
+      cluster.startPlatform("--load-ms", "50", "--loads-per-second", "20");
+      cluster.startEngine("engine-1", "a", 2, 8, "--step-ms", "5");
+      cluster.startEntries(Map.of("entry-1", "a", "entry-2", "a", "entry-3", "a"));
+      cluster.apply(
+          """
+          models: [{name: base}]
+          adapters: [{name: letters, model: base, versions: [v1]}]
+          policy: {stallWeight: 1, loadsPerSecond: 20, loadsInFlight: 8, requestTimeoutMs: 10000}
+          """);
+      Await.until("an answer", () -> cluster.complete("entry-1", "letters", false).status() == 200);
+      String row =
+          cluster.caller().get(cluster.directAddress(ProcessCluster.PLATFORM), OWNER_ROW).body();
+      String owner = row.replaceAll("(?s).*\"owner\":\"([^\"]*)\".*", "$1");
+      String other = ENTRIES.stream().filter(e -> !e.equals(owner)).findFirst().orElseThrow();
+      TimeUnit.SECONDS.sleep(5);
+      long startNanos = System.nanoTime();
+      provocation.apply(cluster, owner);
+      Consumer<String> print =
+          what ->
+              System.out.printf(
+                  "%s: %s after %d ms%n",
+                  name, what, TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos));
+      print.accept("provoked");
+      Await.until(
+          "an answer after the failure",
+          () -> cluster.complete(other, "letters", false).status() == 200);
+      print.accept("first answer at another instance");
+    }
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/platform/CallQueueTest.java
@@ -0,0 +1,94 @@
+package org.apricotstand.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apricotstand.http.HttpReply;
+import org.apricotstand.model.Failure;
+import org.apricotstand.model.Result;
+import org.apricotstand.model.Step;
+import org.junit.jupiter.api.Test;
+
+class CallQueueTest {
+
+  private static final Result<HttpReply> ANSWERED = Result.ok(new HttpReply(200, null, null));
+  private static final Result<HttpReply> LOST =
+      Result.failed(new Failure(Step.PLATFORM, "p", TableService.UNKNOWN, "lost"));
+
+  private final AtomicLong clock = new AtomicLong(1_000);
+  private final CallQueue queue = new CallQueue("p", clock::get, new SplittableRandom(1));
+  private final List<String> sent = new ArrayList<>();
+  private final List<CompletableFuture<Result<HttpReply>>> answers = new ArrayList<>();
+
+  private CompletableFuture<Result<HttpReply>> submit(CallPriority priority, String name) {
+    return queue.submit(
+        priority,
+        10_000,
+        () -> {
+          sent.add(name);
+          CompletableFuture<Result<HttpReply>> answer = new CompletableFuture<>();
+          answers.add(answer);
+          return answer;
+        });
+  }
+
+  /** Guards against lease renewals that wait behind status calls. */
+  @Test
+  void sendsLeaseCallsFirstAndDropsTheLowestPriorityWhenFull() {
+    for (int i = 0; i < 32; i++) {
+      submit(CallPriority.STATUS, "first");
+    }
+    List<CompletableFuture<Result<HttpReply>>> waiting = new ArrayList<>();
+    for (int i = 0; i < 512; i++) {
+      waiting.add(submit(CallPriority.STATUS, "status"));
+    }
+    CompletableFuture<Result<HttpReply>> lease = submit(CallPriority.LEASE, "lease");
+    assertThat(failureCode(waiting.getFirst())).isEqualTo(TableService.UNREACHABLE);
+    assertThat(queue.waiting()).isEqualTo(512);
+    answers.getFirst().complete(ANSWERED);
+    assertThat(sent.getLast()).isEqualTo("lease");
+    assertThat(lease.isDone()).isFalse();
+  }
+
+  /** Guards against a platform that is down and still gets every call. */
+  @Test
+  void sendsOneProbeWhileThePlatformDoesNotAnswer() {
+    for (int i = 0; i < 5; i++) {
+      submit(CallPriority.STATUS, "call");
+      answers.getLast().complete(LOST);
+    }
+    assertThat(queue.isOpen()).isTrue();
+    CompletableFuture<Result<HttpReply>> status = submit(CallPriority.STATUS, "status");
+    assertThat(sent).hasSize(5);
+    clock.addAndGet(1_000);
+    submit(CallPriority.LEASE, "lease");
+    assertThat(sent).hasSize(6);
+    assertThat(sent.getLast()).isEqualTo("lease");
+    answers.getLast().complete(ANSWERED);
+    assertThat(queue.isOpen()).isFalse();
+    assertThat(sent.getLast()).isEqualTo("status");
+    answers.getLast().complete(ANSWERED);
+    assertThat(status.join()).isEqualTo(ANSWERED);
+  }
+
+  /** Guards against calls sent after their deadline. */
+  @Test
+  void failsACallThatWaitedUntilItsDeadlineAsNotSent() {
+    for (int i = 0; i < 32; i++) {
+      submit(CallPriority.STATUS, "first");
+    }
+    CompletableFuture<Result<HttpReply>> late = submit(CallPriority.CLAIM, "late");
+    clock.set(10_000);
+    answers.getFirst().complete(ANSWERED);
+    assertThat(failureCode(late)).isEqualTo(TableService.UNREACHABLE);
+    assertThat(sent).doesNotContain("late");
+  }
+
+  private static String failureCode(CompletableFuture<Result<HttpReply>> future) {
+    return ((Result.Failed<HttpReply>) future.join()).failure().code();
+  }
+}
