Refuse requests for a silent owner and close its reopened link; cut off replaced processes

A request for a paused owner hung for the caller's whole time limit: the link was reopened, never greeted, and not closed again. Messages sent behind the greeting of a replaced process were taken. Tests cover both, two takeovers in a row, and a slow platform that loses answers.

--- a/cli/src/test/java/org/apricotstand/it/OwnerFailureTest.java
+++ b/cli/src/test/java/org/apricotstand/it/OwnerFailureTest.java
@@ -77,7 +77,11 @@
     cluster.process(owner).pause();
     awaitNewOwner();
     String successor = ownerRow().path("owner").asText();
-    answersFrom(successor, "letters");
+    for (String entry : ENTRIES) {
+      if (!entry.equals(owner)) {
+        answersFrom(entry, "letters");
+      }
+    }
     cluster.process(owner).resume();
     awaitLog(owner, "process_paused", 1);
     awaitLog(owner, "ownership_lost", 1);
@@ -187,6 +191,54 @@
     answersFrom(owner, "summaries");
   }
 
+  /** Guards against a second takeover in a row that forgets the first owner. */
+  @Test
+  void secondOwnerIsReplacedToo() {
+    cluster.process(owner).pause();
+    awaitNewOwner();
+    String second = ownerRow().path("owner").asText();
+    cluster.process(second).kill();
+    Await.until("a third owner", () -> ownerRow().path("fencing").asLong() > fencing + 1);
+    String third = ownerRow().path("owner").asText();
+    answersFrom(third, "letters");
+    assertThat(third).isNotEqualTo(owner);
+    assertThat(namesOfFormers()).containsAtLeast(owner, second);
+    cluster.process(owner).resume();
+    awaitLog(owner, "ownership_lost", 1);
+    answersFrom(owner, "summaries");
+    assertThat(evictionsInUse()).isEqualTo(0);
+  }
+
+  /** Guards against lost answers and slow ones that end leases or move targets. */
+  @Test
+  void slowPlatformThatLosesAnswersMovesNothing() {
+    platformFaults("{\"lost_answers\":0.1,\"slow_ms\":700,\"seed\":1}");
+    long renewals = leaseNonce();
+    Await.until("renewals", () -> leaseNonce() >= renewals + 8);
+    for (String entry : ENTRIES) {
+      answersFrom(entry, "summaries");
+    }
+    assertThat(ownerRow().path("owner").asText()).isEqualTo(owner);
+    assertThat(ownerRow().path("fencing").asLong()).isEqualTo(fencing);
+  }
+
+  private List<String> namesOfFormers() {
+    return ownerRow().path("formers").findValuesAsText("instance");
+  }
+
+  private void platformFaults(String change) {
+    cluster
+        .caller()
+        .post(cluster.directAddress(ProcessCluster.PLATFORM), "/faults", change, Map.of());
+  }
+
+  private long leaseNonce() {
+    return read(ProcessCluster.PLATFORM, "/tables/leases/rows/" + owner)
+        .path("value")
+        .path("nonce")
+        .asLong();
+  }
+
   private String other() {
     return ENTRIES.stream().filter(entry -> !entry.equals(owner)).findFirst().orElseThrow();
   }
--- a/core/src/main/java/org/apricotstand/membership/Membership.java
+++ b/core/src/main/java/org/apricotstand/membership/Membership.java
@@ -112,6 +112,13 @@
     return name.equals(self) || isHeard(name, nowMs);
   }
 
+  /** Returns the watched instances that are silent or whose link is closed. */
+  public Set<InstanceId> unusable(long nowMs) {
+    Set<InstanceId> unusable = new TreeSet<>(watched);
+    unusable.removeIf(name -> isHeard(name, nowMs));
+    return unusable;
+  }
+
   /** Returns whether the platform lists a target as leaving. */
   public boolean isLeaving(TargetId target) {
     return leavingTargets.contains(target);
@@ -236,9 +243,7 @@
     for (InstanceId name : watched) {
       Peer peer = peer(name);
       boolean silent =
-          !peer.closed
-              && nowMs - peer.linkSinceMs >= 2 * SILENT_MS
-              && nowMs - SILENT_MS >= peer.usableUntilMs;
+          nowMs - peer.linkSinceMs >= 2 * SILENT_MS && nowMs - SILENT_MS >= peer.usableUntilMs;
       if (silent) {
         actions.add(new MembershipAction.CloseLink(name));
         peer.linkSinceMs = nowMs;
--- a/core/src/test/java/org/apricotstand/membership/MembershipTest.java
+++ b/core/src/test/java/org/apricotstand/membership/MembershipTest.java
@@ -50,6 +50,16 @@
     assertThat(exchangeFor(10_000, false, false)).contains(new MembershipAction.CloseLink(B));
   }
 
+  /** Guards against requests that wait on a link opened again to a peer that never greets. */
+  @Test
+  void linkToASilentPeerIsClosedAgainAfterItWasReopened() {
+    exchangeFor(5_000, true, true);
+    exchangeFor(10_000, false, false);
+    a.handle(new MembershipEvent.LinkClosed(B), nowMs);
+    assertThat(exchangeFor(10_000, false, false)).contains(new MembershipAction.CloseLink(B));
+    assertThat(a.unusable(nowMs)).containsExactly(B);
+  }
+
   /** Guards against a restarted instance that is taken for the old process. */
   @Test
   void olderIncarnationIsReplaced() {
--- a/node/src/main/java/org/apricotstand/ownership/OwnershipService.java
+++ b/node/src/main/java/org/apricotstand/ownership/OwnershipService.java
@@ -78,6 +78,7 @@
   private volatile Map<TargetId, InstanceId> knownOwners = Map.of();
   private volatile Map<InstanceId, Long> domainInstances = Map.of();
   private volatile int instanceCount = 1;
+  private volatile Set<InstanceId> unusable = Set.of();
   private volatile Set<TargetId> leavingTargets = Set.of();
   private Set<InstanceId> lastLive = Set.of();
   private Map<InstanceId, Long> lastInstances = Map.of();
@@ -151,10 +152,10 @@
   @Override
   public Optional<InstanceId> ownerOf(TargetId target) {
     InstanceId known = knownOwners.get(target);
-    if (known != null) {
-      return Optional.of(known);
-    }
-    return cache.get(target).or(() -> bestCandidate(target));
+    Optional<InstanceId> owner =
+        known == null ? cache.get(target).or(() -> bestCandidate(target)) : Optional.of(known);
+    // A request for a silent owner would end with an unknown outcome; refused, it is not run.
+    return owner.filter(name -> !unusable.contains(name));
   }
 
   /** Returns who probably owns a target whose row has not been read yet. */
@@ -311,6 +312,10 @@
   }
 
   private void seeInstances() {
+    Set<InstanceId> silent = membership.unusable(ControlThread.nowMs());
+    if (!silent.equals(unusable)) {
+      unusable = Set.copyOf(silent);
+    }
     Map<InstanceId, Long> instances = membership.instances(settings.domain());
     Set<InstanceId> live = membership.live(settings.domain(), ControlThread.nowMs());
     if (!live.equals(lastLive) || !instances.equals(lastInstances)) {
--- a/node/src/main/java/org/apricotstand/peer/PeerHandler.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerHandler.java
@@ -30,8 +30,9 @@
       network.received(peer, message);
     } else if (message instanceof PeerMessage.Hello hello
         && hello.protocolVersion() == PeerMessage.PROTOCOL_VERSION) {
-      peer = new InstanceId(hello.instance());
-      network.greeted(context.channel(), hello);
+      if (network.greeted(context.channel(), hello)) {
+        peer = new InstanceId(hello.instance());
+      }
     } else {
       LOG.warn("peer_refused", "remote", context.channel().remoteAddress(), "first", message);
       context.close();
--- a/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
@@ -196,15 +196,19 @@
     };
   }
 
-  /** Called when the other side of a channel said who it is. */
-  void greeted(Channel channel, PeerMessage.Hello from) {
+  /**
+   * Called when the other side of a channel said who it is.
+   *
+   * @return false when a newer process has its name; the channel closes then
+   */
+  boolean greeted(Channel channel, PeerMessage.Hello from) {
     InstanceId peer = new InstanceId(from.instance());
     long newest = incarnations.merge(peer, from.incarnation(), Math::max);
     if (from.incarnation() < newest) {
       LOG.warn(
           "peer_refused", "peer", peer, "reason", "replaced", "incarnation", from.incarnation());
       channel.close();
-      return;
+      return false;
     }
     channel.attr(FROM).set(from);
     channels.stream()
@@ -221,6 +225,7 @@
       }
     }
     control.execute(() -> listeners.forEach(listener -> listener.onHello(peer, from)));
+    return true;
   }
 
   /** Called for each message after the greeting. */
--- a/node/src/test/java/org/apricotstand/peer/PeerNetworkTest.java
+++ b/node/src/test/java/org/apricotstand/peer/PeerNetworkTest.java
@@ -57,10 +57,14 @@
   }
 
   private PeerNetwork network(InstanceId id, int protocolVersion) {
+    return network(id, protocolVersion, 1);
+  }
+
+  private PeerNetwork network(InstanceId id, int protocolVersion, long incarnation) {
     return new PeerNetwork(
         group,
         new InetSocketAddress("127.0.0.1", 0),
-        new PeerMessage.Hello(protocolVersion, id.value(), 1, "d"),
+        new PeerMessage.Hello(protocolVersion, id.value(), incarnation, "d"),
         addresses::get,
         control);
   }
@@ -95,6 +99,26 @@
     assertThat(atA.next()).isEqualTo(new PeerMessage.RevisionWanted(3));
   }
 
+  /** Guards against messages of a process that a newer one of the same name has replaced. */
+  @Test
+  void replacedProcessIsCutOff() throws Exception {
+    PeerNetwork newerA = network(A, PeerMessage.PROTOCOL_VERSION, 2);
+    newerA.start();
+    try {
+      a.send(B, new PeerMessage.RevisionWanted(1));
+      assertThat(atB.next()).isEqualTo(new PeerMessage.RevisionWanted(1));
+      newerA.send(B, new PeerMessage.RevisionWanted(2));
+      assertThat(atB.next()).isEqualTo(new PeerMessage.RevisionWanted(2));
+      assertThat(atA.closed.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(B);
+      a.send(B, new PeerMessage.RevisionWanted(3));
+      assertThat(atA.closed.poll(WAIT_S, TimeUnit.SECONDS)).isEqualTo(B);
+      newerA.send(B, new PeerMessage.RevisionWanted(4));
+      assertThat(atB.next()).isEqualTo(new PeerMessage.RevisionWanted(4));
+    } finally {
+      newerA.stop();
+    }
+  }
+
   /** Guards against one malformed frame that takes down other links or the process. */
   @Test
   void malformedFrameClosesItsOwnLinkOnly() throws Exception {
