--- a/cli/src/main/java/org/apricotstand/cli/TryCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/TryCommand.java
@@ -1,9 +1,12 @@
 package org.apricotstand.cli;
 
 import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -32,6 +35,7 @@
   private static final String LOCAL = "127.0.0.1:0";
   private static final long REQUEST_TIMEOUT_MS = 30_000;
   private static final long CONFIGURATION_TIMEOUT_MS = 20_000;
+  private static final int ENGINES = 2;
   private static final String DECLARATIONS =
       """
       models:
@@ -66,7 +70,7 @@
         System.err.println("not accepted: " + failure);
         return ExitCodes.FAILED;
       }
-      awaitConfiguration(instance);
+      awaitConfiguration(http, instance);
       return sendRequests(http, instance.callerAddress(), orders);
     } finally {
       group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
@@ -85,28 +89,38 @@
 
   private static Result<Long> applyDeclarations(
       StandInPlatform platform, StandInEngine first, StandInEngine second, StandInService orders)
-      throws Exception {
-    Path folder = Files.createTempDirectory("apricotstand-try");
+      throws IOException {
     String declarations =
         DECLARATIONS.formatted(
             text(first.address()), text(second.address()), text(orders.address()));
-    Path file = Files.writeString(folder.resolve("declarations.yaml"), declarations);
+    Path file = Files.createTempFile("apricotstand-try", ".yaml");
     try {
-      return DeclarationApplier.apply(platform.url(), folder);
+      Files.writeString(file, declarations);
+      return HttpSession.apply(platform.url(), file);
     } finally {
       Files.delete(file);
-      Files.delete(folder);
     }
   }
 
-  private static void awaitConfiguration(EntryInstance instance) throws InterruptedException {
+  private static void awaitConfiguration(HttpCaller http, EntryInstance instance) throws Exception {
     long deadlineMs = ControlThread.nowMs() + CONFIGURATION_TIMEOUT_MS;
-    while (instance.configuration().current().number() == 0 && ControlThread.nowMs() < deadlineMs) {
+    while (enginesReady(http, instance) < ENGINES && ControlThread.nowMs() < deadlineMs) {
       Thread.sleep(20);
     }
     System.out.println("revision in force: " + instance.configuration().current().number());
   }
 
+  /** Returns how many engines the instance owns, as its operator interface says. */
+  private static long enginesReady(HttpCaller http, EntryInstance instance) throws IOException {
+    String url = "http://" + text(instance.operatorAddress()) + "/status";
+    HttpReply reply =
+        http.send(HttpCall.get(url, ControlThread.nowMs() + REQUEST_TIMEOUT_MS)).join();
+    return new ObjectMapper()
+        .readTree(reply.body()).path("engines").findValues("mayDispatch").stream()
+            .filter(JsonNode::asBoolean)
+            .count();
+  }
+
   private static int sendRequests(
       HttpCaller http, InetSocketAddress callers, StandInService orders) {
     boolean letters = complete(http, callers, "compliance-letters", "compliance-letters@v2");
--- a/node/src/main/java/org/apricotstand/entry/InstanceAssembly.java
+++ b/node/src/main/java/org/apricotstand/entry/InstanceAssembly.java
@@ -13,9 +13,12 @@
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.engine.EngineClient;
 import org.apricotstand.http.HttpCaller;
+import org.apricotstand.http.HttpLimits;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.operator.LiveInstance;
+import org.apricotstand.operator.OperatorInterface;
 import org.apricotstand.owner.LoadTokens;
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.owner.PeerRequests;
@@ -34,6 +37,7 @@
   private final InstanceSettings settings;
   private final EventLoopGroup group;
   private final HttpCaller http;
+  private final Runnable onDrainRequest;
   private final InstanceId self;
   private final long incarnation = System.currentTimeMillis();
   private final SplittableRandom random;
@@ -47,7 +51,14 @@
   private final OwnershipService ownership;
   private final LoadBudget budget = new LoadBudget(ControlThread.nowMs());
 
-  InstanceAssembly(InstanceSettings settings, EventLoopGroup group, HttpCaller http) {
+  /**
+   * Prepares an instance.
+   *
+   * @param onDrainRequest runs once when an operator asks the instance to leave
+   */
+  InstanceAssembly(
+      InstanceSettings settings, EventLoopGroup group, HttpCaller http, Runnable onDrainRequest) {
+    this.onDrainRequest = onDrainRequest;
     this.settings = settings;
     this.group = group;
     this.http = http;
@@ -55,8 +66,9 @@
     this.random = new SplittableRandom(incarnation ^ self.hashCode());
     this.policy = Policy.parse(settings.policy());
     this.platform = new PlatformClient(http, settings.platformUrl());
-    this.configuration = new ConfigurationService(control, platform);
     this.peers = createPeers();
+    this.configuration =
+        new ConfigurationService(control, platform, platform, peers, this::otherInstances, metrics);
     this.ownership =
         new OwnershipService(
             settings,
@@ -85,13 +97,12 @@
     ServiceParts parts =
         ServiceParts.create(
             settings, incarnation, control, configuration, platform, peers, http, metrics);
-    InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
     Kernel kernel = new Kernel();
     kernel.register("metrics", metrics);
     kernel.register("control", control);
     kernel.register("platform", platform);
-    kernel.register("configuration", configuration);
     kernel.register("peers", peers);
+    kernel.register("configuration", configuration);
     kernel.register("ownership", ownership);
     kernel.register("engines", engines);
     kernel.register("owner", owner);
@@ -100,10 +111,50 @@
     kernel.register("peer-requests", new PeerRequests(control, peers, owner));
     kernel.register("models", models);
     parts.register(kernel);
-    kernel.register("callers", new CallerInterface(group, callers, models, parts.services()));
+    kernel.register(
+        "callers",
+        new CallerInterface(
+            group,
+            InstanceSettings.parseAddress(settings.callerAddress()),
+            callerLimits(),
+            configuration::isReady,
+            models,
+            parts.services()));
+    kernel.register("operators", createOperators(owner));
     return kernel;
   }
 
+  private List<InstanceId> otherInstances() {
+    return peerAddresses.keySet().stream().filter(peer -> !peer.equals(self)).sorted().toList();
+  }
+
+  private OperatorInterface createOperators(OwnerService owner) {
+    LiveInstance view =
+        new LiveInstance(
+            hello(), control, configuration, ownership, owner, peers::connected, onDrainRequest);
+    return new OperatorInterface(
+        group,
+        InstanceSettings.parseAddress(settings.operatorAddress()),
+        settings.operatorToken(),
+        view,
+        metrics);
+  }
+
+  private PeerMessage.Hello hello() {
+    return new PeerMessage.Hello(
+        PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain());
+  }
+
+  private HttpLimits callerLimits() {
+    InstanceSettings.CallerLimits limits = settings.callerLimits();
+    return new HttpLimits(
+        limits.maxHeaderBytes(),
+        limits.maxBodyBytes(),
+        limits.maxConnections(),
+        limits.idleTimeMs(),
+        limits.requestTimeMs());
+  }
+
   private PeerNetwork createPeers() {
     settings
         .peers()
@@ -115,8 +166,7 @@
     return new PeerNetwork(
         group,
         InstanceSettings.parseAddress(settings.peerAddress()),
-        new PeerMessage.Hello(
-            PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain()),
+        hello(),
         peerAddresses::get,
         control);
   }
