--- a/core/src/main/java/org/apricotstand/lease/OwnershipMachine.java
+++ b/core/src/main/java/org/apricotstand/lease/OwnershipMachine.java
@@ -132,6 +132,11 @@
     return owners;
   }
 
+  /** Returns whether the own lease is valid without promises of others. */
+  public boolean isLeaseHeld(long nowMs) {
+    return lease.isHeld(nowMs);
+  }
+
   /** Returns whether the own lease is released, after which nothing more is to be done. */
   public boolean isReleased() {
     return lease.isReleased();
@@ -405,7 +410,8 @@
     }
     boolean troubled =
         askedMs.containsKey(owner) && nowMs - askedMs.get(owner) < LeaseTimes.WATCH_MS;
-    if (live.contains(owner) && !troubled) {
+    boolean replaced = instances.getOrDefault(owner, 0L) > row.incarnation();
+    if (live.contains(owner) && !troubled && !replaced) {
       watch.forget(owner);
       return false;
     }
@@ -454,7 +460,7 @@
       released = watch.isReleased(from, row.term());
       if (!watch.hasEnded(from, row.term())) {
         Versioned<LeaseRow> seen = watch.row(from);
-        voided = Optional.of(new Versioned<>(seen.version(), seen.row().voided(rows.nextNonce())));
+        voided = Optional.of(new Versioned<>(seen.version(), rows.voided(row, seen)));
       }
     }
     OwnerRow next = rows.next(state, lease.term(), released, instances);
