--- a/core/src/main/java/org/apricotstand/schedule/WaitingQueue.java
+++ b/core/src/main/java/org/apricotstand/schedule/WaitingQueue.java
@@ -2,12 +2,14 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeSet;
 import org.apricotstand.model.AdapterVersion;
+import org.apricotstand.model.RequestClass;
 import org.apricotstand.model.RequestId;
 
 /** Requests that wait for an engine, in groups by adapter version. */
@@ -65,6 +67,9 @@
   private final Map<RequestId, Entry> byId = new LinkedHashMap<>();
   private final Map<AdapterVersion, Group> groups = new LinkedHashMap<>();
   private final Map<String, Integer> byCaller = new HashMap<>();
+  // Finds the request to drop without a look at every entry when the queue stays full.
+  private final Map<RequestClass, Map<String, TreeSet<Entry>>> byClassAndCaller =
+      new EnumMap<>(RequestClass.class);
   private long lastSequence;
 
   WaitingQueue(Comparator<Entry> order) {
@@ -114,6 +119,7 @@
       }
       byCaller.computeIfPresent(
           entry.request().caller(), (caller, count) -> count == 1 ? null : count - 1);
+      removeFromClass(entry);
     }
     return entry;
   }
@@ -123,13 +129,32 @@
    * request of the caller with the most waiting requests.
    */
   Entry overflowVictim() {
-    return byId.values().stream()
-        .max(
-            Comparator.comparing((Entry entry) -> entry.request().requestClass())
-                .thenComparing(entry -> byCaller.get(entry.request().caller()))
-                .thenComparing(entry -> entry.request().caller())
-                .thenComparingLong(Entry::sequence))
-        .orElseThrow();
+    Map<String, TreeSet<Entry>> callers =
+        byClassAndCaller.entrySet().stream()
+            .max(Map.Entry.comparingByKey())
+            .map(Map.Entry::getValue)
+            .orElseThrow();
+    String largest =
+        callers.keySet().stream()
+            .max(
+                Comparator.comparing((String caller) -> byCaller.get(caller))
+                    .thenComparing(Comparator.naturalOrder()))
+            .orElseThrow();
+    return callers.get(largest).last();
+  }
+
+  private void removeFromClass(Entry entry) {
+    RequestClass requestClass = entry.request().requestClass();
+    String caller = entry.request().caller();
+    Map<String, TreeSet<Entry>> callers = byClassAndCaller.get(requestClass);
+    TreeSet<Entry> entries = callers.get(caller);
+    entries.remove(entry);
+    if (entries.isEmpty()) {
+      callers.remove(caller);
+    }
+    if (callers.isEmpty()) {
+      byClassAndCaller.remove(requestClass);
+    }
   }
 
   private void insert(Entry entry) {
@@ -140,5 +165,9 @@
         .entries
         .add(entry);
     byCaller.merge(request.caller(), 1, Integer::sum);
+    byClassAndCaller
+        .computeIfAbsent(request.requestClass(), unseen -> new HashMap<>())
+        .computeIfAbsent(request.caller(), unseen -> new TreeSet<>(BY_ARRIVAL))
+        .add(entry);
   }
 }
