Make the loss of ownership final for a scheduler

A state report that was underway when the ownership ended made the scheduler reachable again, so that it could command an engine that another scheduler of the same instance had taken meanwhile. After OwnershipLost it now refuses every request with the given failure and orders nothing. load() counts requests whose ending is not confirmed, since it decides when a former owner is idle.

--- a/core/src/main/java/org/apricotstand/schedule/Batch.java
+++ b/core/src/main/java/org/apricotstand/schedule/Batch.java
@@ -37,6 +37,10 @@
     return running.size();
   }
 
+  int unconfirmedSize() {
+    return unconfirmed.size();
+  }
+
   int freePlaces() {
     return Math.max(0, maxSize - running.size());
   }
--- a/core/src/main/java/org/apricotstand/schedule/SchedulerEvent.java
+++ b/core/src/main/java/org/apricotstand/schedule/SchedulerEvent.java
@@ -74,7 +74,10 @@
    */
   record CommandsAllowed(boolean allowed) implements SchedulerEvent {}
 
-  /** This instance no longer owns the engine; waiting requests are refused as not run. */
+  /**
+   * This instance no longer owns the engine. What waits is refused as not run, and the scheduler
+   * orders nothing more, whatever follows; it only awaits the end of what runs.
+   */
   record OwnershipLost(Failure failure) implements SchedulerEvent {}
 
   /** Time passed. */
--- a/core/src/main/java/org/apricotstand/schedule/TargetScheduler.java
+++ b/core/src/main/java/org/apricotstand/schedule/TargetScheduler.java
@@ -47,6 +47,9 @@
   private long incarnation;
   private boolean reachable;
   private boolean commandsAllowed = true;
+  // Set once: a scheduler is not used again after its ownership ended, since a state report that is
+  // still underway could otherwise make two schedulers of this instance command the engine.
+  private Failure ownershipLost;
 
   /**
    * Creates a scheduler for an engine that has not reported yet.
@@ -85,9 +88,9 @@
     return slots.all().stream().filter(Slot::isResident).map(Slot::adapterVersion).toList();
   }
 
-  /** Returns the number of requests that wait or run. */
+  /** Returns the number of requests that wait, run or may still reach a restarted engine. */
   public int load() {
-    return waiting() + running();
+    return waiting() + running() + batch.unconfirmedSize();
   }
 
   /** Returns whether a request waits or runs here. */
@@ -148,6 +151,10 @@
   }
 
   private void submit(ScheduledRequest request, long nowMs, List<SchedulerAction> actions) {
+    if (ownershipLost != null) {
+      actions.add(new SchedulerAction.Refuse(request, ownershipLost));
+      return;
+    }
     if (queue.contains(request.id()) || batch.contains(request.id())) {
       actions.add(
           refusal(request, "duplicate_request", "a request of this id waits or runs already"));
@@ -196,7 +203,9 @@
     if (canceled) {
       return;
     }
-    if (refused.entry().requeues() >= MAX_REQUEUES) {
+    if (ownershipLost != null) {
+      actions.add(new SchedulerAction.Refuse(request, ownershipLost));
+    } else if (refused.entry().requeues() >= MAX_REQUEUES) {
       actions.add(refusal(request, "adapter_not_loaded", "the engine lost the adapter repeatedly"));
     } else {
       queue.requeue(refused.entry());
@@ -205,6 +214,9 @@
 
   private void applyReport(
       SchedulerEvent.EngineReported report, long nowMs, List<SchedulerAction> actions) {
+    if (ownershipLost != null) {
+      return;
+    }
     reachable = true;
     slots.setCapacity(report.slots());
     batch.setMaxSize(report.maxBatch());
@@ -235,8 +247,7 @@
             });
     slots.clear();
     reachable = false;
-    // A later owner may change the slots, so the next report replaces all beliefs about them.
-    reported = false;
+    ownershipLost = failure;
   }
 
   private void endLoad(long order, boolean loaded, long nowMs) {
--- a/core/src/test/java/org/apricotstand/schedule/TargetSchedulerTest.java
+++ b/core/src/test/java/org/apricotstand/schedule/TargetSchedulerTest.java
@@ -199,6 +199,20 @@
         .containsExactly(new SchedulerAction.Refuse(request("r1", A), FAILURE));
   }
 
+  /** Guards against a late state report that brings a scheduler without ownership back to work. */
+  @Test
+  void ordersNothingAfterOwnershipIsLost() {
+    report(1, 1, A);
+    ScheduledRequest request = request("r1", A);
+    submit(request, 1);
+    scheduler.handle(new SchedulerEvent.OwnershipLost(FAILURE), 2);
+    assertThat(report(1, 1, A)).isEmpty();
+    assertThat(scheduler.handle(new SchedulerEvent.NotLoaded(request.id()), 3))
+        .containsExactly(new SchedulerAction.Refuse(request, FAILURE));
+    assertThat(submit(request("r2", A), 4))
+        .containsExactly(new SchedulerAction.Refuse(request("r2", A), FAILURE));
+  }
+
   private List<SchedulerAction> report(long incarnation, int slots, AdapterVersion... resident) {
     return scheduler.handle(
         new SchedulerEvent.EngineReported(incarnation, Set.of(resident), slots, 4), 0);
