Lend parts of load tokens

A token was lent whole, so that the partly filled shares of seven instances lay idle while a load waited. A borrower now asks for the part that it misses, one peer after the other, and starts the load when the parts add up to one token. TokensWanted and TokensLent count in thousandths.

--- a/core/src/main/java/org/apricotstand/budget/LoadBudget.java
+++ b/core/src/main/java/org/apricotstand/budget/LoadBudget.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.Queue;
 
@@ -30,7 +31,8 @@
   // Absorbs rounding in the sum of many small increments.
   private static final double ROUNDING = 1e-9;
 
-  private final Queue<Long> borrowedUntilMs = new PriorityQueue<>();
+  private final Queue<Borrowed> borrowed =
+      new PriorityQueue<>(Comparator.comparingLong(Borrowed::deadlineMs));
   private double tokensPerMs;
   private int inFlightShare;
   // A restarted instance starts without a token, since its predecessor may just have used one.
@@ -40,6 +42,8 @@
   private long unmetMs = Long.MIN_VALUE;
   private boolean demand;
 
+  private record Borrowed(double tokens, long deadlineMs) {}
+
   /** Creates a budget without rights; {@link #configure} gives them. */
   public LoadBudget(long nowMs) {
     this.refilledMs = nowMs;
@@ -58,7 +62,7 @@
   @Override
   public boolean mayStartLoad(long nowMs) {
     refill(nowMs);
-    boolean hasToken = !borrowedUntilMs.isEmpty() || tokens >= MAX_TOKENS - ROUNDING;
+    boolean hasToken = available() >= MAX_TOKENS - ROUNDING;
     if (!hasToken) {
       unmetMs = nowMs;
       demand = true;
@@ -71,9 +75,7 @@
     if (!mayStartLoad(nowMs)) {
       return false;
     }
-    if (borrowedUntilMs.poll() == null) {
-      tokens = Math.max(0, tokens - 1);
-    }
+    take();
     inFlight++;
     return true;
   }
@@ -91,21 +93,32 @@
     return taken;
   }
 
-  /** Gives away up to the wanted number of tokens; they are gone here, used there or not. */
-  public int lend(int wanted, long nowMs) {
+  /** Returns the part of a token that is missing for a load, 0 when none is. */
+  public double missing(long nowMs) {
+    refill(nowMs);
+    return Math.max(0, MAX_TOKENS - available());
+  }
+
+  /**
+   * Gives away up to the wanted part of a token; it is gone here, used there or not.
+   *
+   * @param wanted tokens, may be a fraction
+   */
+  public double lend(double wanted, long nowMs) {
     refill(nowMs);
     boolean needed = unmetMs != Long.MIN_VALUE && nowMs - unmetMs < OWN_DEMAND_MS;
-    if (needed || wanted <= 0 || tokens < MAX_TOKENS - ROUNDING) {
+    if (needed || wanted <= 0) {
       return 0;
     }
-    tokens = Math.max(0, tokens - 1);
-    return 1;
+    double lent = Math.min(wanted, tokens);
+    tokens -= lent;
+    return lent;
   }
 
-  /** Takes tokens from another instance; unused ones are void after the deadline. */
-  public void borrow(int count, long deadlineMs) {
-    for (int i = 0; i < count; i++) {
-      borrowedUntilMs.add(deadlineMs);
+  /** Takes tokens from another instance; what is unused is void after the deadline. */
+  public void borrow(double lent, long deadlineMs) {
+    if (lent > 0) {
+      borrowed.add(new Borrowed(lent, deadlineMs));
     }
   }
 
@@ -117,8 +130,24 @@
   private void refill(long nowMs) {
     tokens = Math.min(MAX_TOKENS, tokens + (nowMs - refilledMs) * tokensPerMs);
     refilledMs = nowMs;
-    while (!borrowedUntilMs.isEmpty() && borrowedUntilMs.peek() <= nowMs) {
-      borrowedUntilMs.poll();
+    while (!borrowed.isEmpty() && borrowed.peek().deadlineMs() <= nowMs) {
+      borrowed.poll();
+    }
+  }
+
+  private double available() {
+    return tokens + borrowed.stream().mapToDouble(Borrowed::tokens).sum();
+  }
+
+  /** Uses one token, borrowed parts first, since they end. */
+  private void take() {
+    double wanted = 1;
+    while (wanted > 0 && !borrowed.isEmpty()) {
+      Borrowed next = borrowed.poll();
+      double used = Math.min(wanted, next.tokens());
+      wanted -= used;
+      borrow(next.tokens() - used, next.deadlineMs());
     }
+    tokens = Math.max(0, tokens - wanted);
   }
 }
--- a/core/src/test/java/org/apricotstand/budget/LoadBudgetTest.java
+++ b/core/src/test/java/org/apricotstand/budget/LoadBudgetTest.java
@@ -14,7 +14,7 @@
 
   private static final double LOADS_PER_S = 2;
 
-  private record Lent(int borrower, int tokens, long deadlineMs) {}
+  private record Lent(int borrower, double tokens, long deadlineMs) {}
 
   /**
    * Guards against a fleet that exceeds the limits, with lending whose messages are late or lost
@@ -42,7 +42,7 @@
       switch (random.nextInt(5)) {
         case 0 -> {
           int borrower = random.nextInt(sharers);
-          underway.add(new Lent(borrower, budget.lend(1, nowMs), nowMs + 2_000));
+          underway.add(new Lent(borrower, budget.lend(random.nextDouble(), nowMs), nowMs + 2_000));
         }
         case 1 -> {
           if (!underway.isEmpty()) {
@@ -82,7 +82,7 @@
     lender.configure(2, 8, new Sharers(4, 0), 0);
     LoadBudget borrower = new LoadBudget(0);
     borrower.configure(0, 8, new Sharers(4, 1), 0);
-    assertThat(lender.lend(3, 2_000)).isEqualTo(1);
+    assertThat(lender.lend(3, 2_000)).isWithin(1e-9).of(1);
     assertThat(lender.mayStartLoad(2_000)).isFalse();
     borrower.borrow(1, 3_000);
     assertThat(borrower.mayStartLoad(2_999)).isTrue();
@@ -98,7 +98,20 @@
     assertThat(budget.takeDemand()).isTrue();
     assertThat(budget.takeDemand()).isFalse();
     assertThat(budget.lend(1, 2_000)).isEqualTo(0);
-    assertThat(budget.lend(1, 2_400)).isEqualTo(1);
+    assertThat(budget.lend(1, 2_400)).isWithin(1e-9).of(1);
+  }
+
+  /** Guards against parts of tokens that lie idle at several instances while a load waits. */
+  @Test
+  void startsALoadFromPartsOfTokens() {
+    LoadBudget budget = new LoadBudget(0);
+    budget.configure(1, 8, new Sharers(4, 0), 0);
+    assertThat(budget.missing(2_000)).isWithin(1e-9).of(0.5);
+    budget.borrow(0.3, 4_000);
+    assertThat(budget.tryStartLoad(2_000)).isFalse();
+    budget.borrow(0.4, 4_000);
+    assertThat(budget.tryStartLoad(2_000)).isTrue();
+    assertThat(budget.missing(2_000)).isWithin(1e-9).of(0.8);
   }
 
   /** Guards against in-flight shares that add up to less than the limit. */
--- a/node/src/main/java/org/apricotstand/owner/LoadTokens.java
+++ b/node/src/main/java/org/apricotstand/owner/LoadTokens.java
@@ -14,7 +14,8 @@
 
 /**
  * Keeps this instance's part of the load budget and borrows tokens from other instances, one peer
- * at a time, while a load waits for one.
+ * at a time, while a load waits for one. A load may be started from parts of several tokens: whole
+ * tokens alone would leave most of the budget idle in partly filled shares.
  */
 public final class LoadTokens implements Service, PeerListener {
 
@@ -22,6 +23,7 @@
   static final long VALID_MS = 2_000;
 
   private static final long TICK_MS = 50;
+  private static final double THOUSAND = 1_000;
 
   /** An ask without an answer for this long is given up, and the next peer is asked. */
   private static final long ANSWER_TIMEOUT_MS = 200;
@@ -86,11 +88,12 @@
   public void onMessage(InstanceId from, PeerMessage message) {
     long nowMs = ControlThread.nowMs();
     switch (message) {
-      case PeerMessage.TokensWanted wanted ->
-          peers.send(
-              from,
-              new PeerMessage.TokensLent(
-                  wanted.round(), budget.lend(wanted.tokens(), nowMs), VALID_MS));
+      case PeerMessage.TokensWanted wanted -> {
+        double lent = budget.lend(wanted.thousandths() / THOUSAND, nowMs);
+        // Rounded down: the remainder is lost, never lent twice.
+        int thousandths = (int) Math.floor(lent * THOUSAND);
+        peers.send(from, new PeerMessage.TokensLent(wanted.round(), thousandths, VALID_MS));
+      }
       case PeerMessage.TokensLent lent -> answered(lent, nowMs);
       default -> {}
     }
@@ -101,10 +104,9 @@
       return;
     }
     asking = false;
-    if (lent.tokens() > 0) {
-      // Counted from the request, so that it ends here before it would at the lender.
-      budget.borrow(lent.tokens(), askedMs + lent.validMs());
-    } else {
+    // Counted from the request, so that it ends here before it would at the lender.
+    budget.borrow(lent.thousandths() / THOUSAND, askedMs + lent.validMs());
+    if (budget.missing(nowMs) > 0) {
       askNext(nowMs);
     }
   }
@@ -119,6 +121,7 @@
     askedInRound++;
     round++;
     askedMs = nowMs;
-    asking = peers.send(peer, new PeerMessage.TokensWanted(round, 1));
+    int thousandths = (int) Math.ceil(budget.missing(nowMs) * THOUSAND);
+    asking = peers.send(peer, new PeerMessage.TokensWanted(round, thousandths));
   }
 }
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -138,11 +138,14 @@
   /** The former owner runs no more requests on the target. */
   record HandoverDone(String target, long fencing) implements PeerMessage {}
 
-  /** Asks for rights to start loads. */
-  record TokensWanted(long round, int tokens) implements PeerMessage {}
+  /** Asks for rights to start loads, in thousandths of the right to start one. */
+  record TokensWanted(long round, int thousandths) implements PeerMessage {}
 
-  /** Lends rights to start loads; unused ones are void after the given time. */
-  record TokensLent(long round, int tokens, long validMs) implements PeerMessage {}
+  /**
+   * Lends rights to start loads, in thousandths; unused ones are void after the given time, counted
+   * from when the borrower asked.
+   */
+  record TokensLent(long round, int thousandths, long validMs) implements PeerMessage {}
 
   /** A request with this fingerprint was running when a target crashed. */
   record SuspectNoted(String fingerprint, String target, long targetIncarnation)
--- a/node/src/test/java/org/apricotstand/owner/LoadTokensTest.java
+++ b/node/src/test/java/org/apricotstand/owner/LoadTokensTest.java
@@ -40,16 +40,25 @@
     assertThat(asked).containsExactly(B);
     tokens.onMessage(B, new PeerMessage.TokensLent(1, 0, 2_000));
     assertThat(asked).containsExactly(B, C).inOrder();
-    tokens.onMessage(C, new PeerMessage.TokensLent(2, 1, 60_000));
+    tokens.onMessage(C, new PeerMessage.TokensLent(2, 1_000, 60_000));
     assertThat(budget.mayStartLoad(nowMs)).isTrue();
   }
 
+  /** Guards against asking for more than is missing once a peer lent a part. */
+  @Test
+  void asksTheNextPeerForTheRest() {
+    demand();
+    tokens.onMessage(B, new PeerMessage.TokensLent(1, 300, 60_000));
+    assertThat(asked).containsExactly(B, C).inOrder();
+    assertThat(((PeerMessage.TokensWanted) sent.getLast()).thousandths()).isAtMost(700);
+  }
+
   /** Guards against a token that a late or repeated answer adds a second time. */
   @Test
   void ignoresAnswersThatItNoLongerWaitsFor() {
     demand();
     tokens.onMessage(B, new PeerMessage.TokensLent(1, 0, 2_000));
-    tokens.onMessage(B, new PeerMessage.TokensLent(1, 1, 60_000));
+    tokens.onMessage(B, new PeerMessage.TokensLent(1, 1_000, 60_000));
     assertThat(budget.mayStartLoad(nowMs)).isFalse();
   }
 
@@ -57,7 +66,7 @@
   @Test
   void ignoresATokenWhoseTimeIsOver() {
     demand();
-    tokens.onMessage(B, new PeerMessage.TokensLent(1, 1, 0));
+    tokens.onMessage(B, new PeerMessage.TokensLent(1, 1_000, 0));
     assertThat(budget.mayStartLoad(nowMs)).isFalse();
   }
 
@@ -71,7 +80,7 @@
   /** Guards against a peer that waits for an answer which never comes. */
   @Test
   void answersEveryRequest() {
-    tokens.onMessage(B, new PeerMessage.TokensWanted(7, 1));
+    tokens.onMessage(B, new PeerMessage.TokensWanted(7, 1_000));
     assertThat(sent).containsExactly(new PeerMessage.TokensLent(7, 0, LoadTokens.VALID_MS));
   }
 
