--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -1,36 +1,20 @@
 package org.apricotstand.entry;
 
-import static java.util.stream.Collectors.toMap;
-
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
-import java.util.List;
-import java.util.Map;
-import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
-import org.apricotstand.budget.LoadBudget;
-import org.apricotstand.budget.Sharers;
+import java.util.concurrent.TimeoutException;
 import org.apricotstand.configuration.ConfigurationService;
-import org.apricotstand.control.ControlThread;
-import org.apricotstand.engine.EngineClient;
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.kernel.Kernel;
-import org.apricotstand.model.InstanceId;
-import org.apricotstand.observe.Metrics;
-import org.apricotstand.owner.LoadTokens;
+import org.apricotstand.observe.EventLog;
 import org.apricotstand.owner.OwnerService;
-import org.apricotstand.owner.PeerRequests;
-import org.apricotstand.peer.PeerMessage;
-import org.apricotstand.peer.PeerNetwork;
-import org.apricotstand.placement.Placement;
-import org.apricotstand.placement.Policy;
-import org.apricotstand.platform.PlatformClient;
-import org.apricotstand.schedule.TargetScheduler;
+import org.apricotstand.ownership.OwnershipService;
 import org.apricotstand.settings.InstanceSettings;
-import org.apricotstand.settings.InstanceSettings.Peer;
 
 /**
  * One running instance.
@@ -43,7 +27,10 @@
  */
 public final class EntryInstance implements AutoCloseable {
 
+  private static final EventLog LOG = EventLog.of(EntryInstance.class);
   private static final int TRAFFIC_THREADS = 2;
+  // Longer than the default time a request may take.
+  private static final long DRAIN_LIMIT_MS = 45_000;
 
   private final Kernel kernel;
   private final EventLoopGroup group;
@@ -60,104 +47,11 @@
     EventLoopGroup group =
         new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
     HttpCaller http = new HttpCaller(group);
-    Kernel kernel = assemble(settings, group, http);
+    Kernel kernel = new InstanceAssembly(settings, group, http).assemble();
     kernel.start();
     return new EntryInstance(kernel, group, http);
   }
 
-  private static Kernel assemble(InstanceSettings settings, EventLoopGroup group, HttpCaller http) {
-    InstanceId self = new InstanceId(settings.instance());
-    long incarnation = System.currentTimeMillis();
-    ControlThread control = new ControlThread();
-    PlatformClient platform = new PlatformClient(http, settings.platformUrl());
-    ConfigurationService configuration = new ConfigurationService(control, platform);
-    List<Peer> instances =
-        Stream.concat(
-                Stream.of(new Peer(settings.instance(), settings.domain(), settings.peerAddress())),
-                settings.peers().stream())
-            .toList();
-    PeerNetwork peers = peerNetwork(settings, group, incarnation, instances, control);
-    RankedOwnership ownership = new RankedOwnership(self, configuration, instances);
-    EngineClient engines = new EngineClient(http);
-    Policy policy = Policy.parse(settings.policy());
-    SplittableRandom random = new SplittableRandom(incarnation ^ self.hashCode());
-    LoadBudget budget = new LoadBudget(ControlThread.nowMs());
-    OwnerService owner =
-        new OwnerService(
-            control,
-            engines,
-            ownership,
-            target -> configuration.current().target(target),
-            () -> configuration.current().declarations(),
-            target -> new TargetScheduler(target, policy, budget, random.split()));
-    LoadTokens tokens = loadTokens(self, instances, control, peers, budget, configuration);
-    peers.listen(tokens);
-    EngineChoice choice = new EngineChoice(control, new Placement(policy, random.split()));
-    peers.listen(choice);
-    RemoteAnswers remote = new RemoteAnswers(peers);
-    peers.listen(remote);
-    ModelRoute models =
-        new ModelRoute(self, incarnation, control, configuration, ownership, owner, remote, choice);
-    ServiceRoute services = new ServiceRoute(configuration, http);
-    InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
-    Kernel kernel = new Kernel();
-    kernel.register("metrics", new Metrics());
-    kernel.register("control", control);
-    kernel.register("platform", platform);
-    kernel.register("configuration", configuration);
-    kernel.register("peers", peers);
-    kernel.register("ownership", ownership);
-    kernel.register("engines", engines);
-    kernel.register("owner", owner);
-    kernel.register("load-tokens", tokens);
-    kernel.register("remote-answers", remote);
-    kernel.register("peer-requests", new PeerRequests(control, peers, owner));
-    kernel.register("models", models);
-    kernel.register("services", services);
-    kernel.register("callers", new CallerInterface(group, callers, models, services));
-    return kernel;
-  }
-
-  private static PeerNetwork peerNetwork(
-      InstanceSettings settings,
-      EventLoopGroup group,
-      long incarnation,
-      List<Peer> instances,
-      ControlThread control) {
-    Map<InstanceId, InetSocketAddress> addresses =
-        instances.stream()
-            .collect(
-                toMap(
-                    peer -> new InstanceId(peer.instance()),
-                    peer -> InstanceSettings.parseAddress(peer.address())));
-    return new PeerNetwork(
-        group,
-        InstanceSettings.parseAddress(settings.peerAddress()),
-        new PeerMessage.Hello(
-            PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain()),
-        addresses::get,
-        control);
-  }
-
-  private static LoadTokens loadTokens(
-      InstanceId self,
-      List<Peer> instances,
-      ControlThread control,
-      PeerNetwork peers,
-      LoadBudget budget,
-      ConfigurationService configuration) {
-    List<InstanceId> sharing =
-        instances.stream().map(peer -> new InstanceId(peer.instance())).sorted().toList();
-    Sharers sharers = new Sharers(sharing.size(), sharing.indexOf(self));
-    return new LoadTokens(
-        control,
-        peers,
-        budget,
-        sharing.stream().filter(other -> !other.equals(self)).toList(),
-        () -> sharers,
-        () -> configuration.current().declarations());
-  }
-
   /** Returns the address for callers. */
   public InetSocketAddress callerAddress() {
     return kernel.find("callers", CallerInterface.class).address();
@@ -168,8 +62,27 @@
     return kernel.find("configuration", ConfigurationService.class);
   }
 
+  /** Hands over what this instance owns and waits for requests in progress, up to a limit. */
+  public void drain() {
+    CallerInterface callers = kernel.find("callers", CallerInterface.class);
+    OwnerService owner = kernel.find("owner", OwnerService.class);
+    OwnershipService ownership = kernel.find("ownership", OwnershipService.class);
+    callers.drain();
+    CompletableFuture<Void> done = ownership.drain(() -> callers.isIdle() && owner.isIdle());
+    try {
+      done.get(DRAIN_LIMIT_MS, TimeUnit.MILLISECONDS);
+    } catch (TimeoutException e) {
+      LOG.warn("drain_incomplete", "limit_ms", DRAIN_LIMIT_MS);
+    } catch (ExecutionException e) {
+      throw new IllegalStateException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   @Override
   public void close() {
+    drain();
     kernel.close();
     http.close();
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
