Hold requests back by the square of the fill weight

At stallWeight 0.9, which asks for few stalls, standard requests were held back for almost a second. The time now grows with (1 - stallWeight) squared: 0.1 s at 0.9 and about 8 s at 0.1, for a deadline 20 s away and short answers.

Tried and not kept: dispatching only the interactive requests when no other one is due.

--- a/core/src/main/java/org/apricotstand/schedule/Dispatcher.java
+++ b/core/src/main/java/org/apricotstand/schedule/Dispatcher.java
@@ -81,6 +81,7 @@
       return request.arrivedMs();
     }
     double spareMs = Math.max(0, request.deadlineMs() - request.arrivedMs() - 2 * serviceMs);
-    return request.arrivedMs() + (long) ((1 - stallWeight) * HOLD_SHARE * spareMs);
+    double fillWeight = 1 - stallWeight;
+    return request.arrivedMs() + (long) (fillWeight * fillWeight * HOLD_SHARE * spareMs);
   }
 }
