Keep an adapter in use until the engine confirms the end of a broken request

A request whose connection to the engine broke or timed out counted as finished, although the engine may run it on; its adapter could then be evicted in use. The owner now cancels it and repeats that until the engine confirms, for at most 60 s, and reports it as finished only then.

--- a/node/src/main/java/org/apricotstand/engine/EngineClient.java
+++ b/node/src/main/java/org/apricotstand/engine/EngineClient.java
@@ -62,10 +62,11 @@
     return command(address, "/v1/unload_lora_adapter", adapterVersion, fencing, deadlineMs);
   }
 
-  /** Cancels a request at an engine; the result does not matter to the caller. */
-  public void cancel(String address, String requestId, long deadlineMs) {
+  /** Cancels a request at an engine; completes when the engine no longer runs it. */
+  public CompletableFuture<Result<Void>> cancel(String address, String requestId, long deadlineMs) {
     byte[] body = encode(Map.of("request_id", requestId));
-    http.send(HttpCall.json("POST", url(address, "/v1/cancel"), body, deadlineMs));
+    return http.send(HttpCall.json("POST", url(address, "/v1/cancel"), body, deadlineMs))
+        .handle((reply, error) -> resultOf(address, reply, error));
   }
 
   /** Reads the state report of an engine. */
@@ -81,14 +82,14 @@
     HttpCall call =
         HttpCall.json("POST", url(address, path), body, deadlineMs)
             .with(EngineHeaders.FENCING, Long.toString(fencing));
-    return http.send(call)
-        .handle(
-            (reply, error) -> {
-              if (error != null) {
-                return lost(address, error);
-              }
-              return reply.isSuccess() ? Result.ok(null) : Result.failed(refused(address, reply));
-            });
+    return http.send(call).handle((reply, error) -> resultOf(address, reply, error));
+  }
+
+  private static Result<Void> resultOf(String address, HttpReply reply, Throwable error) {
+    if (error != null) {
+      return lost(address, error);
+    }
+    return reply.isSuccess() ? Result.ok(null) : Result.failed(refused(address, reply));
   }
 
   private static Result<EngineState> decodeState(String address, HttpReply reply) {
--- a/node/src/main/java/org/apricotstand/owner/EngineReply.java
+++ b/node/src/main/java/org/apricotstand/owner/EngineReply.java
@@ -42,6 +42,9 @@
     /** The engine no longer runs the request, and the sink has its outcome. */
     void finished();
 
+    /** The sink has its outcome, but the engine may still run the request. */
+    void broken();
+
     /** The engine ran nothing since the adapter is not loaded; the sink has no outcome yet. */
     void notLoaded(Failure failure);
   }
@@ -63,7 +66,7 @@
     String wanted = request.scheduled().adapterVersion().toString();
     String echoed = headers.get(EngineHeaders.ADAPTER_VERSION);
     if (!wanted.equals(echoed)) {
-      fail(unknown("wrong_adapter_version", "wanted " + wanted + ", answered by " + echoed));
+      failBroken(unknown("wrong_adapter_version", "wanted " + wanted + ", answered by " + echoed));
       control.cancel();
       return;
     }
@@ -123,11 +126,21 @@
 
   @Override
   public void onFailure(CallFailure failure) {
-    fail(
-        failure.sent()
-            ? unknown(failure.code(), failure.detail())
-            : new Outcome.NotRun(
-                new Failure(Step.DISPATCH, target.value(), failure.code(), failure.detail())));
+    if (failure.sent()) {
+      failBroken(unknown(failure.code(), failure.detail()));
+    } else {
+      fail(
+          new Outcome.NotRun(
+              new Failure(Step.DISPATCH, target.value(), failure.code(), failure.detail())));
+    }
+  }
+
+  private void failBroken(Outcome outcome) {
+    if (!ended) {
+      ended = true;
+      sink.failed(outcome);
+      ending.broken();
+    }
   }
 
   private Outcome unknown(String code, String detail) {
--- a/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
@@ -30,6 +30,10 @@
   private static final EventLog LOG = EventLog.of(OwnedEngine.class);
   private static final long COMMAND_TIMEOUT_MS = 15_000;
   private static final long STATE_TIMEOUT_MS = 2_000;
+  private static final long CANCEL_PAUSE_MS = 500;
+
+  /** An engine that can't be reached for this long has ended what ran on a broken connection. */
+  private static final long END_LIMIT_MS = 60_000;
 
   private final TargetId id;
   private final Target target;
@@ -231,6 +235,15 @@
             });
       }
 
+      @Override
+      public void broken() {
+        control.execute(
+            () -> {
+              pending.remove(requestId, dispatched);
+              awaitEnd(requestId, ControlThread.nowMs() + END_LIMIT_MS);
+            });
+      }
+
       @Override
       public void notLoaded(Failure failure) {
         control.execute(() -> requeue(requestId, dispatched, failure));
@@ -238,6 +251,28 @@
     };
   }
 
+  /**
+   * Cancels a request whose connection broke, and repeats that until the engine confirms it: the
+   * engine may still run the request, so its adapter counts as in use until then.
+   */
+  private void awaitEnd(RequestId requestId, long untilMs) {
+    long nowMs = ControlThread.nowMs();
+    engines
+        .cancel(target.address(), requestId.value(), nowMs + STATE_TIMEOUT_MS)
+        .thenAccept(
+            result ->
+                control.execute(
+                    () -> {
+                      if (result instanceof Result.Ok<Void> || ControlThread.nowMs() >= untilMs) {
+                        handle(new SchedulerEvent.Finished(requestId));
+                      } else {
+                        control.executeAt(
+                            ControlThread.nowMs() + CANCEL_PAUSE_MS,
+                            () -> awaitEnd(requestId, untilMs));
+                      }
+                    }));
+  }
+
   /** Puts a request back that the engine refused; fails it when the scheduler gave it up before. */
   private void requeue(RequestId requestId, Pending dispatched, Failure failure) {
     boolean wanted = scheduler.holds(requestId) && pending.get(requestId) == dispatched;
