--- a/node/src/main/java/org/apricotstand/entry/EngineChoice.java
+++ b/node/src/main/java/org/apricotstand/entry/EngineChoice.java
@@ -24,23 +24,34 @@
 
   private final ControlThread control;
   private final Placement placement;
+  private final Predicate<TargetId> leaving;
   private final Map<String, EngineSet> byModel = new HashMap<>();
   private long revisionNumber;
 
-  EngineChoice(ControlThread control, Placement placement) {
+  /**
+   * Creates the choice.
+   *
+   * @param leaving engines that receive no new work
+   */
+  EngineChoice(ControlThread control, Placement placement, Predicate<TargetId> leaving) {
     this.control = control;
     this.placement = placement;
+    this.leaving = leaving;
   }
 
   /**
    * Returns the engine for an adapter version.
    *
-   * @param usable excludes engines, such as those without a known owner
+   * @param usable excludes engines, such as those without a known owner; leaving ones are excluded
+   *     anyway
    */
   Optional<TargetId> choose(
       AdapterVersion adapterVersion, String model, Revision revision, Predicate<TargetId> usable) {
     return placement.choose(
-        adapterVersion, engines(model, revision), usable, ControlThread.nowMs());
+        adapterVersion,
+        engines(model, revision),
+        engine -> !leaving.test(engine) && usable.test(engine),
+        ControlThread.nowMs());
   }
 
   /** Counts a request to an engine until its answer ends or its caller goes away. */
--- a/node/src/main/java/org/apricotstand/entry/InstanceAssembly.java
+++ b/node/src/main/java/org/apricotstand/entry/InstanceAssembly.java
@@ -76,7 +76,8 @@
     ownership.drive(owner);
     LoadTokens tokens = createLoadTokens();
     peers.listen(tokens);
-    EngineChoice choice = new EngineChoice(control, new Placement(policy, random.split()));
+    EngineChoice choice =
+        new EngineChoice(control, new Placement(policy, random.split()), ownership::isLeaving);
     peers.listen(choice);
     RemoteAnswers remote = new RemoteAnswers(peers);
     peers.listen(remote);
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/entry/EngineChoiceTest.java
@@ -0,0 +1,60 @@
+package org.apricotstand.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.apricotstand.configuration.Revision;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.declaration.DeclarationSet;
+import org.apricotstand.declaration.DeclarationSet.Target;
+import org.apricotstand.model.AdapterVersion;
+import org.apricotstand.model.TargetId;
+import org.apricotstand.peer.PeerMessage;
+import org.apricotstand.placement.Placement;
+import org.apricotstand.placement.Policy;
+import org.junit.jupiter.api.Test;
+
+class EngineChoiceTest {
+
+  private static final AdapterVersion A = new AdapterVersion("a", "v1");
+
+  private final Set<TargetId> leaving = new HashSet<>();
+  private final EngineChoice choice =
+      new EngineChoice(
+          new ControlThread(),
+          new Placement(new Policy.Affinity(), new SplittableRandom(1)),
+          leaving::contains);
+
+  /** Guards against new work for an engine that is being removed. */
+  @Test
+  void passesOverLeavingEngines() {
+    Revision revision = revision(1, "e1", "e2", "e3");
+    for (int left = 3; left > 0; left--) {
+      TargetId chosen = choice.choose(A, "base", revision, id -> true).orElseThrow();
+      assertThat(leaving.add(chosen)).isTrue();
+    }
+    assertThat(choice.choose(A, "base", revision, id -> true)).isEmpty();
+  }
+
+  /** Guards against engines of an earlier revision and engines of another model. */
+  @Test
+  void followsTheRevision() {
+    choice.learn(new PeerMessage.TargetLoad("e1", 0, 0, List.of("a@v1")));
+    assertThat(choice.choose(A, "base", revision(1, "e1", "e2"), id -> true))
+        .hasValue(new TargetId("e1"));
+    assertThat(choice.choose(A, "base", revision(2, "e3"), id -> true))
+        .hasValue(new TargetId("e3"));
+    assertThat(choice.choose(A, "other", revision(2, "e3"), id -> true)).isEmpty();
+  }
+
+  private static Revision revision(long number, String... engines) {
+    List<Target> targets =
+        List.of(engines).stream()
+            .map(name -> new Target(name, "engine", "base", "d", "", "enforced", 4, 8))
+            .toList();
+    return new Revision(number, new DeclarationSet(null, null, null, null, targets, null));
+  }
+}
