--- a/node/src/main/java/org/apricotstand/entry/InstanceAssembly.java
+++ b/node/src/main/java/org/apricotstand/entry/InstanceAssembly.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
--- a/node/src/main/java/org/apricotstand/entry/ModelParts.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelParts.java
@@ -24,7 +24,7 @@
       Admission admission,
       Placement placement,
       SplittableRandom random) {
-    EngineChoice choice = new EngineChoice(base.control(), placement);
+    EngineChoice choice = new EngineChoice(base.control(), placement, base.ownership()::isLeaving);
     base.peers().listen(choice);
     RemoteAnswers remote = new RemoteAnswers(base.peers());
     base.peers().listen(remote);
