--- a/core/src/main/java/org/apricotstand/claim/ClaimMachine.java
+++ b/core/src/main/java/org/apricotstand/claim/ClaimMachine.java
@@ -96,6 +96,11 @@
     return dispatched;
   }
 
+  /** Returns whether neither a caller nor the row waits for anything more. */
+  public boolean isSettled() {
+    return state == State.ENDED;
+  }
+
   /** Returns whether the caller was told the ending. */
   public boolean reported() {
     return reported;
--- a/node/src/main/java/org/apricotstand/claims/ClaimService.java
+++ b/node/src/main/java/org/apricotstand/claims/ClaimService.java
@@ -118,6 +118,11 @@
     step(nonce, new ClaimEvent.Begun());
   }
 
+  /** Returns whether every claim of this instance has its ending stored or released. */
+  public boolean isIdle() {
+    return held.values().stream().allMatch(claim -> claim.machine().isSettled());
+  }
+
   /** Only the control thread writes the count. */
   private void countPending(int change) {
     pendingCalls = pendingCalls + change;
--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.apricotstand.claims.ClaimService;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.kernel.Kernel;
@@ -68,7 +69,9 @@
     OwnerService owner = kernel.find("owner", OwnerService.class);
     OwnershipService ownership = kernel.find("ownership", OwnershipService.class);
     callers.drain();
-    CompletableFuture<Void> done = ownership.drain(() -> callers.isIdle() && owner.isIdle());
+    ClaimService claims = kernel.find("claims", ClaimService.class);
+    CompletableFuture<Void> done =
+        ownership.drain(() -> callers.isIdle() && owner.isIdle() && claims.isIdle());
     try {
       done.get(DRAIN_LIMIT_MS, TimeUnit.MILLISECONDS);
     } catch (TimeoutException e) {
