--- a/node/src/main/java/org/apricotstand/entry/InstanceAssembly.java
+++ b/node/src/main/java/org/apricotstand/entry/InstanceAssembly.java
@@ -2,15 +2,20 @@
 
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.http.HttpCaller;
+import org.apricotstand.http.HttpLimits;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.operator.LiveInstance;
+import org.apricotstand.operator.OperatorInterface;
+import org.apricotstand.owner.OwnerService;
 import org.apricotstand.ownership.OwnershipService;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.PeerNetwork;
@@ -25,7 +30,9 @@
   private final InstanceSettings settings;
   private final EventLoopGroup group;
   private final HttpCaller http;
+  private final Runnable onDrainRequest;
   private final InstanceId self;
+  private final Metrics metrics = new Metrics();
   private final long incarnation = System.currentTimeMillis();
   private final ControlThread control = new ControlThread();
   private final Map<InstanceId, InetSocketAddress> peerAddresses = new ConcurrentHashMap<>();
@@ -34,14 +41,22 @@
   private final PeerNetwork peers;
   private final OwnershipService ownership;
 
-  InstanceAssembly(InstanceSettings settings, EventLoopGroup group, HttpCaller http) {
+  /**
+   * Prepares an instance.
+   *
+   * @param onDrainRequest runs once when an operator asks the instance to leave
+   */
+  InstanceAssembly(
+      InstanceSettings settings, EventLoopGroup group, HttpCaller http, Runnable onDrainRequest) {
+    this.onDrainRequest = onDrainRequest;
     this.settings = settings;
     this.group = group;
     this.http = http;
     this.self = new InstanceId(settings.instance());
     this.platform = new PlatformClient(http, settings.platformUrl());
-    this.configuration = new ConfigurationService(control, platform);
     this.peers = createPeers();
+    this.configuration =
+        new ConfigurationService(control, platform, platform, peers, this::otherInstances, metrics);
     this.ownership =
         new OwnershipService(
             settings,
@@ -68,7 +83,7 @@
             peerAddresses,
             peers,
             ownership,
-            new Metrics());
+            metrics);
     Policy policy = Policy.parse(settings.policy());
     SplittableRandom random = new SplittableRandom(incarnation ^ self.hashCode());
     OwnerParts owning = OwnerParts.create(base, policy, random.split());
@@ -80,18 +95,56 @@
     kernel.register("metrics", base.metrics());
     kernel.register("control", control);
     kernel.register("platform", platform);
-    kernel.register("configuration", configuration);
     kernel.register("peers", peers);
+    kernel.register("configuration", configuration);
     kernel.register("ownership", ownership);
     owning.register(kernel);
     models.register(kernel);
     services.register(kernel);
-    InetSocketAddress callers = InstanceSettings.parseAddress(settings.callerAddress());
     kernel.register(
-        "callers", new CallerInterface(group, callers, models.route(), services.services()));
+        "callers",
+        new CallerInterface(
+            group,
+            InstanceSettings.parseAddress(settings.callerAddress()),
+            callerLimits(),
+            configuration::isReady,
+            models.route(),
+            services.services()));
+    kernel.register("operators", createOperators(owning.owner()));
     return kernel;
   }
 
+  private List<InstanceId> otherInstances() {
+    return peerAddresses.keySet().stream().filter(peer -> !peer.equals(self)).sorted().toList();
+  }
+
+  private OperatorInterface createOperators(OwnerService owner) {
+    LiveInstance view =
+        new LiveInstance(
+            hello(), control, configuration, ownership, owner, peers::connected, onDrainRequest);
+    return new OperatorInterface(
+        group,
+        InstanceSettings.parseAddress(settings.operatorAddress()),
+        settings.operatorToken(),
+        view,
+        metrics);
+  }
+
+  private PeerMessage.Hello hello() {
+    return new PeerMessage.Hello(
+        PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain());
+  }
+
+  private HttpLimits callerLimits() {
+    InstanceSettings.CallerLimits limits = settings.callerLimits();
+    return new HttpLimits(
+        limits.maxHeaderBytes(),
+        limits.maxBodyBytes(),
+        limits.maxConnections(),
+        limits.idleTimeMs(),
+        limits.requestTimeMs());
+  }
+
   private PeerNetwork createPeers() {
     settings
         .peers()
@@ -103,8 +156,7 @@
     return new PeerNetwork(
         group,
         InstanceSettings.parseAddress(settings.peerAddress()),
-        new PeerMessage.Hello(
-            PeerMessage.PROTOCOL_VERSION, settings.instance(), incarnation, settings.domain()),
+        hello(),
         peerAddresses::get,
         control);
   }
