Take limits and the retry budget from the declared policy

Cause: the policy declares the limits by caller and class, the limit of an adapter and the retry ratio; the entry side used constants. Conclusion: an operator changes limits by a configuration.

--- a/core/src/main/java/org/apricotstand/limit/AdmissionLimits.java
+++ b/core/src/main/java/org/apricotstand/limit/AdmissionLimits.java
@@ -7,12 +7,13 @@
 import org.apricotstand.model.RequestClass;
 
 /**
- * Bounds the requests in progress at one instance, by caller and by class.
+ * Bounds the requests in progress at one instance, by caller, by class and by adapter.
  *
  * <pre>{@code
- * Optional<String> refusal = limits.admit(caller, requestClass);
+ * Request request = new Request(caller, requestClass, adapter);
+ * Optional<String> refusal = admission.admit(request, limits);
  * // later, once:
- * limits.release(caller, requestClass);
+ * admission.release(request);
  * }</pre>
  */
 public final class AdmissionLimits {
@@ -23,51 +24,55 @@
   /** Code of a refusal because of the limit of the class. */
   public static final String CLASS_LIMIT = "class_limit";
 
+  /** Code of a refusal because of the limit of the adapter. */
+  public static final String ADAPTER_LIMIT = "adapter_limit";
+
+  /**
+   * What a request counts for.
+   *
+   * @param adapter name of the adapter, or empty
+   */
+  public record Request(String caller, RequestClass requestClass, String adapter) {}
+
   /**
    * Most requests in progress.
    *
    * @param perCaller of one caller
-   * @param perClass of all callers, by class
+   * @param perClass of one class
+   * @param ofAdapter of the adapter of the request
    */
-  public record Limits(int perCaller, Map<RequestClass, Integer> perClass) {
-
-    /** Fits an instance with 40 MB of heap and bodies of a few kilobytes. */
-    public static final Limits DEFAULT =
-        new Limits(
-            512,
-            Map.of(
-                RequestClass.INTERACTIVE, 1_024,
-                RequestClass.STANDARD, 1_024,
-                RequestClass.BACKGROUND, 512));
-  }
+  public record Limits(int perCaller, int perClass, int ofAdapter) {}
 
-  private final Limits limits;
   private final Map<String, Integer> byCaller = new HashMap<>();
   private final Map<RequestClass, Integer> byClass = new EnumMap<>(RequestClass.class);
-
-  /** Creates limits without requests in progress. */
-  public AdmissionLimits(Limits limits) {
-    this.limits = limits;
-  }
+  private final Map<String, Integer> byAdapter = new HashMap<>();
 
   /** Counts a request in, or returns the code of the limit that refuses it. */
-  public Optional<String> admit(String caller, RequestClass requestClass) {
-    if (byCaller.getOrDefault(caller, 0) >= limits.perCaller()) {
+  public Optional<String> admit(Request request, Limits limits) {
+    if (byCaller.getOrDefault(request.caller(), 0) >= limits.perCaller()) {
       return Optional.of(CALLER_LIMIT);
     }
-    int allowed = limits.perClass().getOrDefault(requestClass, Integer.MAX_VALUE);
-    if (byClass.getOrDefault(requestClass, 0) >= allowed) {
+    if (byClass.getOrDefault(request.requestClass(), 0) >= limits.perClass()) {
       return Optional.of(CLASS_LIMIT);
     }
-    byCaller.merge(caller, 1, Integer::sum);
-    byClass.merge(requestClass, 1, Integer::sum);
+    if (byAdapter.getOrDefault(request.adapter(), 0) >= limits.ofAdapter()) {
+      return Optional.of(ADAPTER_LIMIT);
+    }
+    byCaller.merge(request.caller(), 1, Integer::sum);
+    byClass.merge(request.requestClass(), 1, Integer::sum);
+    byAdapter.merge(request.adapter(), 1, Integer::sum);
     return Optional.empty();
   }
 
   /** Counts an admitted request out. */
-  public void release(String caller, RequestClass requestClass) {
-    byCaller.computeIfPresent(caller, (name, count) -> count == 1 ? null : count - 1);
-    byClass.computeIfPresent(requestClass, (name, count) -> count - 1);
+  public void release(Request request) {
+    decrement(byCaller, request.caller());
+    decrement(byClass, request.requestClass());
+    decrement(byAdapter, request.adapter());
+  }
+
+  private static <K> void decrement(Map<K, Integer> counts, K key) {
+    counts.computeIfPresent(key, (name, count) -> count == 1 ? null : count - 1);
   }
 
   /** Returns the number of requests in progress. */
--- a/core/src/main/java/org/apricotstand/limit/RetryBudget.java
+++ b/core/src/main/java/org/apricotstand/limit/RetryBudget.java
@@ -20,7 +20,7 @@
   /** Retries that may be saved up; a quiet instance can still retry its first failures. */
   public static final int DEFAULT_RESERVE = 10;
 
-  private final double fraction;
+  private double fraction;
   private final int reserve;
   private double available;
 
@@ -38,6 +38,12 @@
     this.available = reserve;
   }
 
+  /** Sets the retries earned by each first attempt from now on. */
+  public void setFraction(double changed) {
+    checkArgument(changed >= 0 && changed <= 1, "fraction out of range: %s", changed);
+    fraction = changed;
+  }
+
   /** Notes a first attempt. */
   public void attempted() {
     available = Math.min(reserve, available + fraction);
--- a/core/src/test/java/org/apricotstand/limit/LimitTest.java
+++ b/core/src/test/java/org/apricotstand/limit/LimitTest.java
@@ -4,8 +4,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
@@ -36,30 +36,36 @@
   @Property(seed = "4712", tries = 200)
   void requestsInProgressStayBounded(@ForAll long seed) {
     SplittableRandom random = new SplittableRandom(seed);
-    AdmissionLimits limits =
-        new AdmissionLimits(
-            new AdmissionLimits.Limits(
-                3, Map.of(RequestClass.INTERACTIVE, 5, RequestClass.STANDARD, 4)));
-    List<Map.Entry<String, RequestClass>> open = new ArrayList<>();
+    AdmissionLimits admission = new AdmissionLimits();
+    AdmissionLimits.Limits limits = new AdmissionLimits.Limits(3, 4, 2);
+    List<AdmissionLimits.Request> open = new ArrayList<>();
     for (int i = 0; i < 300; i++) {
-      String caller = "caller-" + random.nextInt(4);
-      RequestClass requestClass = RequestClass.values()[random.nextInt(2)];
-      long ofCaller = open.stream().filter(entry -> entry.getKey().equals(caller)).count();
-      long ofClass = open.stream().filter(entry -> entry.getValue() == requestClass).count();
+      AdmissionLimits.Request request =
+          new AdmissionLimits.Request(
+              "caller-" + random.nextInt(4),
+              RequestClass.values()[random.nextInt(2)],
+              "adapter-" + random.nextInt(3));
       if (random.nextBoolean()) {
-        boolean expected = ofCaller < 3 && ofClass < (requestClass.ordinal() == 0 ? 5 : 4);
-        assertThat(limits.admit(caller, requestClass).isEmpty()).isEqualTo(expected);
+        boolean expected =
+            count(open, other -> other.caller().equals(request.caller())) < 3
+                && count(open, other -> other.requestClass() == request.requestClass()) < 4
+                && count(open, other -> other.adapter().equals(request.adapter())) < 2;
+        assertThat(admission.admit(request, limits).isEmpty()).isEqualTo(expected);
         if (expected) {
-          open.add(Map.entry(caller, requestClass));
+          open.add(request);
         }
       } else if (!open.isEmpty()) {
-        Map.Entry<String, RequestClass> done = open.remove(random.nextInt(open.size()));
-        limits.release(done.getKey(), done.getValue());
+        admission.release(open.remove(random.nextInt(open.size())));
       }
-      assertThat(limits.inProgress()).isEqualTo(open.size());
+      assertThat(admission.inProgress()).isEqualTo(open.size());
     }
   }
 
+  private static long count(
+      List<AdmissionLimits.Request> open, Predicate<AdmissionLimits.Request> filter) {
+    return open.stream().filter(filter).count();
+  }
+
   /** Guards against callers that return all at the same moment, and against endless pauses. */
   @Test
   void backoffGrowsWithinItsBoundsAndDiffers() {
--- a/node/src/main/java/org/apricotstand/entry/Admission.java
+++ b/node/src/main/java/org/apricotstand/entry/Admission.java
@@ -1,7 +1,10 @@
 package org.apricotstand.entry;
 
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.declaration.DeclarationSet.Adapter;
+import org.apricotstand.declaration.DeclarationSet.Policy;
 import org.apricotstand.http.HttpExchange;
 import org.apricotstand.kernel.Service;
 import org.apricotstand.limit.AdmissionLimits;
@@ -20,7 +23,7 @@
   private final InstanceId self;
   private final ControlThread control;
   private final Metrics metrics;
-  private final AdmissionLimits limits = new AdmissionLimits(AdmissionLimits.Limits.DEFAULT);
+  private final AdmissionLimits limits = new AdmissionLimits();
 
   Admission(InstanceId self, ControlThread control, Metrics metrics) {
     this.self = self;
@@ -34,24 +37,44 @@
   }
 
   /**
-   * Admits a request, or answers the caller that it is refused.
+   * Admits a call to a plain service, or answers the caller that it is refused.
    *
    * @return what must run when the request has ended; it may run more than once and on any thread
    */
-  Optional<Runnable> admit(HttpExchange exchange, RequestClass requestClass) {
-    String caller = CallerName.of(exchange.request());
-    Optional<String> refusal = limits.admit(caller, requestClass);
+  Optional<Runnable> admit(HttpExchange exchange, RequestClass requestClass, Policy policy) {
+    return admit(exchange, requestClass, policy, "", Integer.MAX_VALUE);
+  }
+
+  /** Admits a model request like a call to a plain service, within the adapter's limit as well. */
+  Optional<Runnable> admit(
+      HttpExchange exchange, RequestClass requestClass, Policy policy, Adapter adapter) {
+    int limit = adapter.maxInFlight() == null ? Integer.MAX_VALUE : adapter.maxInFlight();
+    return admit(exchange, requestClass, policy, adapter.name(), limit);
+  }
+
+  private Optional<Runnable> admit(
+      HttpExchange exchange,
+      RequestClass requestClass,
+      Policy policy,
+      String adapter,
+      int adapterLimit) {
+    AdmissionLimits.Request request =
+        new AdmissionLimits.Request(CallerName.of(exchange.request()), requestClass, adapter);
+    Optional<String> refusal =
+        limits.admit(
+            request,
+            new AdmissionLimits.Limits(
+                policy.maxQueuedPerCaller(), policy.maxQueuedPerClass(), adapterLimit));
     if (refusal.isPresent()) {
       metrics.count("entry.refused");
       refuse(exchange, refusal.get(), "too many requests in progress", RETRY_AFTER_MS);
       return Optional.empty();
     }
-    java.util.concurrent.atomic.AtomicBoolean open =
-        new java.util.concurrent.atomic.AtomicBoolean(true);
+    AtomicBoolean open = new AtomicBoolean(true);
     return Optional.of(
         () -> {
           if (open.getAndSet(false)) {
-            control.execute(() -> limits.release(caller, requestClass));
+            control.execute(() -> limits.release(request));
           }
         });
   }
--- a/node/src/main/java/org/apricotstand/entry/ModelCall.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelCall.java
@@ -92,6 +92,7 @@
 
   /** Starts the first attempt. */
   void start() {
+    parts.budget().setFraction(revision.declarations().policy().retryBudgetRatio());
     parts.budget().attempted();
     attempt(first);
   }
--- a/node/src/main/java/org/apricotstand/entry/ModelRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelRoute.java
@@ -127,7 +127,11 @@
       return;
     }
     admission
-        .admit(exchange, request.scheduled().requestClass())
+        .admit(
+            exchange,
+            request.scheduled().requestClass(),
+            revision.declarations().policy(),
+            resolved.adapter())
         .ifPresent(release -> start(exchange, revision, resolved, request, verdict, release));
   }
 
--- a/node/src/main/java/org/apricotstand/entry/ServiceCalls.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceCalls.java
@@ -55,14 +55,17 @@
   /**
    * Sends a call to the first target, and to the next ones when it fails and may be retried.
    *
+   * @param retryRatio retries as a fraction of calls
    * @param done takes the ending, once, on the control thread
    */
   void send(
       HttpRequest request,
       List<Target> targets,
       Retry retry,
+      double retryRatio,
       long deadlineMs,
       Consumer<ServiceEnd> done) {
+    budget.setFraction(retryRatio);
     budget.attempted();
     new Call(request, targets, retry, deadlineMs, done).attempt(1);
   }
--- a/node/src/main/java/org/apricotstand/entry/ServiceRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceRoute.java
@@ -61,7 +61,7 @@
   private void admit(HttpExchange exchange, Revision revision, PlainService service) {
     long deadlineMs = ControlThread.nowMs() + revision.declarations().policy().requestTimeoutMs();
     admission
-        .admit(exchange, RequestClass.INTERACTIVE)
+        .admit(exchange, RequestClass.INTERACTIVE, revision.declarations().policy())
         .ifPresent(release -> new Call(exchange, revision, service, deadlineMs, release).start());
   }
 
@@ -109,7 +109,8 @@
             new ServiceEnd.NotSent(
                 new Failure(Step.PLACEMENT, service.name(), "no_target", "no target serves it")));
       } else {
-        calls.send(exchange.request(), order, retry, deadlineMs, done);
+        double ratio = revision.declarations().policy().retryBudgetRatio();
+        calls.send(exchange.request(), order, retry, ratio, deadlineMs, done);
       }
     }
 
--- a/node/src/test/java/org/apricotstand/entry/ServiceCallsTest.java
+++ b/node/src/test/java/org/apricotstand/entry/ServiceCallsTest.java
@@ -40,6 +40,7 @@
   private final ControlThread control = new ControlThread();
   private final List<HttpRequest> received = new CopyOnWriteArrayList<>();
   private RetryBudget budget = new RetryBudget(0.1, 5);
+  private double retryRatio = 0.1;
 
   @AfterEach
   void stop() {
@@ -96,6 +97,7 @@
   @Test
   void retriesEndWithTheBudget() {
     budget = new RetryBudget(0, 1);
+    retryRatio = 0;
     List<Target> targets = List.of(target(HttpExchange::abort), target(HttpExchange::abort));
     send(ServiceCalls.Retry.ALWAYS, targets);
     assertThat(received).hasSize(2);
@@ -124,7 +126,12 @@
     control.execute(
         () ->
             calls.send(
-                request("{}"), targets, retry, ControlThread.nowMs() + TIMEOUT_MS, end::complete));
+                request("{}"),
+                targets,
+                retry,
+                retryRatio,
+                ControlThread.nowMs() + TIMEOUT_MS,
+                end::complete));
     return end.join();
   }
 
