Count promises without a gap only; keep a frozen owner off adapters it did not hold

A giver that had taken a target, restarted and forgotten it promised not to take it, so the old owner ordered loads again: a promise now counts only when it follows the lease or the last promise of that giver without a gap. A frozen owner learnt from a report of an adapter that the next owner had loaded, used it, and saw it evicted in use: while commands are not allowed, reports and late loads add no adapters.

--- a/core/src/main/java/org/apricotstand/lease/OwnershipMachine.java
+++ b/core/src/main/java/org/apricotstand/lease/OwnershipMachine.java
@@ -91,7 +91,8 @@
       case OwnershipEvent.OwnerRead read -> ownerRead(read, nowMs);
       case OwnershipEvent.PromiseAsked asked -> promiseAsked(asked, nowMs);
       case OwnershipEvent.PromiseAnswered answered ->
-          promises.answered(answered.from(), answered.round(), answered.granted());
+          promises.answered(
+              answered.from(), answered.round(), answered.granted(), nowMs, lease.deadlineMs());
       case OwnershipEvent.HandoverOffered offered -> offered(offered, nowMs);
       case OwnershipEvent.HandoverTaken taken -> handedOver(taken, nowMs);
       case OwnershipEvent.HandoverDone done -> acknowledged(done);
--- a/core/src/main/java/org/apricotstand/lease/Promises.java
+++ b/core/src/main/java/org/apricotstand/lease/Promises.java
@@ -32,9 +32,14 @@
     return askedMs == LeaseTimes.NEVER || nowMs - askedMs >= LeaseTimes.RENEW_MS;
   }
 
-  /** Notes an answer; one to an earlier round is ignored, as its time of asking is not kept. */
-  void answered(InstanceId from, long answeredRound, boolean granted) {
-    if (answeredRound == round && granted) {
+  /**
+   * Notes an answer; one to an earlier round is ignored, as its time of asking is not kept. A
+   * promise counts only when it follows the lease or an earlier promise of the same instance
+   * without a gap: in a gap the giver may have taken a target and forgotten it by a restart.
+   */
+  void answered(InstanceId from, long answeredRound, boolean granted, long nowMs, long leaseMs) {
+    long coveredUntilMs = Math.max(leaseMs, receivedUntilMs.getOrDefault(from, LeaseTimes.NEVER));
+    if (answeredRound == round && granted && nowMs < coveredUntilMs) {
       receivedUntilMs.put(from, askedMs + LeaseTimes.PROMISE_USE_MS);
     }
   }
--- a/core/src/main/java/org/apricotstand/schedule/TargetScheduler.java
+++ b/core/src/main/java/org/apricotstand/schedule/TargetScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.apricotstand.budget.LoadRights;
 import org.apricotstand.model.AdapterVersion;
 import org.apricotstand.model.Failure;
@@ -117,7 +118,11 @@
       case SchedulerEvent.LoadFinished(AdapterVersion loaded, long order) -> {
         endLoad(order, true, nowMs);
         backoff.succeeded(loaded);
-        slots.confirmResident(loaded, order, nowMs);
+        if (commandsAllowed) {
+          slots.confirmResident(loaded, order, nowMs);
+        } else {
+          slots.confirmEmpty(loaded, order, nowMs);
+        }
       }
       case SchedulerEvent.LoadFailed(AdapterVersion failed, long order, Failure failure) -> {
         endLoad(order, false, nowMs);
@@ -222,7 +227,7 @@
     batch.setMaxSize(report.maxBatch());
     boolean restarted = report.incarnation() != incarnation;
     if (reported && !restarted) {
-      slots.reconcile(report.resident(), batch.inUse(), nowMs);
+      slots.reconcile(trusted(report.resident()), batch.inUse(), nowMs);
       return;
     }
     if (restarted) {
@@ -237,6 +242,18 @@
     reported = true;
   }
 
+  /**
+   * Returns the adapter versions of a report that may be dispatched to. While commands are not
+   * allowed, another instance may own the engine: it may evict what it loaded itself, but not what
+   * this owner held before.
+   */
+  private Set<AdapterVersion> trusted(Set<AdapterVersion> resident) {
+    if (commandsAllowed) {
+      return resident;
+    }
+    return resident.stream().filter(name -> slots.get(name) != null).collect(Collectors.toSet());
+  }
+
   private void loseOwnership(Failure failure, List<SchedulerAction> actions) {
     queue
         .entries()
--- a/core/src/test/java/org/apricotstand/lease/OwnershipPropertyTest.java
+++ b/core/src/test/java/org/apricotstand/lease/OwnershipPropertyTest.java
@@ -31,6 +31,18 @@
     check(-50123);
   }
 
+  /** Guards against a promise of a restarted giver that had taken the target before. */
+  @Test
+  void promiseAfterAGapIsNotUsed() {
+    check(-272);
+  }
+
+  /** Guards against a frozen owner that uses adapters which the next owner loaded. */
+  @Test
+  void frozenOwnerUsesNoAdapterThatItDidNotHold() {
+    check(25786);
+  }
+
   private static void check(long seed) {
     OwnershipWorld world = new OwnershipWorld(seed, 4, 3);
     world.run();
