--- a/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
@@ -40,12 +40,14 @@
   private final ControlThread control;
   private final EngineClient engines;
   private final Ownership ownership;
+  private final RequestGuard guard;
   private final TargetScheduler scheduler;
   private final Map<RequestId, Pending> pending = new HashMap<>();
   private final Supplier<DeclarationSet> declarations;
   private DeclarationSet applied;
   private boolean commandsAllowed = true;
   private boolean polling;
+  private long incarnation;
 
   private static final class Pending {
     private final EngineRequest request;
@@ -64,6 +66,7 @@
       ControlThread control,
       EngineClient engines,
       Ownership ownership,
+      RequestGuard guard,
       Supplier<DeclarationSet> declarations,
       TargetScheduler scheduler) {
     this.id = id;
@@ -71,6 +74,7 @@
     this.control = control;
     this.engines = engines;
     this.ownership = ownership;
+    this.guard = guard;
     this.declarations = declarations;
     this.scheduler = scheduler;
     applyDeclarations();
@@ -158,6 +162,7 @@
     polling = false;
     switch (result) {
       case Result.Ok<EngineState>(EngineState state) -> {
+        incarnation = state.incarnation();
         ownership.engineReported(id, state.running() + state.waiting());
         handle(
             new SchedulerEvent.EngineReported(
@@ -219,8 +224,10 @@
       control.execute(() -> handle(new SchedulerEvent.Finished(request.id())));
       return;
     }
+    AnswerSink watched =
+        guard.dispatched(id, target.address(), incarnation, dispatched.request, dispatched.sink);
     dispatched.reply =
-        new EngineReply(id, dispatched.request, dispatched.sink, ending(request.id(), dispatched));
+        new EngineReply(id, dispatched.request, watched, ending(request.id(), dispatched));
     engines.run(target.address(), ownership.fencingOf(id), dispatched.request, dispatched.reply);
   }
 
@@ -288,6 +295,10 @@
   }
 
   private void load(AdapterVersion adapterVersion, long order) {
+    if (!ownership.mayCommand(id)) {
+      control.execute(() -> loaded(adapterVersion, order, Result.failed(expired())));
+      return;
+    }
     engines
         .load(target.address(), adapterVersion, ownership.fencingOf(id), commandDeadlineMs())
         .thenAccept(result -> control.execute(() -> loaded(adapterVersion, order, result)));
@@ -304,6 +315,10 @@
   }
 
   private void unload(AdapterVersion adapterVersion, long order) {
+    if (!ownership.mayCommand(id)) {
+      control.execute(() -> unloaded(adapterVersion, order, Result.failed(expired())));
+      return;
+    }
     engines
         .unload(target.address(), adapterVersion, ownership.fencingOf(id), commandDeadlineMs())
         .thenAccept(result -> control.execute(() -> unloaded(adapterVersion, order, result)));
@@ -319,6 +334,10 @@
     }
   }
 
+  private Failure expired() {
+    return new Failure(Step.LOAD, id.value(), "lease_expired", "ownership ended or is frozen");
+  }
+
   private static long commandDeadlineMs() {
     return ControlThread.nowMs() + COMMAND_TIMEOUT_MS;
   }
