--- a/cli/src/test/java/org/apricotstand/it/ProcessCluster.java
+++ b/cli/src/test/java/org/apricotstand/it/ProcessCluster.java
@@ -176,6 +176,11 @@
                             && line.matches(".*\\brevision=" + revision + "\\b.*")));
   }
 
+  /** Waits until an entry instance answers requests for a model, which needs an owner. */
+  public void awaitServing(String entry, String model) {
+    Await.until(entry + " serves " + model, () -> complete(entry, model, false).status() == 200);
+  }
+
   /** Starts a process again after its end, with the same addresses and arguments. */
   public void restart(String name) throws IOException {
     ManagedProcess process = launch(name, arguments.get(name));
--- a/cli/src/test/java/org/apricotstand/it/WholePathTest.java
+++ b/cli/src/test/java/org/apricotstand/it/WholePathTest.java
@@ -33,6 +33,8 @@
     // Only instances of the engine's domain may own it, so entry-2 must use the peer link.
     cluster.startEntries(Map.of("entry-1", "a", "entry-2", "b"));
     cluster.apply(DECLARATIONS);
+    cluster.awaitServing("entry-1", "letters");
+    cluster.awaitServing("entry-2", "letters");
   }
 
   @AfterAll
--- a/node/src/main/java/org/apricotstand/http/HttpCaller.java
+++ b/node/src/main/java/org/apricotstand/http/HttpCaller.java
@@ -6,8 +6,10 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import javax.net.ssl.SSLEngine;
 import org.apricotstand.control.ControlThread;
 import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.AsyncHttpClientConfig;
 import org.asynchttpclient.DefaultAsyncHttpClient;
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Request;
@@ -44,10 +46,19 @@
             .setReadTimeout(Duration.ofMillis(-1))
             .setPooledConnectionIdleTimeout(POOLED_IDLE)
             .setCookieStore(null)
+            .setSslEngineFactory(HttpCaller::refuseTls)
             .build();
     this.client = new DefaultAsyncHttpClient(config);
   }
 
+  /**
+   * All calls are plain HTTP inside the network. Without a factory the library loads a TLS provider
+   * and all trusted certificates at start.
+   */
+  private static SSLEngine refuseTls(AsyncHttpClientConfig config, String host, int port) {
+    throw new UnsupportedOperationException("TLS is not supported: " + host + ":" + port);
+  }
+
   /** Sends a call and reports the answer in parts. */
   public void stream(HttpCall call, ReplyListener listener) {
     long remainingMs = call.deadlineMs() - ControlThread.nowMs();
