--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -12,6 +13,7 @@
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.observe.EventLog;
+import org.apricotstand.operator.OperatorInterface;
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.ownership.OwnershipService;
 import org.apricotstand.settings.InstanceSettings;
@@ -35,8 +37,11 @@
   private final Kernel kernel;
   private final EventLoopGroup group;
   private final HttpCaller http;
+  private final CountDownLatch drainRequested;
 
-  private EntryInstance(Kernel kernel, EventLoopGroup group, HttpCaller http) {
+  private EntryInstance(
+      Kernel kernel, EventLoopGroup group, HttpCaller http, CountDownLatch drainRequested) {
+    this.drainRequested = drainRequested;
     this.kernel = kernel;
     this.group = group;
     this.http = http;
@@ -47,9 +52,11 @@
     EventLoopGroup group =
         new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
     HttpCaller http = new HttpCaller(group);
-    Kernel kernel = new InstanceAssembly(settings, group, http).assemble();
+    CountDownLatch drainRequested = new CountDownLatch(1);
+    Kernel kernel =
+        new InstanceAssembly(settings, group, http, drainRequested::countDown).assemble();
     kernel.start();
-    return new EntryInstance(kernel, group, http);
+    return new EntryInstance(kernel, group, http, drainRequested);
   }
 
   /** Returns the address for callers. */
@@ -57,7 +64,17 @@
     return kernel.find("callers", CallerInterface.class).address();
   }
 
-  /** Returns the service of a name. */
+  /** Returns the address for operators. */
+  public InetSocketAddress operatorAddress() {
+    return kernel.find("operators", OperatorInterface.class).address();
+  }
+
+  /** Waits until an operator asks this instance to leave. */
+  public void awaitDrainRequest() throws InterruptedException {
+    drainRequested.await();
+  }
+
+  /** Returns the service that keeps the declarations. */
   public ConfigurationService configuration() {
     return kernel.find("configuration", ConfigurationService.class);
   }
@@ -67,6 +84,7 @@
     CallerInterface callers = kernel.find("callers", CallerInterface.class);
     OwnerService owner = kernel.find("owner", OwnerService.class);
     OwnershipService ownership = kernel.find("ownership", OwnershipService.class);
+    kernel.find("operators", OperatorInterface.class).drain();
     callers.drain();
     CompletableFuture<Void> done = ownership.drain(() -> callers.isIdle() && owner.isIdle());
     try {
--- a/node/src/main/java/org/apricotstand/entry/ModelRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelRoute.java
@@ -4,13 +4,17 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.configuration.Revision;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.declaration.DeclarationSet.Adapter;
+import org.apricotstand.declaration.DeclarationSet.Target;
+import org.apricotstand.declaration.VersionChoice;
 import org.apricotstand.engine.EngineHeaders;
 import org.apricotstand.engine.EngineRequest;
 import org.apricotstand.http.HttpExchange;
@@ -19,17 +23,15 @@
 import org.apricotstand.model.AdapterVersion;
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.InstanceId;
-import org.apricotstand.model.Outcome;
 import org.apricotstand.model.RequestClass;
 import org.apricotstand.model.RequestId;
 import org.apricotstand.model.Result;
 import org.apricotstand.model.Step;
 import org.apricotstand.model.TargetId;
-import org.apricotstand.owner.AnswerSink;
-import org.apricotstand.owner.OwnerService;
-import org.apricotstand.owner.Ownership;
-import org.apricotstand.peer.PeerMessage;
+import org.apricotstand.placement.Rendezvous;
 import org.apricotstand.schedule.ScheduledRequest;
+import org.apricotstand.suspect.Verdict;
+import org.apricotstand.suspects.SuspectService;
 
 /** Serves model requests: resolves the adapter version, picks the engine, asks its owner. */
 final class ModelRoute implements Service {
@@ -37,43 +39,36 @@
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
-  // Covers a handover and the start of an instance; a takeover takes longer than callers wait.
-  private static final long REROUTE_MS = 3_000;
-  private static final long REROUTE_PAUSE_MS = 100;
 
   private final InstanceId self;
   private final ControlThread control;
   private final ConfigurationService configuration;
-  private final Ownership ownership;
-  private final OwnerService owner;
-  private final RemoteAnswers remote;
-  private final EngineChoice choice;
+  private final Admission admission;
+  private final SuspectService suspects;
+  private final ModelCall.Parts parts;
   private final String idPrefix;
   private final AtomicLong nextId = new AtomicLong();
 
   ModelRoute(
-      InstanceId self,
       long incarnation,
-      ControlThread control,
       ConfigurationService configuration,
-      Ownership ownership,
-      OwnerService owner,
-      RemoteAnswers remote,
-      EngineChoice choice) {
-    this.self = self;
-    this.control = control;
+      Admission admission,
+      SuspectService suspects,
+      ModelCall.Parts parts) {
+    this.self = parts.self();
+    this.control = parts.control();
     this.configuration = configuration;
-    this.ownership = ownership;
-    this.owner = owner;
-    this.remote = remote;
-    this.choice = choice;
+    this.admission = admission;
+    this.suspects = suspects;
+    this.parts = parts;
     this.idPrefix = self.value() + "-" + Long.toString(incarnation, Character.MAX_RADIX) + "-";
   }
 
   /** Answers a completion or chat request. */
   void handle(HttpExchange exchange) {
     Revision revision = configuration.current();
-    switch (resolve(exchange.request(), revision)) {
+    RequestId id = new RequestId(idPrefix + nextId.incrementAndGet());
+    switch (resolve(exchange.request(), revision, id)) {
       case Result.Ok<Resolved>(Resolved resolved) ->
           control.execute(() -> route(exchange, revision, resolved));
       case Result.Failed<Resolved>(Failure failure) ->
@@ -81,9 +76,10 @@
     }
   }
 
-  private record Resolved(AdapterVersion adapterVersion, Adapter adapter, byte[] body) {}
+  private record Resolved(
+      RequestId id, AdapterVersion adapterVersion, Adapter adapter, byte[] body) {}
 
-  private Result<Resolved> resolve(HttpRequest request, Revision revision) {
+  private Result<Resolved> resolve(HttpRequest request, Revision revision, RequestId id) {
     try {
       JsonNode body = JSON.readTree(request.body());
       if (!(body instanceof ObjectNode object) || !object.path("model").isTextual()) {
@@ -94,13 +90,17 @@
       Optional<Adapter> adapter = revision.adapter(at < 0 ? model : model.substring(0, at));
       Optional<String> version =
           adapter.flatMap(
-              found -> at < 0 ? routed(found) : declared(found, model.substring(at + 1)));
+              found ->
+                  at < 0
+                      ? VersionChoice.choose(found, id.value())
+                      : declared(found, model.substring(at + 1)));
       if (version.isEmpty()) {
         return refused("unknown_model", "no adapter version for " + model);
       }
       AdapterVersion adapterVersion = adapter.get().at(version.get());
       object.put("model", adapterVersion.toString());
-      return Result.ok(new Resolved(adapterVersion, adapter.get(), JSON.writeValueAsBytes(object)));
+      return Result.ok(
+          new Resolved(id, adapterVersion, adapter.get(), JSON.writeValueAsBytes(object)));
     } catch (IOException e) {
       return refused("invalid_body", "the body is not JSON");
     }
@@ -110,12 +110,6 @@
     return adapter.versions().stream().filter(version::equals).findFirst();
   }
 
-  private static Optional<String> routed(Adapter adapter) {
-    return adapter.route().keySet().stream()
-        .findFirst()
-        .or(() -> adapter.versions().stream().findFirst());
-  }
-
   private Result<Resolved> refused(String code, String detail) {
     return Result.failed(new Failure(Step.ADMISSION, self.value(), code, detail));
   }
@@ -125,87 +119,69 @@
   }
 
   private void route(HttpExchange exchange, Revision revision, Resolved resolved) {
-    long untilMs = ControlThread.nowMs() + REROUTE_MS;
-    routeOnce(exchange, revision, resolved, untilMs);
-  }
-
-  /** Sends a request to the owner; looks for the owner again when it was refused as none. */
-  private void routeOnce(
-      HttpExchange exchange, Revision revision, Resolved resolved, long untilMs) {
-    AnswerSink sink =
-        new RerouteSink(
-            new ExchangeSink(exchange),
-            () -> ControlThread.nowMs() < untilMs,
-            () ->
-                control.executeAt(
-                    ControlThread.nowMs() + REROUTE_PAUSE_MS,
-                    () -> routeOnce(exchange, revision, resolved, untilMs)));
-    long nowMs = ControlThread.nowMs();
-    Optional<TargetId> target =
-        choice.choose(
-            resolved.adapterVersion(),
-            resolved.adapter().model(),
-            revision,
-            engine -> ownership.ownerOf(engine).isPresent());
-    Optional<InstanceId> targetOwner = target.flatMap(ownership::ownerOf);
-    if (targetOwner.isEmpty()) {
-      sink.failed(
-          new Outcome.NotRun(
-              new Failure(Step.PLACEMENT, self.value(), "no_owner", "no engine can be reached")));
+    EngineRequest request = toRequest(exchange.request(), revision, resolved);
+    Verdict verdict = suspects.verdict(request);
+    if (verdict instanceof Verdict.Refused(String code, long retryAfterMs)) {
+      admission.refuse(
+          exchange, code, "the request was running when an engine crashed", retryAfterMs);
       return;
     }
-    EngineRequest request = toRequest(exchange.request(), revision, resolved, nowMs);
-    CountedSink counted = choice.watch(target.get(), sink);
-    if (targetOwner.get().equals(self)) {
-      exchange.onClosed(
-          () -> {
-            counted.canceled();
-            control.execute(() -> owner.cancel(target.get(), request.scheduled().id()));
-          });
-      owner.submit(target.get(), request, counted);
-      choice.learn(owner.loadOf(target.get()));
+    admission
+        .admit(exchange, request.scheduled().requestClass())
+        .ifPresent(release -> start(exchange, revision, resolved, request, verdict, release));
+  }
+
+  private void start(
+      HttpExchange exchange,
+      Revision revision,
+      Resolved resolved,
+      EngineRequest request,
+      Verdict verdict,
+      Runnable release) {
+    String model = resolved.adapter().model();
+    if (verdict instanceof Verdict.Alone(Set<TargetId> crashed)) {
+      EngineRequest alone = request.runningAlone();
+      Optional<TargetId> target = trialTarget(alone, revision, model, crashed);
+      new ModelCall(parts, exchange, revision, model, target, alone, release).start();
     } else {
-      PeerMessage.Route route = toRoute(target.get(), request, revision, nowMs);
-      exchange.onClosed(
-          () -> {
-            counted.canceled();
-            remote.cancel(route);
-          });
-      remote.send(targetOwner.get(), route, counted);
+      new ModelCall(parts, exchange, revision, model, Optional.empty(), request, release).start();
     }
   }
 
-  private EngineRequest toRequest(
-      HttpRequest request, Revision revision, Resolved resolved, long nowMs) {
+  /**
+   * Returns the engine on which a suspect runs: the same one from all instances, so that they
+   * cannot send it to several engines at once, and not one that it crashed while there is another.
+   */
+  private static Optional<TargetId> trialTarget(
+      EngineRequest request, Revision revision, String model, Set<TargetId> crashed) {
+    List<Target> engines =
+        revision.declarations().targets().stream()
+            .filter(Target::runsModel)
+            .filter(engine -> engine.serves().equals(model))
+            .toList();
+    List<TargetId> ranked =
+        Rendezvous.rank(SuspectService.fingerprintOf(request), engines, Target::name).stream()
+            .map(engine -> new TargetId(engine.name()))
+            .toList();
+    return ranked.stream()
+        .filter(engine -> !crashed.contains(engine))
+        .findFirst()
+        .or(() -> ranked.stream().findFirst());
+  }
+
+  private EngineRequest toRequest(HttpRequest request, Revision revision, Resolved resolved) {
+    long nowMs = ControlThread.nowMs();
     ScheduledRequest scheduled =
         new ScheduledRequest(
-            new RequestId(idPrefix + nextId.incrementAndGet()),
+            resolved.id(),
             1,
             resolved.adapterVersion(),
             RequestClass.valueOf(resolved.adapter().requestClass().toUpperCase(Locale.ROOT)),
-            request.remote(),
+            CallerName.of(request),
             nowMs,
             nowMs + revision.declarations().policy().requestTimeoutMs());
     String traceparent = request.header(EngineHeaders.TRACEPARENT);
     return new EngineRequest(
         scheduled, request.path(), traceparent == null ? "" : traceparent, resolved.body());
   }
-
-  private static PeerMessage.Route toRoute(
-      TargetId target, EngineRequest request, Revision revision, long nowMs) {
-    ScheduledRequest scheduled = request.scheduled();
-    return new PeerMessage.Route(
-        scheduled.id().value(),
-        scheduled.attempt(),
-        target.value(),
-        scheduled.adapterVersion().toString(),
-        revision.number(),
-        scheduled.deadlineMs() - nowMs,
-        scheduled.requestClass().name(),
-        scheduled.caller(),
-        request.path(),
-        request.traceparent(),
-        request.body(),
-        RemoteAnswers.CREDIT_BYTES);
-  }
 }
--- a/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
+++ b/node/src/main/java/org/apricotstand/owner/OwnedEngine.java
@@ -30,18 +30,24 @@
   private static final EventLog LOG = EventLog.of(OwnedEngine.class);
   private static final long COMMAND_TIMEOUT_MS = 15_000;
   private static final long STATE_TIMEOUT_MS = 2_000;
+  private static final long CANCEL_PAUSE_MS = 500;
+
+  /** An engine that can't be reached for this long has ended what ran on a broken connection. */
+  private static final long END_LIMIT_MS = 60_000;
 
   private final TargetId id;
   private final Target target;
   private final ControlThread control;
   private final EngineClient engines;
   private final Ownership ownership;
+  private final RequestGuard guard;
   private final TargetScheduler scheduler;
   private final Map<RequestId, Pending> pending = new HashMap<>();
   private final Supplier<DeclarationSet> declarations;
   private DeclarationSet applied;
   private boolean commandsAllowed = true;
   private boolean polling;
+  private long incarnation;
 
   private static final class Pending {
     private final EngineRequest request;
@@ -60,6 +66,7 @@
       ControlThread control,
       EngineClient engines,
       Ownership ownership,
+      RequestGuard guard,
       Supplier<DeclarationSet> declarations,
       TargetScheduler scheduler) {
     this.id = id;
@@ -67,6 +74,7 @@
     this.control = control;
     this.engines = engines;
     this.ownership = ownership;
+    this.guard = guard;
     this.declarations = declarations;
     this.scheduler = scheduler;
     applyDeclarations();
@@ -154,6 +162,7 @@
     polling = false;
     switch (result) {
       case Result.Ok<EngineState>(EngineState state) -> {
+        incarnation = state.incarnation();
         ownership.engineReported(id, state.running() + state.waiting());
         handle(
             new SchedulerEvent.EngineReported(
@@ -215,8 +224,10 @@
       control.execute(() -> handle(new SchedulerEvent.Finished(request.id())));
       return;
     }
+    AnswerSink watched =
+        guard.dispatched(id, target.address(), incarnation, dispatched.request, dispatched.sink);
     dispatched.reply =
-        new EngineReply(id, dispatched.request, dispatched.sink, ending(request.id(), dispatched));
+        new EngineReply(id, dispatched.request, watched, ending(request.id(), dispatched));
     engines.run(target.address(), ownership.fencingOf(id), dispatched.request, dispatched.reply);
   }
 
@@ -231,6 +242,15 @@
             });
       }
 
+      @Override
+      public void broken() {
+        control.execute(
+            () -> {
+              pending.remove(requestId, dispatched);
+              awaitEnd(requestId, ControlThread.nowMs() + END_LIMIT_MS);
+            });
+      }
+
       @Override
       public void notLoaded(Failure failure) {
         control.execute(() -> requeue(requestId, dispatched, failure));
@@ -238,6 +258,28 @@
     };
   }
 
+  /**
+   * Cancels a request whose connection broke, and repeats that until the engine confirms it: the
+   * engine may still run the request, so its adapter counts as in use until then.
+   */
+  private void awaitEnd(RequestId requestId, long untilMs) {
+    long nowMs = ControlThread.nowMs();
+    engines
+        .cancel(target.address(), requestId.value(), nowMs + STATE_TIMEOUT_MS)
+        .thenAccept(
+            result ->
+                control.execute(
+                    () -> {
+                      if (result instanceof Result.Ok<Void> || ControlThread.nowMs() >= untilMs) {
+                        handle(new SchedulerEvent.Finished(requestId));
+                      } else {
+                        control.executeAt(
+                            ControlThread.nowMs() + CANCEL_PAUSE_MS,
+                            () -> awaitEnd(requestId, untilMs));
+                      }
+                    }));
+  }
+
   /** Puts a request back that the engine refused; fails it when the scheduler gave it up before. */
   private void requeue(RequestId requestId, Pending dispatched, Failure failure) {
     boolean wanted = scheduler.holds(requestId) && pending.get(requestId) == dispatched;
@@ -253,6 +295,10 @@
   }
 
   private void load(AdapterVersion adapterVersion, long order) {
+    if (!ownership.mayCommand(id)) {
+      control.execute(() -> loaded(adapterVersion, order, Result.failed(expired())));
+      return;
+    }
     engines
         .load(target.address(), adapterVersion, ownership.fencingOf(id), commandDeadlineMs())
         .thenAccept(result -> control.execute(() -> loaded(adapterVersion, order, result)));
@@ -269,6 +315,10 @@
   }
 
   private void unload(AdapterVersion adapterVersion, long order) {
+    if (!ownership.mayCommand(id)) {
+      control.execute(() -> unloaded(adapterVersion, order, Result.failed(expired())));
+      return;
+    }
     engines
         .unload(target.address(), adapterVersion, ownership.fencingOf(id), commandDeadlineMs())
         .thenAccept(result -> control.execute(() -> unloaded(adapterVersion, order, result)));
@@ -284,6 +334,10 @@
     }
   }
 
+  private Failure expired() {
+    return new Failure(Step.LOAD, id.value(), "lease_expired", "ownership ended or is frozen");
+  }
+
   private static long commandDeadlineMs() {
     return ControlThread.nowMs() + COMMAND_TIMEOUT_MS;
   }
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -65,6 +65,7 @@
    * @param traceparent W3C trace context
    * @param body body for the engine
    * @param creditBytes answer bytes that may be sent before a {@link RouteCredit}
+   * @param alone whether it must run alone in the engine's batch, as a suspect does
    */
   record Route(
       String requestId,
@@ -78,7 +79,8 @@
       String path,
       String traceparent,
       byte[] body,
-      int creditBytes)
+      int creditBytes,
+      boolean alone)
       implements PeerMessage {}
 
   /** Start of the answer to a {@link Route}. */
@@ -149,14 +151,23 @@
   /** The former owner runs no more requests on the target. */
   record HandoverDone(String target, long fencing) implements PeerMessage {}
 
-  /** Asks for rights to start loads. */
-  record TokensWanted(long round, int tokens) implements PeerMessage {}
+  /** Asks for rights to start loads, in thousandths of the right to start one. */
+  record TokensWanted(long round, int thousandths) implements PeerMessage {}
 
-  /** Lends rights to start loads; unused ones are void after the given time. */
-  record TokensLent(long round, int tokens, long validMs) implements PeerMessage {}
+  /**
+   * Lends rights to start loads, in thousandths; unused ones are void after the given time, counted
+   * from when the borrower asked.
+   */
+  record TokensLent(long round, int thousandths, long validMs) implements PeerMessage {}
 
-  /** A request with this fingerprint was running when a target crashed. */
-  record SuspectNoted(String fingerprint, String target, long targetIncarnation)
+  /**
+   * A request with this fingerprint was running when a target crashed, or is no longer suspected.
+   *
+   * @param target target that crashed, or empty
+   * @param targetIncarnation incarnation that crashed, or 0
+   * @param state "crashed" or "cleared"
+   */
+  record SuspectNoted(String fingerprint, String target, long targetIncarnation, String state)
       implements PeerMessage {}
 
   /**
