--- a/cli/src/test/java/org/apricotstand/it/FaultyLinksTest.java
+++ b/cli/src/test/java/org/apricotstand/it/FaultyLinksTest.java
@@ -20,6 +20,7 @@
   private static final String DECLARATIONS =
       """
       models: [{name: base}]
+      policy: {stallWeight: 1, loadsPerSecond: 20, loadsInFlight: 8, requestTimeoutMs: 30000}
       adapters:
         - {name: letters, model: base, versions: [v1]}
       services:
--- a/cli/src/test/java/org/apricotstand/it/GracefulStopTest.java
+++ b/cli/src/test/java/org/apricotstand/it/GracefulStopTest.java
@@ -11,14 +11,21 @@
 /** Guards against a graceful stop that cuts off a request in progress. */
 final class GracefulStopTest {
 
+  private static final String DECLARATIONS =
+      """
+      models: [{name: base}]
+      policy: {stallWeight: 1, loadsPerSecond: 20, loadsInFlight: 8, requestTimeoutMs: 30000}
+      adapters:
+        - {name: letters, model: base, versions: [v1]}
+      """;
+
   @Test
   void streamInProgressEndsWholeAfterTheStopIsAsked() throws IOException {
     try (ProcessCluster cluster = new ProcessCluster()) {
       cluster.startPlatform("--load-ms", "50", "--loads-per-second", "20");
       cluster.startEngine("engine-1", "a", 2, 8, "--step-ms", "20");
       cluster.startEntries(Map.of("entry-1", "a"));
-      cluster.apply(
-          "models: [{name: base}]\nadapters: [{name: letters, model: base, versions: [v1]}]");
+      cluster.apply(DECLARATIONS);
       cluster.awaitServing("entry-1", "letters");
       String body = "{\"model\":\"letters\",\"prompt\":\"x\",\"stream\":true,\"max_tokens\":150}";
       CompletableFuture<Answer> open =
--- a/cli/src/test/java/org/apricotstand/it/WholePathTest.java
+++ b/cli/src/test/java/org/apricotstand/it/WholePathTest.java
@@ -18,6 +18,7 @@
   private static final String DECLARATIONS =
       """
       models: [{name: base}]
+      policy: {stallWeight: 1, loadsPerSecond: 20, loadsInFlight: 8, requestTimeoutMs: 30000}
       adapters:
         - {name: letters, model: base, versions: [v1, v2], route: {v2: 100}}
         - {name: summaries, model: base, versions: [v1]}
