--- a/cli/src/main/java/org/apricotstand/bench/Fleet.java
+++ b/cli/src/main/java/org/apricotstand/bench/Fleet.java
@@ -124,7 +124,8 @@
         null,
         platform.url(),
         peers,
-        policy);
+        policy,
+        null);
   }
 
   private static String reservedAddress() throws IOException {
