--- a/core/src/main/java/org/apricotstand/declaration/DeclarationCheck.java
+++ b/core/src/main/java/org/apricotstand/declaration/DeclarationCheck.java
@@ -263,8 +263,12 @@
     require(policy.loadsInFlight() >= 1, "policy.loadsInFlight", "expected 1 or more");
     require(policy.requestTimeoutMs() >= 1, "policy.requestTimeoutMs", "expected 1 or more");
     require(policy.leavingTimeMs() >= 0, "policy.leavingTimeMs", "expected 0 or more");
-    require(policy.maxQueuedPerCaller() >= 1, "policy.maxQueuedPerCaller", "expected 1 or more");
-    require(policy.maxQueuedPerClass() >= 1, "policy.maxQueuedPerClass", "expected 1 or more");
+    require(
+        policy.maxInProgressPerCaller() >= 1,
+        "policy.maxInProgressPerCaller",
+        "expected 1 or more");
+    require(
+        policy.maxInProgressPerClass() >= 1, "policy.maxInProgressPerClass", "expected 1 or more");
     require(
         isShare(policy.retryBudgetRatio()),
         "policy.retryBudgetRatio",
--- a/core/src/main/java/org/apricotstand/declaration/DeclarationSet.java
+++ b/core/src/main/java/org/apricotstand/declaration/DeclarationSet.java
@@ -170,8 +170,9 @@
    * @param requestTimeoutMs longest time a request may take
    * @param leavingTimeMs time after which a target that the platform lists as leaving receives no
    *     new work
-   * @param maxQueuedPerCaller most waiting requests of one caller at one instance
-   * @param maxQueuedPerClass most waiting requests of one class at one instance
+   * @param maxInProgressPerCaller most requests in progress of one caller at one instance
+   * @param maxInProgressPerClass most requests in progress of one class at one instance; background
+   *     gets half of it
    * @param retryBudgetRatio retries as a fraction of traffic
    */
   public record Policy(
@@ -180,8 +181,8 @@
       Integer loadsInFlight,
       Long requestTimeoutMs,
       Long leavingTimeMs,
-      Integer maxQueuedPerCaller,
-      Integer maxQueuedPerClass,
+      Integer maxInProgressPerCaller,
+      Integer maxInProgressPerClass,
       Double retryBudgetRatio) {
 
     /** Used when a set declares no policy. */
@@ -194,8 +195,8 @@
       loadsInFlight = loadsInFlight == null ? 8 : loadsInFlight;
       requestTimeoutMs = requestTimeoutMs == null ? 30_000 : requestTimeoutMs;
       leavingTimeMs = leavingTimeMs == null ? 3_000 : leavingTimeMs;
-      maxQueuedPerCaller = maxQueuedPerCaller == null ? 64 : maxQueuedPerCaller;
-      maxQueuedPerClass = maxQueuedPerClass == null ? 1_024 : maxQueuedPerClass;
+      maxInProgressPerCaller = maxInProgressPerCaller == null ? 512 : maxInProgressPerCaller;
+      maxInProgressPerClass = maxInProgressPerClass == null ? 1_024 : maxInProgressPerClass;
       retryBudgetRatio = retryBudgetRatio == null ? 0.1 : retryBudgetRatio;
     }
 
--- a/core/src/main/java/org/apricotstand/limit/AdmissionLimits.java
+++ b/core/src/main/java/org/apricotstand/limit/AdmissionLimits.java
@@ -41,7 +41,7 @@
                 RequestClass.BACKGROUND, 512));
   }
 
-  private final Limits limits;
+  private Limits limits;
   private final Map<String, Integer> byCaller = new HashMap<>();
   private final Map<RequestClass, Integer> byClass = new EnumMap<>(RequestClass.class);
 
@@ -50,6 +50,11 @@
     this.limits = limits;
   }
 
+  /** Replaces the limits; requests in progress beyond them go on. */
+  public void limitTo(Limits changed) {
+    limits = changed;
+  }
+
   /** Counts a request in, or returns the code of the limit that refuses it. */
   public Optional<String> admit(String caller, RequestClass requestClass) {
     if (byCaller.getOrDefault(caller, 0) >= limits.perCaller()) {
--- a/core/src/main/java/org/apricotstand/limit/RetryBudget.java
+++ b/core/src/main/java/org/apricotstand/limit/RetryBudget.java
@@ -20,7 +20,7 @@
   /** Retries that may be saved up; a quiet instance can still retry its first failures. */
   public static final int DEFAULT_RESERVE = 10;
 
-  private final double fraction;
+  private double fraction;
   private final int reserve;
   private double available;
 
@@ -38,6 +38,13 @@
     this.available = reserve;
   }
 
+  /** Replaces the retries earned by each first attempt. */
+  public void earn(double changedFraction) {
+    checkArgument(
+        changedFraction >= 0 && changedFraction <= 1, "fraction out of range: %s", changedFraction);
+    fraction = changedFraction;
+  }
+
   /** Notes a first attempt. */
   public void attempted() {
     available = Math.min(reserve, available + fraction);
--- a/core/src/main/java/org/apricotstand/placement/EngineSet.java
+++ b/core/src/main/java/org/apricotstand/placement/EngineSet.java
@@ -82,7 +82,7 @@
    * Returns the indexes of the engines with the highest scores for an adapter version, highest
    * first; at least the given number, when there are as many engines.
    */
-  int[] ranking(AdapterVersion adapterVersion, int count) {
+  public int[] ranking(AdapterVersion adapterVersion, int count) {
     int wanted = Math.min(count, size());
     int[] kept = rankings.get(adapterVersion);
     if (kept != null && kept.length >= wanted) {
--- a/node/src/main/java/org/apricotstand/entry/Admission.java
+++ b/node/src/main/java/org/apricotstand/entry/Admission.java
@@ -1,7 +1,9 @@
 package org.apricotstand.entry;
 
+import java.util.Map;
 import java.util.Optional;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.http.HttpExchange;
 import org.apricotstand.kernel.Service;
 import org.apricotstand.limit.AdmissionLimits;
@@ -33,6 +35,19 @@
     metrics.gauge("entry.in_progress", limits::inProgress);
   }
 
+  /** Takes the limits of a policy. */
+  void limitBy(DeclarationSet.Policy policy) {
+    int perClass = policy.maxInProgressPerClass();
+    limits.limitTo(
+        new AdmissionLimits.Limits(
+            policy.maxInProgressPerCaller(),
+            Map.of(
+                RequestClass.INTERACTIVE, perClass,
+                RequestClass.STANDARD, perClass,
+                // Work that is due within hours leaves room for requests that somebody waits for.
+                RequestClass.BACKGROUND, Math.max(1, perClass / 2))));
+  }
+
   /**
    * Admits a request, or answers the caller that it is refused.
    *
--- a/node/src/main/java/org/apricotstand/entry/ModelRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelRoute.java
@@ -95,11 +95,14 @@
       String model = object.path("model").asText();
       int at = model.indexOf(AdapterVersion.SEPARATOR);
       Optional<Adapter> adapter = revision.adapter(at < 0 ? model : model.substring(0, at));
+      // A caller that sends a request again with its own identifier gets the same version.
+      String given = request.header(EngineHeaders.REQUEST_ID);
+      String choiceKey = given == null ? id.value() : given;
       Optional<String> version =
           adapter.flatMap(
               found ->
                   at < 0
-                      ? VersionChoice.choose(found, id.value())
+                      ? VersionChoice.choose(found, choiceKey)
                       : declared(found, model.substring(at + 1)));
       if (version.isEmpty()) {
         return refused("unknown_model", "no adapter version for " + model);
--- a/node/src/main/java/org/apricotstand/entry/ServiceParts.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceParts.java
@@ -44,6 +44,11 @@
     peers.listen(claims);
     RetryBudget budget = new RetryBudget(RetryBudget.DEFAULT_FRACTION, RetryBudget.DEFAULT_RESERVE);
     Backoff backoff = new Backoff(random.split(), RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
+    configuration.onRevision(
+        revision -> {
+          admission.limitBy(revision.declarations().policy());
+          budget.earn(revision.declarations().policy().retryBudgetRatio());
+        });
     ServiceCalls calls = new ServiceCalls(http, control, budget, backoff, metrics);
     ServiceTargets targets = new ServiceTargets(settings.domain(), target -> false);
     return new ServiceParts(
--- a/node/src/main/java/org/apricotstand/operator/LiveInstance.java
+++ b/node/src/main/java/org/apricotstand/operator/LiveInstance.java
@@ -18,7 +18,7 @@
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.owner.Ownership;
 import org.apricotstand.peer.PeerMessage;
-import org.apricotstand.placement.Rendezvous;
+import org.apricotstand.placement.EngineSet;
 
 /** View of the running instance. What belongs to the control thread is read there. */
 public final class LiveInstance implements InstanceView {
@@ -176,16 +176,15 @@
 
   private List<Candidate> candidates(
       AdapterVersion adapterVersion, Adapter adapter, Revision revision) {
-    List<Target> ranked =
-        Rendezvous.rank(
-            adapterVersion.toString(),
+    EngineSet engines =
+        EngineSet.of(
             revision.declarations().targets().stream()
                 .filter(Target::runsModel)
                 .filter(target -> target.serves().equals(adapter.model()))
-                .toList(),
-            Target::name);
+                .toList());
     List<Candidate> candidates = new ArrayList<>();
-    for (Target target : ranked) {
+    for (int index : engines.ranking(adapterVersion, engines.size())) {
+      Target target = revision.target(engines.id(index)).orElseThrow();
       candidates.add(candidate(candidates.size() + 1, adapterVersion, target));
     }
     return candidates;
--- a/node/src/test/java/org/apricotstand/configuration/DeclarationFilesTest.java
+++ b/node/src/test/java/org/apricotstand/configuration/DeclarationFilesTest.java
@@ -118,8 +118,8 @@
         "30 |  loadsPerSecond: 0              | policy.loadsPerSecond      | expected a rate above 0",
         "30 |  loadsInFlight: 0               | policy.loadsInFlight       | expected 1 or more",
         "30 |  requestTimeoutMs: 0            | policy.requestTimeoutMs    | expected 1 or more",
-        "30 |  maxQueuedPerCaller: 0          | policy.maxQueuedPerCaller  | expected 1 or more",
-        "30 |  maxQueuedPerClass: 0           | policy.maxQueuedPerClass   | expected 1 or more",
+        "30 |  maxInProgressPerCaller: 0          | policy.maxInProgressPerCaller  | expected 1 or more",
+        "30 |  maxInProgressPerClass: 0           | policy.maxInProgressPerClass   | expected 1 or more",
         "30 |  retryBudgetRatio: 2            | policy.retryBudgetRatio    | expected 0 to 1"
       },
       ignoreLeadingAndTrailingWhitespace = false,
