--- a/cli/src/test/java/org/apricotstand/it/ManagedProcess.java
+++ b/cli/src/test/java/org/apricotstand/it/ManagedProcess.java
@@ -69,7 +69,11 @@
 
   /** Waits for the ready line and returns the address in it. */
   InetSocketAddress awaitReady() {
-    return awaitLine(READY, START_LIMIT_MS);
+    try {
+      return awaitLine(READY, START_LIMIT_MS);
+    } catch (AssertionError e) {
+      throw new AssertionError(e.getMessage() + "\n" + String.join("\n", output()), e);
+    }
   }
 
   private InetSocketAddress awaitLine(Pattern pattern, long limitMs) {
--- a/cli/src/test/java/org/apricotstand/it/ProcessCluster.java
+++ b/cli/src/test/java/org/apricotstand/it/ProcessCluster.java
@@ -4,6 +4,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.apricotstand.standin.fault.FaultProxy;
@@ -38,6 +40,9 @@
   /** Name of the platform's process. */
   public static final String PLATFORM = "platform";
 
+  private static final int LOWEST_PORT = 10_000;
+  private static final int HIGHEST_PORT = 32_000;
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final Path folder = Files.createTempDirectory("apricotstand-it");
@@ -238,9 +243,18 @@
     return proxies.computeIfAbsent(link, unused -> FaultProxy.start(group, upstream)).address();
   }
 
+  /**
+   * Returns an address that nothing listens on. The port lies below the range from which the system
+   * takes ports of outgoing connections, so that none of those takes it before the process binds.
+   */
   private static InetSocketAddress reserve() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return (InetSocketAddress) socket.getLocalSocketAddress();
+    while (true) {
+      int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        return (InetSocketAddress) socket.getLocalSocketAddress();
+      } catch (BindException e) {
+        continue;
+      }
     }
   }
 
--- a/node/src/main/java/org/apricotstand/entry/ModelRoute.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelRoute.java
@@ -85,6 +85,9 @@
       if (!(body instanceof ObjectNode object) || !object.path("model").isTextual()) {
         return refused("invalid_body", "the body must be a JSON object with a model name");
       }
+      // A caller that sends a request again with its own identifier gets the same version.
+      String given = request.header(EngineHeaders.REQUEST_ID);
+      String choiceKey = given == null ? id.value() : given;
       String model = object.path("model").asText();
       int at = model.indexOf(AdapterVersion.SEPARATOR);
       Optional<Adapter> adapter = revision.adapter(at < 0 ? model : model.substring(0, at));
@@ -92,7 +95,7 @@
           adapter.flatMap(
               found ->
                   at < 0
-                      ? VersionChoice.choose(found, id.value())
+                      ? VersionChoice.choose(found, choiceKey)
                       : declared(found, model.substring(at + 1)));
       if (version.isEmpty()) {
         return refused("unknown_model", "no adapter version for " + model);
@@ -127,7 +130,11 @@
       return;
     }
     admission
-        .admit(exchange, request.scheduled().requestClass())
+        .admit(
+            exchange,
+            request.scheduled().requestClass(),
+            revision.declarations().policy(),
+            resolved.adapter())
         .ifPresent(release -> start(exchange, revision, resolved, request, verdict, release));
   }
 
