End the process with an error when a command throws

An entry instance whose address was taken threw out of main; its traffic threads kept the process alive without serving.

--- a/cli/src/main/java/org/apricotstand/cli/Main.java
+++ b/cli/src/main/java/org/apricotstand/cli/Main.java
@@ -21,8 +21,19 @@
   private Main() {}
 
   /** Runs a command and exits with its exit code. */
-  public static void main(String[] args) throws Exception {
-    System.exit(new Main().run(args));
+  public static void main(String[] args) {
+    System.exit(runToExitCode(args));
+  }
+
+  // An exception that leaves main would end only this thread; the traffic threads would keep a
+  // process alive that serves nothing.
+  private static int runToExitCode(String[] args) {
+    try {
+      return new Main().run(args);
+    } catch (Exception e) {
+      System.err.println("error: " + e);
+      return ExitCodes.FAILED;
+    }
   }
 
   private int run(String[] args) throws Exception {
