--- a/core/src/test/java/org/apricotstand/revision/RevisionMachineTest.java
+++ b/core/src/test/java/org/apricotstand/revision/RevisionMachineTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.apricotstand.model.InstanceId;
 import org.junit.jupiter.api.Test;
 
@@ -70,4 +71,32 @@
     assertThat(machine.handle(new RevisionEvent.Tick(), 2_000))
         .contains(new RevisionAction.FetchFromStore(FIRST));
   }
+
+  // Guards against a spread that rests on the poll of the head row alone.
+  @Test
+  void firstSightIsForwardedToFewPeersOnce() {
+    List<InstanceId> peers =
+        IntStream.range(2, 12).mapToObj(i -> new InstanceId("entry-" + i)).toList();
+    handle(new RevisionEvent.PeersKnown(peers));
+    RevisionEvent announced = new RevisionEvent.Announced(PEER, FIRST);
+    List<InstanceId> told =
+        handle(announced).stream()
+            .filter(RevisionAction.Announce.class::isInstance)
+            .map(action -> ((RevisionAction.Announce) action).peer())
+            .toList();
+    assertThat(told).hasSize(RevisionMachine.FAN_OUT);
+    assertThat(told).containsNoDuplicates();
+    assertThat(told).doesNotContain(PEER);
+    assertThat(handle(announced)).isEmpty();
+  }
+
+  // Guards against an instance that waits to be told while the platform is down.
+  @Test
+  void instanceWithoutRevisionAsksPeers() {
+    handle(new RevisionEvent.PeersKnown(List.of(PEER)));
+    assertThat(handle(new RevisionEvent.Tick())).contains(new RevisionAction.AskPeer(PEER, 0));
+    putInForce(FIRST);
+    assertThat(machine.handle(new RevisionEvent.Tick(), 9_000))
+        .doesNotContain(new RevisionAction.AskPeer(PEER, 0));
+  }
 }
