--- a/core/src/main/java/org/apricotstand/declaration/DeclarationSet.java
+++ b/core/src/main/java/org/apricotstand/declaration/DeclarationSet.java
@@ -171,8 +171,7 @@
    * @param leavingTimeMs time after which a target that the platform lists as leaving receives no
    *     new work
    * @param maxInProgressPerCaller most requests in progress of one caller at one instance
-   * @param maxInProgressPerClass most requests in progress of one class at one instance; background
-   *     gets half of it
+   * @param maxInProgressPerClass most requests in progress of one class at one instance
    * @param retryBudgetRatio retries as a fraction of traffic
    */
   public record Policy(
--- a/core/src/main/java/org/apricotstand/limit/RetryBudget.java
+++ b/core/src/main/java/org/apricotstand/limit/RetryBudget.java
@@ -38,11 +38,10 @@
     this.available = reserve;
   }
 
-  /** Replaces the retries earned by each first attempt. */
-  public void earn(double changedFraction) {
-    checkArgument(
-        changedFraction >= 0 && changedFraction <= 1, "fraction out of range: %s", changedFraction);
-    fraction = changedFraction;
+  /** Sets the retries earned by each first attempt from now on. */
+  public void setFraction(double changed) {
+    checkArgument(changed >= 0 && changed <= 1, "fraction out of range: %s", changed);
+    fraction = changed;
   }
 
   /** Notes a first attempt. */
--- a/core/src/main/java/org/apricotstand/schedule/TargetScheduler.java
+++ b/core/src/main/java/org/apricotstand/schedule/TargetScheduler.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.apricotstand.budget.LoadRights;
 import org.apricotstand.model.AdapterVersion;
 import org.apricotstand.model.Failure;
@@ -47,6 +48,9 @@
   private long incarnation;
   private boolean reachable;
   private boolean commandsAllowed = true;
+  // Set once: a scheduler is not used again after its ownership ended, since a state report that is
+  // still underway could otherwise make two schedulers of this instance command the engine.
+  private Failure ownershipLost;
 
   /**
    * Creates a scheduler for an engine that has not reported yet.
@@ -85,9 +89,9 @@
     return slots.all().stream().filter(Slot::isResident).map(Slot::adapterVersion).toList();
   }
 
-  /** Returns the number of requests that wait or run. */
+  /** Returns the number of requests that wait, run or may still reach a restarted engine. */
   public int load() {
-    return waiting() + running();
+    return waiting() + running() + batch.unconfirmedSize();
   }
 
   /** Returns whether a request waits or runs here. */
@@ -114,7 +118,11 @@
       case SchedulerEvent.LoadFinished(AdapterVersion loaded, long order) -> {
         endLoad(order, true, nowMs);
         backoff.succeeded(loaded);
-        slots.confirmResident(loaded, order, nowMs);
+        if (commandsAllowed) {
+          slots.confirmResident(loaded, order, nowMs);
+        } else {
+          slots.confirmEmpty(loaded, order, nowMs);
+        }
       }
       case SchedulerEvent.LoadFailed(AdapterVersion failed, long order, Failure failure) -> {
         endLoad(order, false, nowMs);
@@ -148,6 +156,10 @@
   }
 
   private void submit(ScheduledRequest request, long nowMs, List<SchedulerAction> actions) {
+    if (ownershipLost != null) {
+      actions.add(new SchedulerAction.Refuse(request, ownershipLost));
+      return;
+    }
     if (queue.contains(request.id()) || batch.contains(request.id())) {
       actions.add(
           refusal(request, "duplicate_request", "a request of this id waits or runs already"));
@@ -196,7 +208,9 @@
     if (canceled) {
       return;
     }
-    if (refused.entry().requeues() >= MAX_REQUEUES) {
+    if (ownershipLost != null) {
+      actions.add(new SchedulerAction.Refuse(request, ownershipLost));
+    } else if (refused.entry().requeues() >= MAX_REQUEUES) {
       actions.add(refusal(request, "adapter_not_loaded", "the engine lost the adapter repeatedly"));
     } else {
       queue.requeue(refused.entry());
@@ -205,12 +219,15 @@
 
   private void applyReport(
       SchedulerEvent.EngineReported report, long nowMs, List<SchedulerAction> actions) {
+    if (ownershipLost != null) {
+      return;
+    }
     reachable = true;
     slots.setCapacity(report.slots());
     batch.setMaxSize(report.maxBatch());
     boolean restarted = report.incarnation() != incarnation;
     if (reported && !restarted) {
-      slots.reconcile(report.resident(), batch.inUse(), nowMs);
+      slots.reconcile(trusted(report.resident()), batch.inUse(), nowMs);
       return;
     }
     if (restarted) {
@@ -225,6 +242,18 @@
     reported = true;
   }
 
+  /**
+   * Returns the adapter versions of a report that may be dispatched to. While commands are not
+   * allowed, another instance may own the engine: it may evict what it loaded itself, but not what
+   * this owner held before.
+   */
+  private Set<AdapterVersion> trusted(Set<AdapterVersion> resident) {
+    if (commandsAllowed) {
+      return resident;
+    }
+    return resident.stream().filter(name -> slots.get(name) != null).collect(Collectors.toSet());
+  }
+
   private void loseOwnership(Failure failure, List<SchedulerAction> actions) {
     queue
         .entries()
@@ -235,8 +264,7 @@
             });
     slots.clear();
     reachable = false;
-    // A later owner may change the slots, so the next report replaces all beliefs about them.
-    reported = false;
+    ownershipLost = failure;
   }
 
   private void endLoad(long order, boolean loaded, long nowMs) {
--- a/node/src/main/java/org/apricotstand/entry/ServiceParts.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceParts.java
@@ -33,12 +33,6 @@
     base.peers().listen(claims);
     RetryBudget budget = new RetryBudget(RetryBudget.DEFAULT_FRACTION, RetryBudget.DEFAULT_RESERVE);
     Backoff backoff = new Backoff(random.split(), RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
-    base.configuration()
-        .onRevision(
-            revision -> {
-              admission.limitBy(revision.declarations().policy());
-              budget.earn(revision.declarations().policy().retryBudgetRatio());
-            });
     ServiceCalls calls =
         new ServiceCalls(base.http(), base.control(), budget, backoff, base.metrics());
     ServiceTargets targets =
