--- a/cli/src/test/java/org/apricotstand/it/WholePathTest.java
+++ b/cli/src/test/java/org/apricotstand/it/WholePathTest.java
@@ -18,6 +18,7 @@
   private static final String DECLARATIONS =
       """
       models: [{name: base}]
+      policy: {stallWeight: 1, loadsPerSecond: 20, loadsInFlight: 8, requestTimeoutMs: 30000}
       adapters:
         - {name: letters, model: base, versions: [v1, v2], route: {v2: 100}}
         - {name: summaries, model: base, versions: [v1]}
@@ -33,6 +34,8 @@
     // Only instances of the engine's domain may own it, so entry-2 must use the peer link.
     cluster.startEntries(Map.of("entry-1", "a", "entry-2", "b"));
     cluster.apply(DECLARATIONS);
+    cluster.awaitServing("entry-1", "letters");
+    cluster.awaitServing("entry-2", "letters");
   }
 
   @AfterAll
--- a/node/src/main/java/org/apricotstand/entry/Admission.java
+++ b/node/src/main/java/org/apricotstand/entry/Admission.java
@@ -64,7 +64,7 @@
         limits.admit(
             request,
             new AdmissionLimits.Limits(
-                policy.maxQueuedPerCaller(), policy.maxQueuedPerClass(), adapterLimit));
+                policy.maxInProgressPerCaller(), policy.maxInProgressPerClass(), adapterLimit));
     if (refusal.isPresent()) {
       metrics.count("entry.refused");
       refuse(exchange, refusal.get(), "too many requests in progress", RETRY_AFTER_MS);
