Route nothing to an engine that the platform lists as leaving

Model requests went to leaving engines. Their owners are no longer named, so placement picks others.

--- a/cli/src/test/java/org/apricotstand/it/OwnerFailureTest.java
+++ b/cli/src/test/java/org/apricotstand/it/OwnerFailureTest.java
@@ -222,6 +222,26 @@
     assertThat(ownerRow().path("fencing").asLong()).isEqualTo(fencing);
   }
 
+  /** Guards against new work for an engine that the platform is removing. */
+  @Test
+  void leavingEngineGetsNoNewWork() {
+    String leaving =
+        "{\"name\":\"engine-1\",\"kind\":\"target\",\"incarnation\":0,\"domain\":\"a\","
+            + "\"address\":\"127.0.0.1:1\",\"leaving\":true}";
+    cluster
+        .caller()
+        .post(cluster.directAddress(ProcessCluster.PLATFORM), "/instances", leaving, Map.of());
+    for (String entry : ENTRIES) {
+      Await.until(
+          entry + " refuses",
+          () ->
+              cluster
+                  .complete(entry, "letters", false)
+                  .header("x-apricotstand-outcome")
+                  .equals("not_run"));
+    }
+  }
+
   private List<String> namesOfFormers() {
     return ownerRow().path("formers").findValuesAsText("instance");
   }
--- a/node/src/main/java/org/apricotstand/owner/Ownership.java
+++ b/node/src/main/java/org/apricotstand/owner/Ownership.java
@@ -7,7 +7,10 @@
 /** Who owns which engine. Methods may be called from any thread. */
 public interface Ownership {
 
-  /** Returns the owner of an engine as far as this instance knows. */
+  /**
+   * Returns the owner of an engine as far as this instance knows; nothing when the owner is silent
+   * or the platform lists the engine as leaving.
+   */
   Optional<InstanceId> ownerOf(TargetId target);
 
   /** Returns the fencing number under which this instance owns the engine. */
--- a/node/src/main/java/org/apricotstand/ownership/OwnershipService.java
+++ b/node/src/main/java/org/apricotstand/ownership/OwnershipService.java
@@ -151,6 +151,9 @@
 
   @Override
   public Optional<InstanceId> ownerOf(TargetId target) {
+    if (leavingTargets.contains(target)) {
+      return Optional.empty();
+    }
     InstanceId known = knownOwners.get(target);
     Optional<InstanceId> owner =
         known == null ? cache.get(target).or(() -> bestCandidate(target)) : Optional.of(known);
