Bound the answers of plain services by the declared setting

Change: the limit reaches the HTTP client; a longer answer ends as answer_too_large with an unknown outcome. Conclusion: an answer cannot take more memory than the setting allows.

--- a/node/src/main/java/org/apricotstand/entry/ServiceCalls.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceCalls.java
@@ -38,18 +38,21 @@
   private final RetryBudget budget;
   private final Backoff backoff;
   private final Metrics metrics;
+  private final int maxAnswerBytes;
 
   ServiceCalls(
       HttpCaller http,
       ControlThread control,
       RetryBudget budget,
       Backoff backoff,
-      Metrics metrics) {
+      Metrics metrics,
+      int maxAnswerBytes) {
     this.http = http;
     this.control = control;
     this.budget = budget;
     this.backoff = backoff;
     this.metrics = metrics;
+    this.maxAnswerBytes = maxAnswerBytes;
   }
 
   /**
@@ -92,7 +95,7 @@
 
     void attempt(int number) {
       Target target = targets.get(number - 1);
-      http.send(toCall(target))
+      http.send(toCall(target), maxAnswerBytes)
           .whenComplete(
               (reply, error) -> control.execute(() -> ended(number, target, reply, error)));
     }
--- a/node/src/main/java/org/apricotstand/entry/ServiceParts.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceParts.java
@@ -34,7 +34,13 @@
     RetryBudget budget = new RetryBudget(RetryBudget.DEFAULT_FRACTION, RetryBudget.DEFAULT_RESERVE);
     Backoff backoff = new Backoff(random.split(), RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
     ServiceCalls calls =
-        new ServiceCalls(base.http(), base.control(), budget, backoff, base.metrics());
+        new ServiceCalls(
+            base.http(),
+            base.control(),
+            budget,
+            backoff,
+            base.metrics(),
+            base.settings().callerLimits().maxAnswerBytes());
     ServiceTargets targets =
         new ServiceTargets(base.settings().domain(), base.ownership()::isLeaving);
     return new ServiceParts(
--- a/node/src/main/java/org/apricotstand/http/HttpCaller.java
+++ b/node/src/main/java/org/apricotstand/http/HttpCaller.java
@@ -76,7 +76,16 @@
 
   /** Sends a call and collects the whole answer; the future fails only with a CallException. */
   public CompletableFuture<HttpReply> send(HttpCall call) {
-    Collector collector = new Collector();
+    return send(call, MAX_REPLY_BYTES);
+  }
+
+  /**
+   * Sends a call and collects the whole answer; the future fails only with a CallException.
+   *
+   * @param maxReplyBytes largest body; beyond it the call fails as answer_too_large
+   */
+  public CompletableFuture<HttpReply> send(HttpCall call, int maxReplyBytes) {
+    Collector collector = new Collector(maxReplyBytes);
     stream(call, collector);
     return collector.future;
   }
@@ -137,10 +146,15 @@
   private static final class Collector implements ReplyListener {
     private final CompletableFuture<HttpReply> future = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final int maxReplyBytes;
     private int status;
     private HttpHeaders headers;
     private ReplyControl control;
 
+    Collector(int maxReplyBytes) {
+      this.maxReplyBytes = maxReplyBytes;
+    }
+
     @Override
     public void onHead(int status, HttpHeaders headers, ReplyControl control) {
       this.status = status;
@@ -150,8 +164,8 @@
 
     @Override
     public void onPart(byte[] part) {
-      if (body.size() + part.length > MAX_REPLY_BYTES) {
-        onFailure(new CallFailure(true, "answer_too_large", "over " + MAX_REPLY_BYTES + " bytes"));
+      if (body.size() + part.length > maxReplyBytes) {
+        onFailure(new CallFailure(true, "answer_too_large", "over " + maxReplyBytes + " bytes"));
         control.cancel();
         return;
       }
--- a/node/src/test/java/org/apricotstand/entry/ServiceCallsTest.java
+++ b/node/src/test/java/org/apricotstand/entry/ServiceCallsTest.java
@@ -33,6 +33,7 @@
 class ServiceCallsTest {
 
   private static final long TIMEOUT_MS = 20_000;
+  private static final int MAX_ANSWER_BYTES = 1_024;
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -122,7 +123,12 @@
     CompletableFuture<ServiceEnd> end = new CompletableFuture<>();
     ServiceCalls calls =
         new ServiceCalls(
-            http, control, budget, new Backoff(new SplittableRandom(1), 1, 1), new Metrics());
+            http,
+            control,
+            budget,
+            new Backoff(new SplittableRandom(1), 1, 1),
+            new Metrics(),
+            MAX_ANSWER_BYTES);
     control.execute(
         () ->
             calls.send(
--- a/node/src/test/java/org/apricotstand/http/HttpCallerTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpCallerTest.java
@@ -76,6 +76,18 @@
     }
   }
 
+  /** Guards against an answer that fills the memory of the instance. */
+  @Test
+  void failsOnAnswerOverTheLimit() throws IOException {
+    try (ScriptedServer server =
+        new ScriptedServer("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n0123456789")) {
+      assertThat(caller.send(get(server.url()), 10).join().text()).isEqualTo("0123456789");
+      CompletionException thrown =
+          assertThrows(CompletionException.class, () -> caller.send(get(server.url()), 9).join());
+      assertThat(thrown).hasMessageThat().contains("answer_too_large");
+    }
+  }
+
   /** Guards against a dispatch after its deadline. */
   @Test
   void sendsNothingAfterTheDeadline() throws IOException {
