Send requests at once unless a stall weight is declared; trace service calls

Cause: with the former default weight of 0.5 a lone standard request waited about 7.5 s of a 30 s deadline for a batch (seen in integration tests and `try`), which nobody expects who declared nothing. Calls to services had no span. Conclusion: holding back is something that operators ask for.

--- a/cli/src/main/java/org/apricotstand/bench/Driver.java
+++ b/cli/src/main/java/org/apricotstand/bench/Driver.java
@@ -71,7 +71,11 @@
     body.put("stream", request.streamed());
     body.put("user", request.id());
     CallerView view = new CallerView(sleepUntil(startMs + request.atMs()), open);
-    http.stream(call(request.entry(), "/v1/completions", Json.encode(body)), view);
+    // One caller for each adapter, as member firms have; limits by caller would bind otherwise.
+    HttpCall call =
+        call(request.entry(), "/v1/completions", Json.encode(body))
+            .with("x-caller", Scenario.adapterName(request.adapter()));
+    http.stream(call, view);
     return view;
   }
 
--- a/core/src/main/java/org/apricotstand/declaration/DeclarationSet.java
+++ b/core/src/main/java/org/apricotstand/declaration/DeclarationSet.java
@@ -189,7 +189,7 @@
 
     /** Replaces missing values by their defaults. */
     public Policy {
-      stallWeight = stallWeight == null ? 0.5 : stallWeight;
+      stallWeight = stallWeight == null ? 1.0 : stallWeight;
       loadsPerSecond = loadsPerSecond == null ? 2.0 : loadsPerSecond;
       loadsInFlight = loadsInFlight == null ? 8 : loadsInFlight;
       requestTimeoutMs = requestTimeoutMs == null ? 30_000 : requestTimeoutMs;
--- a/node/src/main/java/org/apricotstand/entry/ServiceCalls.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceCalls.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.declaration.DeclarationSet.Target;
+import org.apricotstand.engine.EngineHeaders;
 import org.apricotstand.http.HttpCall;
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.http.HttpReply;
@@ -13,6 +14,7 @@
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.Step;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.observe.Tracing;
 
 /**
  * Sends calls to the targets of a plain service, with further attempts where the call allows them
@@ -38,6 +40,7 @@
   private final RetryBudget budget;
   private final Backoff backoff;
   private final Metrics metrics;
+  private final Tracing tracing;
   private final int maxAnswerBytes;
 
   ServiceCalls(
@@ -46,12 +49,14 @@
       RetryBudget budget,
       Backoff backoff,
       Metrics metrics,
+      Tracing tracing,
       int maxAnswerBytes) {
     this.http = http;
     this.control = control;
     this.budget = budget;
     this.backoff = backoff;
     this.metrics = metrics;
+    this.tracing = tracing;
     this.maxAnswerBytes = maxAnswerBytes;
   }
 
@@ -95,9 +100,16 @@
 
     void attempt(int number) {
       Target target = targets.get(number - 1);
-      http.send(toCall(target), maxAnswerBytes)
+      Tracing.Hop hop =
+          tracing.start(
+              "service", request.header(EngineHeaders.TRACEPARENT), "target", target.name());
+      HttpCall call = toCall(target).with(EngineHeaders.TRACEPARENT, hop.traceparent());
+      http.send(call, maxAnswerBytes)
           .whenComplete(
-              (reply, error) -> control.execute(() -> ended(number, target, reply, error)));
+              (reply, error) -> {
+                hop.end(error == null ? "answered" : "failed");
+                control.execute(() -> ended(number, target, reply, error));
+              });
     }
 
     private HttpCall toCall(Target target) {
--- a/node/src/main/java/org/apricotstand/entry/ServiceParts.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceParts.java
@@ -40,6 +40,7 @@
             budget,
             backoff,
             base.metrics(),
+            base.tracing(),
             base.settings().callerLimits().maxAnswerBytes());
     ServiceTargets targets =
         new ServiceTargets(base.settings().domain(), base.ownership()::isLeaving);
--- a/node/src/test/java/org/apricotstand/entry/ServiceCallsTest.java
+++ b/node/src/test/java/org/apricotstand/entry/ServiceCallsTest.java
@@ -27,6 +27,7 @@
 import org.apricotstand.limit.Backoff;
 import org.apricotstand.limit.RetryBudget;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.observe.Tracing;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -128,6 +129,7 @@
             budget,
             new Backoff(new SplittableRandom(1), 1, 1),
             new Metrics(),
+            new Tracing(0),
             MAX_ANSWER_BYTES);
     control.execute(
         () ->
