--- a/cli/src/main/java/org/apricotstand/cli/ApplyCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/ApplyCommand.java
@@ -47,8 +47,8 @@
 
   private int apply(DeclarationSet set) {
     OptionalLong from = base == null ? OptionalLong.empty() : OptionalLong.of(base);
-    try (HttpSession session = new HttpSession()) {
-      DeclarationApplier applier = session.applier(platformUrl);
+    try (HttpResources resources = new HttpResources()) {
+      DeclarationApplier applier = resources.applier(platformUrl);
       return report(applier, set, applier.apply(set, UUID.randomUUID().toString(), from));
     }
   }
--- a/cli/src/main/java/org/apricotstand/cli/BenchCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/BenchCommand.java
@@ -54,7 +54,7 @@
   private int run(Scenario read) throws Exception {
     List<String> policies = policy.equals(ALL) ? Experiment.POLICIES : List.of(policy);
     Results results =
-        Experiment.run(read, policies, seed, durationS * MS_PER_S, HttpSession::apply);
+        Experiment.run(read, policies, seed, durationS * MS_PER_S, HttpResources::apply);
     System.out.println(results.toTable());
     if (jsonFile != null) {
       Files.writeString(Path.of(jsonFile), results.toJson() + "\n");
--- a/cli/src/main/java/org/apricotstand/cli/DiffCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/DiffCommand.java
@@ -40,8 +40,8 @@
   }
 
   private int compare(DeclarationSet set) {
-    try (HttpSession session = new HttpSession()) {
-      DeclarationApplier applier = session.applier(platformUrl);
+    try (HttpResources resources = new HttpResources()) {
+      DeclarationApplier applier = resources.applier(platformUrl);
       return switch (applier.readHead()) {
         case Result.Ok<Optional<HeadRow>>(Optional<HeadRow> row) -> compare(applier, row, set);
         case Result.Failed<Optional<HeadRow>>(Failure failure) -> failed(failure);
--- a/cli/src/main/java/org/apricotstand/cli/DrainCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/DrainCommand.java
@@ -19,9 +19,9 @@
       return ExitCodes.USAGE;
     }
     int exitCode = ExitCodes.OK;
-    try (HttpSession session = new HttpSession()) {
+    try (HttpResources resources = new HttpResources()) {
       for (String address : client.addresses()) {
-        OperatorClient.Reply reply = client.call(session, "POST", address, "/drain");
+        OperatorClient.Reply reply = client.call(resources, "POST", address, "/drain");
         if (reply instanceof OperatorClient.Reply.Answered answered
             && answered.status() == ACCEPTED) {
           System.out.println("address=" + address + " draining");
--- a/cli/src/main/java/org/apricotstand/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/ExplainCommand.java
@@ -27,8 +27,8 @@
       return ExitCodes.USAGE;
     }
     String path = "/explain?model=" + URLEncoder.encode(model, StandardCharsets.UTF_8);
-    try (HttpSession session = new HttpSession()) {
-      return switch (client.call(session, "GET", client.addresses().getFirst(), path)) {
+    try (HttpResources resources = new HttpResources()) {
+      return switch (client.call(resources, "GET", client.addresses().getFirst(), path)) {
         case OperatorClient.Reply.Answered(int status, JsonNode body) when status == 200 -> {
           System.out.println(describe(body));
           yield ExitCodes.OK;
--- a/cli/src/main/java/org/apricotstand/cli/HttpSession.java
+++ b/cli/src/main/java/org/apricotstand/cli/HttpResources.java
@@ -19,7 +19,7 @@
 import org.apricotstand.settings.Checked;
 
 /** HTTP client for the time of one command. */
-final class HttpSession implements AutoCloseable {
+final class HttpResources implements AutoCloseable {
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -39,9 +39,9 @@
     return switch (DeclarationFiles.read(files)) {
       case Checked.Faulty<DeclarationSet> faulty -> failed("invalid_file", faulty.report());
       case Checked.Valid<DeclarationSet>(DeclarationSet set) -> {
-        try (HttpSession session = new HttpSession()) {
+        try (HttpResources resources = new HttpResources()) {
           String nonce = UUID.randomUUID().toString();
-          yield switch (session.applier(platformUrl).apply(set, nonce, OptionalLong.empty())) {
+          yield switch (resources.applier(platformUrl).apply(set, nonce, OptionalLong.empty())) {
             case ApplyOutcome.Accepted(long revision) -> Result.ok(revision);
             case ApplyOutcome.Unchanged(long revision) -> Result.ok(revision);
             case ApplyOutcome other -> failed("not_accepted", other.toString());
--- a/cli/src/main/java/org/apricotstand/cli/OperatorClient.java
+++ b/cli/src/main/java/org/apricotstand/cli/OperatorClient.java
@@ -61,7 +61,8 @@
         .orElse("");
   }
 
-  Reply call(HttpSession session, String method, String address, String path) throws IOException {
+  Reply call(HttpResources resources, String method, String address, String path)
+      throws IOException {
     HttpCall call =
         new HttpCall(
             method,
@@ -73,7 +74,7 @@
     String token = token();
     try {
       HttpReply reply =
-          session
+          resources
               .http()
               .send(token == null ? call : call.with("authorization", "Bearer " + token))
               .join();
--- a/cli/src/main/java/org/apricotstand/cli/StatusCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/StatusCommand.java
@@ -22,9 +22,9 @@
       return ExitCodes.USAGE;
     }
     int exitCode = ExitCodes.OK;
-    try (HttpSession session = new HttpSession()) {
+    try (HttpResources resources = new HttpResources()) {
       for (String address : client.addresses()) {
-        if (!show(address, client.call(session, "GET", address, "/status"))) {
+        if (!show(address, client.call(resources, "GET", address, "/status"))) {
           exitCode = ExitCodes.FAILED;
         }
       }
--- a/cli/src/main/java/org/apricotstand/cli/TryCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/TryCommand.java
@@ -96,7 +96,7 @@
     Path file = Files.createTempFile("apricotstand-try", ".yaml");
     try {
       Files.writeString(file, declarations);
-      return HttpSession.apply(platform.url(), file);
+      return HttpResources.apply(platform.url(), file);
     } finally {
       Files.delete(file);
     }
--- a/node/src/main/java/org/apricotstand/owner/PeerRequests.java
+++ b/node/src/main/java/org/apricotstand/owner/PeerRequests.java
@@ -104,45 +104,24 @@
   }
 
   /** Forgets the request when its answer ends. */
-  private final class Closing implements AnswerSink {
-    private final PeerSink sink;
+  private final class Closing extends ForwardingSink {
     private final Key key;
 
     Closing(PeerSink sink, Key key) {
-      this.sink = sink;
+      super(sink);
       this.key = key;
     }
 
-    @Override
-    public void head(int status, Map<String, String> headers) {
-      sink.head(status, headers);
-    }
-
-    @Override
-    public void part(byte[] part) {
-      sink.part(part);
-    }
-
     @Override
     public void end() {
       open.remove(key);
-      control.execute(sink::end);
+      control.execute(super::end);
     }
 
     @Override
     public void failed(Outcome outcome) {
       open.remove(key);
-      control.execute(() -> sink.failed(outcome));
-    }
-
-    @Override
-    public boolean isReady() {
-      return sink.isReady();
-    }
-
-    @Override
-    public void onReady(Runnable listener) {
-      sink.onReady(listener);
+      control.execute(() -> super.failed(outcome));
     }
   }
 }
--- a/node/src/main/java/org/apricotstand/suspects/CrashWatch.java
+++ b/node/src/main/java/org/apricotstand/suspects/CrashWatch.java
@@ -1,6 +1,5 @@
 package org.apricotstand.suspects;
 
-import java.util.Map;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.engine.EngineClient;
 import org.apricotstand.engine.EngineRequest;
@@ -12,6 +11,7 @@
 import org.apricotstand.model.Step;
 import org.apricotstand.model.TargetId;
 import org.apricotstand.owner.AnswerSink;
+import org.apricotstand.owner.ForwardingSink;
 import org.apricotstand.suspect.SuspectEvent;
 
 /**
@@ -19,7 +19,7 @@
  * whether the engine crashed, and passes the failure on after that. So the caller cannot send the
  * request again before this instance knows how it may run, and the others have been told.
  */
-final class CrashWatch implements AnswerSink {
+final class CrashWatch extends ForwardingSink {
 
   /** An engine that closed the connection first and ends later is seen by the second question. */
   private static final long CONFIRM_PAUSE_MS = 150;
@@ -36,7 +36,6 @@
   private final String address;
   private final long incarnation;
   private final EngineRequest request;
-  private final AnswerSink sink;
 
   CrashWatch(
       SuspectService suspects,
@@ -47,6 +46,7 @@
       long incarnation,
       EngineRequest request,
       AnswerSink sink) {
+    super(sink);
     this.suspects = suspects;
     this.control = control;
     this.engines = engines;
@@ -54,7 +54,6 @@
     this.address = address;
     this.incarnation = incarnation;
     this.request = request;
-    this.sink = sink;
   }
 
   @Override
@@ -62,7 +61,7 @@
     if (outcome instanceof Outcome.OutcomeUnknown(Failure failure) && isLoss(failure)) {
       control.execute(() -> new Settlement(failure).begin());
     } else {
-      sink.failed(outcome);
+      super.failed(outcome);
     }
   }
 
@@ -122,7 +121,7 @@
 
     private void crashed() {
       suspects.crashed(fingerprint, target, incarnation);
-      sink.failed(
+      CrashWatch.super.failed(
           new Outcome.OutcomeUnknown(
               new Failure(
                   Step.ANSWER, target.value(), SuspectCodes.ENGINE_CRASHED, failure.detail())));
@@ -130,32 +129,7 @@
 
     private void survived() {
       suspects.note(new SuspectEvent.Survived(fingerprint, target, incarnation));
-      sink.failed(new Outcome.OutcomeUnknown(failure));
+      CrashWatch.super.failed(new Outcome.OutcomeUnknown(failure));
     }
   }
-
-  @Override
-  public void head(int status, Map<String, String> headers) {
-    sink.head(status, headers);
-  }
-
-  @Override
-  public void part(byte[] part) {
-    sink.part(part);
-  }
-
-  @Override
-  public void end() {
-    sink.end();
-  }
-
-  @Override
-  public boolean isReady() {
-    return sink.isReady();
-  }
-
-  @Override
-  public void onReady(Runnable listener) {
-    sink.onReady(listener);
-  }
 }
