Add the facade of the library and use it in the commands

Cause: a program that embeds the library had to know four packages to read settings and start an instance.

--- a/cli/src/main/java/org/apricotstand/bench/Fleet.java
+++ b/cli/src/main/java/org/apricotstand/bench/Fleet.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
+import org.apricotstand.Apricotstand;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.entry.EntryInstance;
 import org.apricotstand.http.HttpCall;
@@ -115,7 +116,7 @@
     }
     for (InstanceSettings.Peer self : all) {
       List<InstanceSettings.Peer> peers = all.stream().filter(peer -> peer != self).toList();
-      entries.add(EntryInstance.start(settings(self, peers, policy)));
+      entries.add(Apricotstand.start(settings(self, peers, policy)));
     }
   }
 
--- a/cli/src/main/java/org/apricotstand/cli/ApplyCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/ApplyCommand.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.UUID;
+import org.apricotstand.Apricotstand;
 import org.apricotstand.configuration.DeclarationApplier;
-import org.apricotstand.configuration.DeclarationFiles;
 import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.Result;
@@ -35,7 +35,7 @@
 
   @Override
   public int run() {
-    return switch (DeclarationFiles.read(Path.of(files))) {
+    return switch (Apricotstand.readDeclarations(Path.of(files))) {
       case Checked.Valid<DeclarationSet>(DeclarationSet set) -> apply(set);
       case Checked.Faulty<DeclarationSet> faulty -> {
         System.err.println(faulty.report());
--- a/cli/src/main/java/org/apricotstand/cli/CheckCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/CheckCommand.java
@@ -3,10 +3,9 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
-import org.apricotstand.configuration.DeclarationFiles;
+import org.apricotstand.Apricotstand;
 import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.settings.Checked;
-import org.apricotstand.settings.InstanceSettings;
 
 /** Checks declaration files or a settings file without a platform. */
 @Parameters(commandDescription = "checks declaration files, or a settings file, without a platform")
@@ -25,8 +24,8 @@
       return ExitCodes.USAGE;
     }
     return files == null
-        ? report(InstanceSettings.read(Path.of(settings)))
-        : report(DeclarationFiles.read(Path.of(files)));
+        ? report(Apricotstand.readSettings(Path.of(settings)))
+        : report(Apricotstand.readDeclarations(Path.of(files)));
   }
 
   private static int report(Checked<?> checked) {
--- a/cli/src/main/java/org/apricotstand/cli/DiffCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/DiffCommand.java
@@ -5,8 +5,8 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Optional;
+import org.apricotstand.Apricotstand;
 import org.apricotstand.configuration.DeclarationApplier;
-import org.apricotstand.configuration.DeclarationFiles;
 import org.apricotstand.declaration.DeclarationDiff;
 import org.apricotstand.declaration.DeclarationDiff.Change;
 import org.apricotstand.declaration.DeclarationSet;
@@ -30,7 +30,7 @@
 
   @Override
   public int run() {
-    return switch (DeclarationFiles.read(Path.of(files))) {
+    return switch (Apricotstand.readDeclarations(Path.of(files))) {
       case Checked.Valid<DeclarationSet>(DeclarationSet set) -> compare(set);
       case Checked.Faulty<DeclarationSet> faulty -> {
         System.err.println(faulty.report());
--- a/cli/src/main/java/org/apricotstand/cli/EntryCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/EntryCommand.java
@@ -3,6 +3,7 @@
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
 import java.nio.file.Path;
+import org.apricotstand.Apricotstand;
 import org.apricotstand.entry.EntryInstance;
 import org.apricotstand.settings.Checked;
 import org.apricotstand.settings.InstanceSettings;
@@ -16,7 +17,7 @@
 
   @Override
   public int run() throws InterruptedException {
-    return switch (InstanceSettings.read(Path.of(settingsFile))) {
+    return switch (Apricotstand.readSettings(Path.of(settingsFile))) {
       case Checked.Valid<InstanceSettings>(InstanceSettings settings) -> serve(settings);
       case Checked.Faulty<InstanceSettings> faulty -> {
         System.err.println(faulty.report());
@@ -26,7 +27,7 @@
   }
 
   private static int serve(InstanceSettings settings) throws InterruptedException {
-    EntryInstance instance = EntryInstance.start(settings);
+    EntryInstance instance = Apricotstand.start(settings);
     System.out.println(
         "ready callers=" + instance.callerAddress() + " operators=" + instance.operatorAddress());
     Runtime.getRuntime().addShutdownHook(new Thread(instance::close, "shutdown"));
--- a/cli/src/main/java/org/apricotstand/cli/HttpResources.java
+++ b/cli/src/main/java/org/apricotstand/cli/HttpResources.java
@@ -7,8 +7,8 @@
 import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
+import org.apricotstand.Apricotstand;
 import org.apricotstand.configuration.DeclarationApplier;
-import org.apricotstand.configuration.DeclarationFiles;
 import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.http.HttpCaller;
 import org.apricotstand.model.Failure;
@@ -36,7 +36,7 @@
 
   /** Checks and applies a folder of declaration files and returns the accepted revision. */
   static Result<Long> apply(String platformUrl, Path files) {
-    return switch (DeclarationFiles.read(files)) {
+    return switch (Apricotstand.readDeclarations(files)) {
       case Checked.Faulty<DeclarationSet> faulty -> failed("invalid_file", faulty.report());
       case Checked.Valid<DeclarationSet>(DeclarationSet set) -> {
         try (HttpResources resources = new HttpResources()) {
--- a/cli/src/main/java/org/apricotstand/cli/TryCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/TryCommand.java
@@ -13,6 +13,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.apricotstand.Apricotstand;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.engine.EngineHeaders;
 import org.apricotstand.entry.EntryInstance;
@@ -64,7 +65,7 @@
         StandInEngine second = startEngine(group, http, "engine-2", platform.url());
         StandInService orders =
             StandInService.start(group, InstanceSettings.parseAddress(LOCAL), "x-order-id");
-        EntryInstance instance = EntryInstance.start(settings(platform.url()))) {
+        EntryInstance instance = Apricotstand.start(settings(platform.url()))) {
       Result<Long> applied = applyDeclarations(platform, first, second, orders);
       if (applied instanceof Result.Failed<Long>(Failure failure)) {
         System.err.println("not accepted: " + failure);
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/Apricotstand.java
@@ -0,0 +1,38 @@
+package org.apricotstand;
+
+import java.nio.file.Path;
+import org.apricotstand.configuration.DeclarationFiles;
+import org.apricotstand.declaration.DeclarationSet;
+import org.apricotstand.entry.EntryInstance;
+import org.apricotstand.settings.Checked;
+import org.apricotstand.settings.InstanceSettings;
+
+/**
+ * Reads settings and declarations, and starts instances.
+ *
+ * <pre>{@code
+ * switch (Apricotstand.readSettings(file)) {
+ *   case Checked.Valid<InstanceSettings>(InstanceSettings settings) -> Apricotstand.start(settings);
+ *   case Checked.Faulty<InstanceSettings> faulty -> System.err.println(faulty.report());
+ * }
+ * }</pre>
+ */
+public final class Apricotstand {
+
+  private Apricotstand() {}
+
+  /** Reads and checks the settings of an instance; reports all faults of the file at once. */
+  public static Checked<InstanceSettings> readSettings(Path file) {
+    return InstanceSettings.read(file);
+  }
+
+  /** Reads and checks a set of declarations, a folder or one file, without any platform. */
+  public static Checked<DeclarationSet> readDeclarations(Path folderOrFile) {
+    return DeclarationFiles.read(folderOrFile);
+  }
+
+  /** Starts an instance and returns when it listens on its addresses; closing it drains it. */
+  public static EntryInstance start(InstanceSettings settings) {
+    return EntryInstance.start(settings);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/package-info.java
@@ -0,0 +1,2 @@
+/** Entry point of the library. */
+package org.apricotstand;
