--- /dev/null
+++ b/core/src/main/java/org/apricotstand/dispatch/Candidate.java
@@ -0,0 +1,19 @@
+package org.apricotstand.dispatch;
+
+/**
+ * A target that may get a request.
+ *
+ * @param target the target
+ * @param load requests at it
+ * @param resident whether it can run the request now
+ * @param arriving whether what the request needs is on its way
+ * @param loadable whether an owner that can be reached may load what is missing
+ * @param penaltyMs extra cost for recent failures
+ */
+public record Candidate(
+    TargetEntry target,
+    TargetLoad load,
+    boolean resident,
+    boolean arriving,
+    boolean loadable,
+    double penaltyMs) {}
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
@@ -0,0 +1,88 @@
+package org.apricotstand.dispatch;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.apricotstand.placement.Rendezvous;
+
+/**
+ * Chooses the target with the least expected time until a request begins.
+ *
+ * <pre>{@code
+ * Optional<Candidate> best = TargetChooser.chooseEngine(adapter, domain, candidates);
+ * }</pre>
+ */
+public final class TargetChooser {
+
+  /** Time that reading one waiting prompt takes. */
+  static final double WAITING_COST_MS = 70;
+
+  /** Slow-down by one more request in the batch. */
+  static final double RUNNING_COST_MS = 4;
+
+  /** Time to load a missing adapter. */
+  static final double LOAD_COST_MS = 290;
+
+  /** Time left on average of a load in progress. */
+  static final double ARRIVING_COST_MS = 150;
+
+  /** Prefers engines by rank, so that each adapter is loaded on few of them. */
+  static final double RANK_COST_MS = 25;
+
+  private static final double OTHER_DOMAIN_COST_MS = 3;
+
+  private TargetChooser() {}
+
+  /** Returns the best engine for an adapter; empty when none can serve it soon. */
+  public static Optional<Candidate> chooseEngine(
+      String adapter, String domain, List<Candidate> candidates) {
+    List<Candidate> ranked =
+        Rendezvous.rank(adapter, candidates, candidate -> candidate.target().id());
+    return ranked.stream()
+        .filter(candidate -> candidate.resident() || candidate.arriving() || candidate.loadable())
+        .min(
+            Comparator.comparingDouble(
+                candidate ->
+                    engineCostMs(candidate, domain)
+                        + ranked.indexOf(candidate) * rankCost(candidate)));
+  }
+
+  /** Returns the least loaded target of a plain service. */
+  public static Optional<Candidate> choosePlain(String domain, List<Candidate> candidates) {
+    return candidates.stream()
+        .min(
+            Comparator.comparingDouble((Candidate candidate) -> plainCost(candidate, domain))
+                .thenComparing(candidate -> candidate.target().id()));
+  }
+
+  private static double rankCost(Candidate candidate) {
+    return candidate.resident() ? 1 : RANK_COST_MS;
+  }
+
+  private static double engineCostMs(Candidate candidate, String domain) {
+    TargetLoad load = candidate.load();
+    double overfullMs = Math.max(0, load.total() - candidate.target().slots()) * WAITING_COST_MS;
+    return load.waiting() * WAITING_COST_MS
+        + load.started() * RUNNING_COST_MS
+        + overfullMs
+        + residencyCostMs(candidate)
+        + candidate.penaltyMs()
+        + domainCostMs(candidate, domain);
+  }
+
+  private static double residencyCostMs(Candidate candidate) {
+    if (candidate.resident()) {
+      return 0;
+    }
+    return candidate.arriving() ? ARRIVING_COST_MS : LOAD_COST_MS;
+  }
+
+  private static double plainCost(Candidate candidate, String domain) {
+    double fill = (double) candidate.load().total() / Math.max(1, candidate.target().slots());
+    return fill * WAITING_COST_MS + candidate.penaltyMs() + domainCostMs(candidate, domain);
+  }
+
+  private static double domainCostMs(Candidate candidate, String domain) {
+    return candidate.target().domain().equals(domain) ? 0 : OTHER_DOMAIN_COST_MS;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/residency/AdapterUse.java
@@ -0,0 +1,11 @@
+package org.apricotstand.residency;
+
+/** How much an adapter is used, over all instances. */
+public interface AdapterUse {
+
+  /** Returns whether a request runs on the adapter at the engine in question. */
+  boolean isRunning(AdapterKey key);
+
+  /** Returns the recent number of requests for the adapter. */
+  double popularity(AdapterKey key);
+}
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/residency/EngineSlots.java
@@ -0,0 +1,321 @@
+package org.apricotstand.residency;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.apricotstand.route.EngineSpec;
+import org.apricotstand.route.ModelSpec;
+
+/**
+ * Decides the commands to one engine, at its owner: loads what requests wait for, and drops the
+ * least popular adapter that is not in use when no place is free. One command is outstanding at a
+ * time, and each carries the sequence it expects, so that a command that is carried out late
+ * changes nothing.
+ *
+ * <pre>{@code
+ * List<SlotAction> actions = slots.handle(new SlotEvent.Wanted(key, 0, deadlineMs), nowMs);
+ * }</pre>
+ */
+public final class EngineSlots {
+
+  /** Pause before a report is read after a command without an answer; reports lag this much. */
+  static final long REPORT_LAG_MS = 400;
+
+  /** Pause between two checks whether a load is complete. */
+  static final long CHECK_PERIOD_MS = 25;
+
+  /** How long an adapter takes to arrive while few are on their way. */
+  static final long ADAPTER_LOAD_MS = 250;
+
+  private static final long CONFLICT_PAUSE_MS = 150;
+  private static final long REPORT_RETRY_MS = 300;
+  private static final long REFUSAL_PAUSE_MS = 1_000;
+  private static final long UNKNOWN_NAME_MS = 30_000;
+  private static final long ANY_SEQUENCE = -1;
+
+  private final EngineSpec spec;
+  private final AdapterUse use;
+  private final int maxArriving;
+  private final Map<AdapterKey, Long> resident = new HashMap<>();
+  private final Map<AdapterKey, Arrival> arriving = new LinkedHashMap<>();
+  private final Set<AdapterKey> leaving = new HashSet<>();
+  private final Map<AdapterKey, Demand> wanted = new LinkedHashMap<>();
+  private final Map<AdapterKey, Long> unknownUntilMs = new HashMap<>();
+  private long sequence = ANY_SEQUENCE;
+  private EngineCommand outstanding;
+  private boolean outstandingIsCheck;
+  private boolean reportAsked;
+  private long notBeforeMs;
+  private boolean changed;
+
+  private record Arrival(long version, long checkAtMs) {}
+
+  private record Demand(long version, long deadlineMs) {}
+
+  /**
+   * Creates the slots of an engine about which nothing is known.
+   *
+   * @param use how much each adapter is used
+   * @param maxArriving most adapters that are on their way to the engine at once
+   */
+  public EngineSlots(EngineSpec spec, AdapterUse use, int maxArriving) {
+    this.spec = spec;
+    this.use = use;
+    this.maxArriving = maxArriving;
+  }
+
+  /** Applies an event and returns what to do. */
+  public List<SlotAction> handle(SlotEvent event, long nowMs) {
+    switch (event) {
+      case SlotEvent.Wanted want -> demand(want);
+      case SlotEvent.Answered answer -> answered(answer.result(), nowMs);
+      case SlotEvent.Reported reported -> reported(reported.report(), nowMs);
+      case SlotEvent.ReportFailed failed -> reportFailed(nowMs);
+      case SlotEvent.Contradicted contradicted -> {
+        if (outstanding == null && !reportAsked && sequence != ANY_SEQUENCE) {
+          forget(nowMs + REPORT_LAG_MS);
+        }
+      }
+      case SlotEvent.Tick tick -> wanted.values().removeIf(demand -> demand.deadlineMs < nowMs);
+    }
+    List<SlotAction> actions = new ArrayList<>();
+    next(nowMs).ifPresent(actions::add);
+    if (changed) {
+      changed = false;
+      actions.add(new SlotAction.Publish(residency()));
+    }
+    return actions;
+  }
+
+  /** Returns what the engine holds. */
+  public Residency residency() {
+    return new Residency(resident, arriving.keySet());
+  }
+
+  /** Returns whether commands wait or are in progress. */
+  public boolean isActive() {
+    return outstanding != null || reportAsked || !wanted.isEmpty() || !arriving.isEmpty();
+  }
+
+  private void demand(SlotEvent.Wanted want) {
+    Long held = resident.get(want.key());
+    if (held != null && held >= want.version()) {
+      changed = true;
+      return;
+    }
+    wanted.merge(
+        want.key(),
+        new Demand(want.version(), want.deadlineMs()),
+        (known, added) ->
+            new Demand(
+                Math.max(known.version, added.version),
+                Math.max(known.deadlineMs, added.deadlineMs)));
+  }
+
+  private void reported(EngineReport report, long nowMs) {
+    reportAsked = false;
+    sequence = report.sequence();
+    resident.clear();
+    resident.putAll(report.resident());
+    leaving.clear();
+    Map<AdapterKey, Arrival> known = Map.copyOf(arriving);
+    arriving.clear();
+    report
+        .arriving()
+        .forEach(
+            key -> {
+              long version = known.containsKey(key) ? known.get(key).version : 0;
+              arriving.put(key, new Arrival(version, nowMs + CHECK_PERIOD_MS));
+            });
+    if (report.busy()) {
+      notBeforeMs = nowMs + CONFLICT_PAUSE_MS;
+      sequence = ANY_SEQUENCE;
+    }
+    changed = true;
+  }
+
+  private void reportFailed(long nowMs) {
+    reportAsked = false;
+    notBeforeMs = nowMs + REPORT_RETRY_MS;
+  }
+
+  private void answered(CommandResult result, long nowMs) {
+    EngineCommand command = outstanding;
+    outstanding = null;
+    switch (result) {
+      case ACCEPTED -> accepted(command, nowMs);
+      case HOLDS -> holds(command);
+      case CONFLICT -> conflict(command, nowMs);
+      case UNKNOWN_NAME -> {
+        wanted.remove(command.key());
+        unknownUntilMs.put(command.key(), nowMs + UNKNOWN_NAME_MS);
+      }
+      case REFUSED -> forget(nowMs + REFUSAL_PAUSE_MS);
+      case UNANSWERED -> forget(nowMs + REPORT_LAG_MS);
+    }
+  }
+
+  private void accepted(EngineCommand command, long nowMs) {
+    advance();
+    switch (command) {
+      case EngineCommand.Load(AdapterKey key, long version) -> {
+        resident.remove(key);
+        wanted.remove(key);
+        arriving.put(key, new Arrival(version, nowMs + loadMs(key)));
+      }
+      case EngineCommand.Unload(AdapterKey key) -> {
+        resident.remove(key);
+        leaving.add(key);
+        // The place is free when the last run on the adapter ends; a report tells.
+        forget(nowMs + REPORT_LAG_MS);
+      }
+    }
+    changed = true;
+  }
+
+  private void holds(EngineCommand command) {
+    switch (command) {
+      case EngineCommand.Load(AdapterKey key, long version) -> {
+        Arrival arrival = arriving.remove(key);
+        wanted.remove(key);
+        resident.put(key, Math.max(version, arrival == null ? 1 : Math.max(1, arrival.version)));
+      }
+      case EngineCommand.Unload(AdapterKey key) -> {
+        resident.remove(key);
+        leaving.remove(key);
+        advance();
+      }
+    }
+    changed = true;
+  }
+
+  private void conflict(EngineCommand command, long nowMs) {
+    Arrival arrival = arriving.get(command.key());
+    if (outstandingIsCheck && arrival != null) {
+      arriving.put(command.key(), new Arrival(arrival.version, nowMs + CHECK_PERIOD_MS));
+      return;
+    }
+    forget(nowMs + CONFLICT_PAUSE_MS);
+  }
+
+  private void advance() {
+    if (sequence != ANY_SEQUENCE) {
+      sequence++;
+    }
+  }
+
+  private void forget(long untilMs) {
+    sequence = ANY_SEQUENCE;
+    notBeforeMs = untilMs;
+  }
+
+  private Optional<SlotAction> next(long nowMs) {
+    if (outstanding != null || reportAsked || nowMs < notBeforeMs) {
+      return Optional.empty();
+    }
+    if (sequence == ANY_SEQUENCE) {
+      reportAsked = true;
+      return Optional.of(new SlotAction.AskReport());
+    }
+    return dueCheck(nowMs).or(() -> firstModel(nowMs)).or(() -> nextLoad(nowMs));
+  }
+
+  private Optional<SlotAction> dueCheck(long nowMs) {
+    return arriving.entrySet().stream()
+        .filter(entry -> entry.getValue().checkAtMs <= nowMs)
+        .findFirst()
+        .map(
+            entry ->
+                check(new EngineCommand.Load(entry.getKey(), entry.getValue().version), nowMs));
+  }
+
+  private SlotAction check(EngineCommand.Load load, long nowMs) {
+    arriving.put(load.key(), new Arrival(load.version(), nowMs + CHECK_PERIOD_MS));
+    outstanding = load;
+    outstandingIsCheck = true;
+    return new SlotAction.Send(load, sequence);
+  }
+
+  private Optional<SlotAction> firstModel(long nowMs) {
+    boolean holdsModel =
+        resident.keySet().stream().anyMatch(AdapterKey::isModel)
+            || arriving.keySet().stream().anyMatch(AdapterKey::isModel);
+    if (holdsModel || spec.models().isEmpty()) {
+      return Optional.empty();
+    }
+    AdapterKey model = new AdapterKey(modelToLoad().name(), "");
+    return Optional.of(send(new EngineCommand.Load(model, 0)));
+  }
+
+  private ModelSpec modelToLoad() {
+    return wanted.keySet().stream()
+        .flatMap(key -> spec.model(key.model()).stream())
+        .findFirst()
+        .orElse(spec.models().getFirst());
+  }
+
+  private Optional<SlotAction> nextLoad(long nowMs) {
+    if (arriving.size() >= maxArriving) {
+      return Optional.empty();
+    }
+    return wanted.entrySet().stream()
+        .filter(entry -> resident.containsKey(entry.getKey().modelKey()))
+        .filter(entry -> !arriving.containsKey(entry.getKey()))
+        .filter(entry -> unknownUntilMs.getOrDefault(entry.getKey(), 0L) <= nowMs)
+        .findFirst()
+        .flatMap(entry -> loadOrMakeRoom(entry.getKey(), entry.getValue()));
+  }
+
+  private Optional<SlotAction> loadOrMakeRoom(AdapterKey key, Demand demand) {
+    if (resident.containsKey(key) || usedPlaces() < places()) {
+      return Optional.of(send(new EngineCommand.Load(key, demand.version)));
+    }
+    return leastPopular().map(victim -> send(new EngineCommand.Unload(victim)));
+  }
+
+  private Optional<AdapterKey> leastPopular() {
+    return resident.keySet().stream()
+        .filter(key -> !key.isModel())
+        .filter(key -> !use.isRunning(key))
+        .filter(key -> !wanted.containsKey(key))
+        .min(Comparator.comparingDouble(use::popularity).thenComparing(AdapterKey::toString));
+  }
+
+  private SlotAction send(EngineCommand command) {
+    outstanding = command;
+    outstandingIsCheck = false;
+    return new SlotAction.Send(command, sequence);
+  }
+
+  private long usedPlaces() {
+    long held = resident.keySet().stream().filter(key -> !key.isModel()).count();
+    long coming = arriving.keySet().stream().filter(key -> !key.isModel()).count();
+    return held + coming + leaving.size();
+  }
+
+  private long places() {
+    double weightsMb =
+        resident.keySet().stream()
+            .filter(AdapterKey::isModel)
+            .flatMap(key -> spec.model(key.model()).stream())
+            .mapToDouble(ModelSpec::weightsMb)
+            .sum();
+    double adapterMb = spec.models().stream().mapToDouble(ModelSpec::adapterMb).max().orElse(0);
+    if (adapterMb <= 0) {
+      return spec.adapterPlaces();
+    }
+    return Math.min(spec.adapterPlaces(), (long) ((spec.memoryMb() - weightsMb) / adapterMb));
+  }
+
+  private long loadMs(AdapterKey key) {
+    return key.isModel()
+        ? spec.model(key.model()).map(ModelSpec::loadMs).orElse(0L)
+        : ADAPTER_LOAD_MS;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/residency/SlotEvent.java
@@ -0,0 +1,28 @@
+package org.apricotstand.residency;
+
+/** Input of {@link EngineSlots}. */
+public sealed interface SlotEvent {
+
+  /**
+   * Requests wait for an adapter.
+   *
+   * @param version least version that serves them
+   * @param deadlineMs when the last of them gives up
+   */
+  record Wanted(AdapterKey key, long version, long deadlineMs) implements SlotEvent {}
+
+  /** The engine answered the command that was sent last. */
+  record Answered(CommandResult result) implements SlotEvent {}
+
+  /** The engine reported its state. */
+  record Reported(EngineReport report) implements SlotEvent {}
+
+  /** The engine did not report its state. */
+  record ReportFailed() implements SlotEvent {}
+
+  /** The engine refused a request for an adapter that it should hold. */
+  record Contradicted() implements SlotEvent {}
+
+  /** Time passed. */
+  record Tick() implements SlotEvent {}
+}
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/residency/package-info.java
@@ -0,0 +1,2 @@
+/** Which adapters an engine holds, and the commands that change it. */
+package org.apricotstand.residency;
--- /dev/null
+++ b/core/src/main/java/org/apricotstand/route/ModelSpec.java
@@ -0,0 +1,11 @@
+package org.apricotstand.route;
+
+/**
+ * A base model of an engine service.
+ *
+ * @param name name of the model
+ * @param weightsMb memory for its weights
+ * @param loadMs time to load the weights from the weight store
+ * @param adapterMb memory for one adapter
+ */
+public record ModelSpec(String name, double weightsMb, long loadMs, double adapterMb) {}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -0,0 +1,390 @@
+package org.apricotstand.fleet;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.dispatch.TargetLoad;
+import org.apricotstand.kernel.Service;
+import org.apricotstand.model.InstanceId;
+import org.apricotstand.observe.EventLog;
+import org.apricotstand.observe.Metrics;
+import org.apricotstand.peer.PeerListener;
+import org.apricotstand.peer.PeerMessage;
+import org.apricotstand.peer.PeerNetwork;
+import org.apricotstand.port.ConfigurationListener;
+import org.apricotstand.port.ConfigurationSource;
+import org.apricotstand.port.EngineControl;
+import org.apricotstand.port.FrontSettings;
+import org.apricotstand.port.RowStore;
+import org.apricotstand.port.TargetSource;
+import org.apricotstand.request.AdapterDemand;
+import org.apricotstand.residency.AdapterKey;
+import org.apricotstand.residency.Residency;
+import org.apricotstand.route.EngineSpec;
+import org.apricotstand.route.RoutingPlan;
+import org.apricotstand.route.ServiceSpec;
+
+/** Collects what is known of the fleet on the control thread and publishes it as a view. */
+public final class FleetService
+    implements Service, ConfigurationListener, PeerListener, AdapterDemand {
+
+  private static final EventLog LOG = EventLog.of(FleetService.class);
+  private static final long TICK_MS = 20;
+  private static final long REPORT_MS = 250;
+  private static final long SILENCE_MS = 1_500;
+  private static final long RECONNECT_MS = 1_000;
+
+  private final ControlThread control;
+  private final FrontSettings settings;
+  private final ConfigurationSource configuration;
+  private final TargetSource targetSource;
+  private final PeerNetwork peers;
+  private final InstanceDirectory directory;
+  private final LoadBoard board;
+  private final EngineOwner owner;
+  private final Popularity popularity = new Popularity();
+  private final Map<AdapterKey, Long> versions = new HashMap<>();
+  private final Map<String, Residency> residency = new HashMap<>();
+  private final Map<String, String> incarnations = new HashMap<>();
+  private final Map<String, Peer> heard = new HashMap<>();
+  private final Map<String, Long> triedMs = new HashMap<>();
+  private Runnable viewListener = () -> {};
+  private RoutingPlan plan;
+  private List<TargetEntry> targets = List.of();
+  private boolean publishing;
+  private boolean leaving;
+  private Set<String> lastCommandable = Set.of();
+  private volatile FleetView view = FleetView.EMPTY;
+
+  private record Peer(Map<String, TargetLoad> loads, boolean leaving, long atMs) {}
+
+  /** Creates the service; nothing is known before its start. */
+  public FleetService(
+      ControlThread control,
+      FrontSettings settings,
+      ConfigurationSource configuration,
+      TargetSource targetSource,
+      RowStore store,
+      EngineControl engines,
+      PeerNetwork peers,
+      InstanceDirectory directory,
+      LoadBoard board,
+      Metrics metrics) {
+    this.control = control;
+    this.settings = settings;
+    this.configuration = configuration;
+    this.targetSource = targetSource;
+    this.peers = peers;
+    this.directory = directory;
+    this.board = board;
+    this.owner =
+        new EngineOwner(
+            control, store, engines, settings, metrics, popularity::at, this::ownEngineChanged);
+  }
+
+  /** Sets what runs after each new view, on the control thread. */
+  public void onView(Runnable listener) {
+    viewListener = listener;
+  }
+
+  /** Returns the newest view. */
+  public FleetView view() {
+    return view;
+  }
+
+  @Override
+  public void start() {
+    peers.listen(this);
+    control.onPause(pauseMs -> owner.paused());
+    control.execute(
+        () -> {
+          configuration.follow(this);
+          targetSource.follow(this::targetsChanged);
+          directory.start();
+        });
+    control.executeEvery(TICK_MS, this::tick);
+    control.executeEvery(REPORT_MS, this::report);
+  }
+
+  /** Gives up all engines; called when the instance shuts down. */
+  public void leave() {
+    control.execute(
+        () -> {
+          leaving = true;
+          owner.leaving();
+          report();
+        });
+  }
+
+  @Override
+  public void onPlan(RoutingPlan read) {
+    if (plan != null && read.version() <= plan.version()) {
+      return;
+    }
+    LOG.info("configuration_in_force", "version", read.version());
+    plan = read;
+    enginesChanged();
+    changed();
+  }
+
+  @Override
+  public void onVersion(AdapterKey key, long version) {
+    Long before = versions.get(key);
+    if (before == null || before < version) {
+      versions.put(key, version);
+      LOG.info("version_declared", "adapter", key, "version", version);
+      changed();
+    }
+  }
+
+  private void targetsChanged(List<TargetEntry> listed) {
+    targets = listed;
+    Set<String> live = new HashSet<>();
+    for (TargetEntry target : listed) {
+      live.add(target.id());
+      String before = incarnations.put(target.id(), target.incarnation());
+      boolean owned = owner.ownedNow().contains(target.id());
+      if (!target.incarnation().equals(before)) {
+        residency.put(target.id(), new Residency(target.holdings(), Set.of()));
+      } else if (!owned && owner.ownerOf(target.id()) == null) {
+        residency.put(target.id(), new Residency(target.holdings(), Set.of()));
+      }
+    }
+    residency.keySet().retainAll(live);
+    incarnations.keySet().retainAll(live);
+    enginesChanged();
+    changed();
+  }
+
+  private void enginesChanged() {
+    Map<TargetEntry, EngineSpec> engines = new HashMap<>();
+    if (plan != null) {
+      targets.stream()
+          .filter(target -> !target.leaving())
+          .forEach(
+              target ->
+                  plan.service(target.service())
+                      .flatMap(ServiceSpec::engine)
+                      .ifPresent(spec -> engines.put(target, spec)));
+    }
+    owner.enginesChanged(engines);
+  }
+
+  private void ownEngineChanged(String engine, Residency held) {
+    residency.put(engine, held);
+    PeerMessage message = holdings(engine, held);
+    directory.others().stream().filter(this::isHeard).forEach(peer -> peers.send(peer, message));
+    changed();
+  }
+
+  private static PeerMessage holdings(String engine, Residency held) {
+    Map<String, Long> resident = new TreeMap<>();
+    held.resident().forEach((key, version) -> resident.put(key.toString(), version));
+    List<String> arriving = held.arriving().stream().map(AdapterKey::toString).toList();
+    return new PeerMessage.EngineHoldings(engine, resident, arriving);
+  }
+
+  private boolean isHeard(InstanceId peer) {
+    return heard.containsKey(peer.value());
+  }
+
+  @Override
+  public void want(String engine, AdapterKey key, long version, long deadlineMs) {
+    control.execute(() -> wantHere(engine, key, version, deadlineMs));
+  }
+
+  private void wantHere(String engine, AdapterKey key, long version, long deadlineMs) {
+    String holder = owner.ownerOf(engine);
+    if (settings.name().equals(holder)) {
+      owner.want(engine, key, version, deadlineMs);
+    } else if (holder != null) {
+      long remainingMs = deadlineMs - ControlThread.nowMs();
+      peers.send(
+          new InstanceId(holder),
+          new PeerMessage.AdapterWanted(engine, key.toString(), version, remainingMs));
+    }
+  }
+
+  @Override
+  public void missing(String engine, AdapterKey key) {
+    control.execute(
+        () -> {
+          String holder = owner.ownerOf(engine);
+          if (settings.name().equals(holder)) {
+            owner.missing(engine, key);
+          } else if (holder != null) {
+            peers.send(
+                new InstanceId(holder), new PeerMessage.AdapterMissing(engine, key.toString()));
+          }
+        });
+  }
+
+  @Override
+  public void onHello(InstanceId peer, PeerMessage.Hello hello) {
+    LOG.info("peer_linked", "peer", peer, "incarnation", hello.incarnation());
+    owner.residencies().forEach((engine, held) -> peers.send(peer, holdings(engine, held)));
+  }
+
+  @Override
+  public void onLinkClosed(InstanceId peer) {
+    LOG.info("peer_lost", "peer", peer);
+  }
+
+  @Override
+  public void onMessage(InstanceId from, PeerMessage message) {
+    switch (message) {
+      case PeerMessage.LoadReport report -> reported(from, report);
+      case PeerMessage.AdapterWanted wanted ->
+          owner.want(
+              wanted.engine(),
+              AdapterKey.parse(wanted.adapter()),
+              wanted.version(),
+              ControlThread.nowMs() + wanted.remainingMs());
+      case PeerMessage.AdapterMissing missing ->
+          owner.missing(missing.engine(), AdapterKey.parse(missing.adapter()));
+      case PeerMessage.EngineHoldings holdings -> held(holdings);
+      default -> LOG.debug("peer_message_unused", "peer", from, "type", message.getClass());
+    }
+  }
+
+  private void held(PeerMessage.EngineHoldings holdings) {
+    if (!incarnations.containsKey(holdings.engine())) {
+      return;
+    }
+    Map<AdapterKey, Long> resident = new HashMap<>();
+    holdings.resident().forEach((key, version) -> resident.put(AdapterKey.parse(key), version));
+    Set<AdapterKey> arriving =
+        holdings.arriving().stream().map(AdapterKey::parse).collect(Collectors.toSet());
+    residency.put(holdings.engine(), new Residency(resident, arriving));
+    changed();
+  }
+
+  private void reported(InstanceId from, PeerMessage.LoadReport report) {
+    Map<String, TargetLoad> loads = new HashMap<>();
+    report.started().forEach((id, count) -> loads.put(id, new TargetLoad(count, 0)));
+    report.waiting().forEach((id, n) -> loads.merge(id, new TargetLoad(0, n), TargetLoad::plus));
+    Peer before = heard.put(from.value(), new Peer(loads, report.leaving(), ControlThread.nowMs()));
+    Map<AdapterKey, Integer> arrivals = new HashMap<>();
+    report.arrivals().forEach((key, count) -> arrivals.put(AdapterKey.parse(key), count));
+    popularity.arrived(arrivals);
+    Map<String, Set<String>> inUse = new HashMap<>();
+    report.inUse().forEach((engine, adapters) -> inUse.put(engine, Set.copyOf(adapters)));
+    popularity.uses(from.value(), inUse);
+    owner.ownerHeard(from.value(), report.owned());
+    if (before == null || before.leaving != report.leaving()) {
+      instancesChanged();
+    }
+    changed();
+  }
+
+  private void instancesChanged() {
+    Set<String> live =
+        heard.entrySet().stream()
+            .filter(entry -> !entry.getValue().leaving)
+            .map(Map.Entry::getKey)
+            .collect(Collectors.toCollection(HashSet::new));
+    live.add(settings.name());
+    owner.instancesChanged(live);
+  }
+
+  private void tick() {
+    owner.tick();
+    long nowMs = ControlThread.nowMs();
+    List<String> silent =
+        heard.entrySet().stream()
+            .filter(entry -> nowMs - entry.getValue().atMs > SILENCE_MS)
+            .map(Map.Entry::getKey)
+            .toList();
+    silent.forEach(
+        peer -> {
+          LOG.info("peer_silent", "peer", peer);
+          heard.remove(peer);
+          popularity.forget(peer);
+          peers.disconnect(new InstanceId(peer));
+        });
+    if (!silent.isEmpty()) {
+      instancesChanged();
+    }
+    if (!silent.isEmpty() || !commandable().equals(lastCommandable)) {
+      changed();
+    }
+  }
+
+  private Set<String> commandable() {
+    return targets.stream()
+        .filter(target -> !target.leaving())
+        .map(TargetEntry::id)
+        .filter(engine -> owner.ownerOf(engine) != null)
+        .collect(Collectors.toSet());
+  }
+
+  private void report() {
+    Map<AdapterKey, Integer> arrivals = board.takeArrivals();
+    popularity.arrived(arrivals);
+    popularity.uses(settings.name(), board.adaptersInUse());
+    Map<String, Integer> started = new TreeMap<>();
+    Map<String, Integer> waiting = new TreeMap<>();
+    board
+        .loads()
+        .forEach(
+            (id, load) -> {
+              started.put(id, load.started());
+              waiting.put(id, load.waiting());
+            });
+    Map<String, List<String>> inUse = new TreeMap<>();
+    board.adaptersInUse().forEach((engine, adapters) -> inUse.put(engine, List.copyOf(adapters)));
+    Map<String, Integer> counts = new TreeMap<>();
+    arrivals.forEach((key, count) -> counts.put(key.toString(), count));
+    PeerMessage message =
+        new PeerMessage.LoadReport(
+            started, waiting, inUse, counts, List.copyOf(owner.ownedNow()), leaving);
+    directory.others().stream().filter(this::isDue).forEach(peer -> peers.send(peer, message));
+  }
+
+  private boolean isDue(InstanceId peer) {
+    if (isHeard(peer)) {
+      return true;
+    }
+    long nowMs = ControlThread.nowMs();
+    if (nowMs - triedMs.getOrDefault(peer.value(), Long.MIN_VALUE / 2) < RECONNECT_MS) {
+      return false;
+    }
+    triedMs.put(peer.value(), nowMs);
+    return true;
+  }
+
+  private void changed() {
+    if (!publishing) {
+      publishing = true;
+      control.execute(this::publish);
+    }
+  }
+
+  private void publish() {
+    publishing = false;
+    Map<String, TargetLoad> peerLoads = new HashMap<>();
+    heard
+        .values()
+        .forEach(
+            peer -> peer.loads.forEach((id, load) -> peerLoads.merge(id, load, TargetLoad::plus)));
+    lastCommandable = commandable();
+    view =
+        new FleetView(
+            plan,
+            targets.stream()
+                .filter(target -> !target.leaving())
+                .collect(Collectors.groupingBy(TargetEntry::service)),
+            Map.copyOf(residency),
+            lastCommandable,
+            Map.copyOf(versions),
+            peerLoads,
+            1 + heard.size());
+    viewListener.run();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
@@ -0,0 +1,103 @@
+package org.apricotstand.fleet;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.model.InstanceId;
+import org.apricotstand.observe.EventLog;
+import org.apricotstand.port.CommitResult;
+import org.apricotstand.port.FrontSettings;
+import org.apricotstand.port.Row;
+import org.apricotstand.port.RowStore;
+import org.apricotstand.port.RowWrite;
+
+/**
+ * Finds the other instances: each writes its address to a table at its start and then reads those
+ * of the others. Of two that start together, the one that writes later sees the other.
+ */
+public final class InstanceDirectory {
+
+  private static final EventLog LOG = EventLog.of(InstanceDirectory.class);
+  private static final String TABLE = "instances";
+  private static final long RETRY_MS = 300;
+  private static final long REFRESH_MS = 10_000;
+
+  private final FrontSettings settings;
+  private final RowStore store;
+  private final ControlThread control;
+  private final Map<InstanceId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+
+  /** Creates an empty directory. */
+  public InstanceDirectory(FrontSettings settings, RowStore store, ControlThread control) {
+    this.settings = settings;
+    this.store = store;
+    this.control = control;
+  }
+
+  /** Registers this instance and begins to look for others; control thread. */
+  public void start() {
+    InstanceRecord own =
+        new InstanceRecord(
+            settings.name(),
+            settings.domain(),
+            settings.peerAddress().getAddress().getHostAddress(),
+            settings.peerAddress().getPort());
+    store
+        .commit(TABLE, List.of(new RowWrite(settings.name(), own.encode(), RowWrite.ANY)))
+        .thenAccept(result -> control.execute(() -> registered(result)));
+  }
+
+  private void registered(CommitResult result) {
+    if (result instanceof CommitResult.Committed) {
+      refresh();
+    } else {
+      LOG.warn("instance_not_registered", "result", result);
+      control.executeAt(ControlThread.nowMs() + RETRY_MS, this::start);
+    }
+  }
+
+  private void refresh() {
+    store
+        .readAll(TABLE)
+        .whenComplete(
+            (rows, failure) ->
+                control.execute(
+                    () -> {
+                      if (failure == null) {
+                        rows.forEach(this::note);
+                      } else {
+                        LOG.warn("instances_not_read", "error", failure.toString());
+                      }
+                      long pauseMs = failure == null ? REFRESH_MS : RETRY_MS;
+                      control.executeAt(ControlThread.nowMs() + pauseMs, this::refresh);
+                    }));
+  }
+
+  private void note(Row row) {
+    if (row.key().equals(settings.name())) {
+      return;
+    }
+    try {
+      InstanceRecord record = InstanceRecord.decode(row.key(), row.value());
+      InetSocketAddress before = addresses.put(new InstanceId(row.key()), record.address());
+      if (!record.address().equals(before)) {
+        LOG.info("instance_found", "instance", row.key(), "address", record.address());
+      }
+    } catch (IllegalArgumentException e) {
+      LOG.warn("instance_row_unreadable", "instance", row.key(), "error", e.getMessage());
+    }
+  }
+
+  /** Returns the address of an instance; null when unknown. */
+  public InetSocketAddress addressOf(InstanceId instance) {
+    return addresses.get(instance);
+  }
+
+  /** Returns all known instances but this one. */
+  public Set<InstanceId> others() {
+    return addresses.keySet();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/fleet/InstanceRecord.java
@@ -0,0 +1,40 @@
+package org.apricotstand.fleet;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+
+/**
+ * Row of an instance in the table service.
+ *
+ * @param name name of the instance
+ * @param domain failure domain
+ * @param host IP address of its peer interface
+ * @param port port of its peer interface
+ */
+record InstanceRecord(String name, String domain, String host, int port) {
+
+  private static final String SEPARATOR = " ";
+
+  /** Returns the content of the row. */
+  byte[] encode() {
+    return String.join(SEPARATOR, domain, host, Integer.toString(port))
+        .getBytes(StandardCharsets.UTF_8);
+  }
+
+  /**
+   * Reads a row.
+   *
+   * @throws IllegalArgumentException when the content is not a record
+   */
+  static InstanceRecord decode(String name, byte[] content) {
+    String[] parts = new String(content, StandardCharsets.UTF_8).split(SEPARATOR);
+    checkArgument(parts.length == 3, "expected DOMAIN HOST PORT");
+    return new InstanceRecord(name, parts[0], parts[1], Integer.parseInt(parts[2]));
+  }
+
+  InetSocketAddress address() {
+    return new InetSocketAddress(host, port);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/fleet/Popularity.java
@@ -0,0 +1,57 @@
+package org.apricotstand.fleet;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.placement.DecayingCounts;
+import org.apricotstand.residency.AdapterKey;
+import org.apricotstand.residency.AdapterUse;
+
+/** Use of adapters over all instances, from their load reports; control thread. */
+final class Popularity {
+
+  private static final long HALF_LIFE_MS = 8_000;
+
+  private final DecayingCounts<AdapterKey> counts = new DecayingCounts<>(HALF_LIFE_MS);
+  private final Map<String, Map<String, Set<String>>> inUse = new HashMap<>();
+
+  /** Notes the requests of an instance since its last report. */
+  void arrived(Map<AdapterKey, Integer> arrivals) {
+    long nowMs = ControlThread.nowMs();
+    arrivals.forEach(
+        (key, count) -> {
+          for (int i = 0; i < count; i++) {
+            counts.add(key, nowMs);
+          }
+        });
+  }
+
+  /** Sets the adapters that an instance uses, by engine. */
+  void uses(String instance, Map<String, Set<String>> adapters) {
+    inUse.put(instance, adapters);
+  }
+
+  /** Forgets an instance. */
+  void forget(String instance) {
+    inUse.remove(instance);
+  }
+
+  /** Returns the use as seen from one engine. */
+  AdapterUse at(String engine) {
+    return new AdapterUse() {
+      @Override
+      public boolean isRunning(AdapterKey key) {
+        String name = key.toString();
+        return List.copyOf(inUse.values()).stream()
+            .anyMatch(adapters -> adapters.getOrDefault(engine, Set.of()).contains(name));
+      }
+
+      @Override
+      public double popularity(AdapterKey key) {
+        return counts.value(key, ControlThread.nowMs());
+      }
+    };
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -0,0 +1,151 @@
+package org.apricotstand.front;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Locale;
+
+/** Writes the answer to one request on its connection. */
+final class CallReply implements Reply {
+
+  private static final double MS_PER_S = 1_000.0;
+
+  private final CallerConnection connection;
+  private final Channel channel;
+  private final CallerRequest request;
+  private final boolean callerKeepsAlive;
+  private CallHandler.ActiveCall call;
+  private boolean keepAlive;
+  private boolean ended;
+  private boolean gone;
+
+  CallReply(
+      CallerConnection connection, Channel channel, CallerRequest request, boolean keepAlive) {
+    this.connection = connection;
+    this.channel = channel;
+    this.request = request;
+    this.callerKeepsAlive = keepAlive;
+  }
+
+  void setCall(CallHandler.ActiveCall active) {
+    call = active;
+    if (gone) {
+      call.callerGone();
+    }
+  }
+
+  void gone() {
+    gone = true;
+    ended = true;
+    if (call != null) {
+      call.callerGone();
+    }
+  }
+
+  void writable() {
+    if (call != null) {
+      call.callerWritable();
+    }
+  }
+
+  @Override
+  public void fail(int status, String code, long retryAfterMs) {
+    if (ended) {
+      return;
+    }
+    FullHttpResponse answer =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(status),
+            Unpooled.wrappedBuffer(ErrorBody.of(code)));
+    HttpHeaders headers = answer.headers();
+    headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+    headers.set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
+    if (retryAfterMs > 0) {
+      String seconds = String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_S);
+      headers.set(HttpHeaderNames.RETRY_AFTER, seconds);
+    }
+    if (HttpMethod.HEAD.equals(request.method())) {
+      answer.content().clear();
+    }
+    setConnection(answer, true);
+    channel.writeAndFlush(answer, channel.voidPromise());
+    finish();
+  }
+
+  @Override
+  public void head(HttpResponse head) {
+    if (ended) {
+      return;
+    }
+    HttpResponse answer =
+        new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status(), EndToEnd.of(head.headers()));
+    String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+    boolean bodiless = HttpMethod.HEAD.equals(request.method()) || isBodiless(head);
+    if (length != null && !HttpUtil.isTransferEncodingChunked(head)) {
+      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+    } else if (!bodiless) {
+      HttpUtil.setTransferEncodingChunked(answer, true);
+    }
+    setConnection(answer, true);
+    channel.write(answer, channel.voidPromise());
+  }
+
+  private static boolean isBodiless(HttpResponse head) {
+    int status = head.status().code();
+    return status == 204 || status == 304;
+  }
+
+  @Override
+  public void part(ByteBuf part) {
+    if (!ended) {
+      channel.writeAndFlush(new DefaultHttpContent(part.retainedSlice()), channel.voidPromise());
+    }
+  }
+
+  @Override
+  public void end() {
+    if (!ended) {
+      channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT, channel.voidPromise());
+      finish();
+    }
+  }
+
+  @Override
+  public void abort() {
+    if (!ended) {
+      ended = true;
+      connection.aborted();
+    }
+  }
+
+  @Override
+  public boolean isWritable() {
+    return channel.isWritable();
+  }
+
+  private void setConnection(HttpResponse answer, boolean framed) {
+    keepAlive = callerKeepsAlive && framed && !connection.isDraining();
+    if (!keepAlive) {
+      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+  }
+
+  private void finish() {
+    ended = true;
+    connection.answered(keepAlive);
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -0,0 +1,165 @@
+package org.apricotstand.front;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.kernel.Service;
+import org.apricotstand.observe.EventLog;
+import org.apricotstand.observe.Metrics;
+import org.apricotstand.route.CallerLimits;
+
+/** Accepts the connections of callers; runs on the traffic thread. */
+public final class CallerServer implements Service {
+
+  private static final EventLog LOG = EventLog.of(CallerServer.class);
+  private static final int BACKLOG = 1_024;
+  private static final int LOW_WATER_BYTES = 32 * 1024;
+  private static final int HIGH_WATER_BYTES = 128 * 1024;
+  private static final long SWEEP_MS = 500;
+  // Callers stop choosing this instance after two questions for readiness, one a second.
+  private static final long ROTATION_MS = 2_600;
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final Supplier<CallerLimits> limits;
+  private final CallHandler handler;
+  private final Metrics metrics;
+  private final ChannelGroup connections;
+  private volatile int active;
+  private volatile long drainingSinceMs = Long.MAX_VALUE;
+  private Channel listener;
+
+  /** Creates a server that is not started. */
+  public CallerServer(
+      EventLoop loop,
+      InetSocketAddress address,
+      Supplier<CallerLimits> limits,
+      CallHandler handler,
+      Metrics metrics) {
+    this.loop = loop;
+    this.address = address;
+    this.limits = limits;
+    this.handler = handler;
+    this.metrics = metrics;
+    this.connections = new DefaultChannelGroup(loop);
+  }
+
+  @Override
+  public void start() {
+    listener =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
+            .childHandler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel channel) {
+                    accept(channel);
+                  }
+                })
+            .bind(address)
+            .syncUninterruptibly()
+            .channel();
+    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void accept(Channel channel) {
+    connections.add(channel);
+    CallerConnection connection = new CallerConnection(this);
+    channel
+        .pipeline()
+        .addLast(
+            new ChannelInboundHandlerAdapter() {
+              @Override
+              public void channelRead(ChannelHandlerContext context, Object message) {
+                connection.bytesArrived();
+                context.fireChannelRead(message);
+              }
+            },
+            new RequestDecoder(limits.get().maxHeaderBytes()),
+            new HttpResponseEncoder(),
+            connection);
+  }
+
+  /** Returns the address that the server listens on. */
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listener.localAddress();
+  }
+
+  /** Asks callers to leave: each answer from now on closes its connection. */
+  public void drain() {
+    drainingSinceMs = ControlThread.nowMs();
+  }
+
+  /** Returns the number of requests in progress. */
+  public int active() {
+    return active;
+  }
+
+  CallerLimits limits() {
+    return limits.get();
+  }
+
+  CallHandler handler() {
+    return handler;
+  }
+
+  boolean isDraining() {
+    return drainingSinceMs != Long.MAX_VALUE;
+  }
+
+  boolean closesIdle() {
+    return isDraining() && ControlThread.nowMs() - drainingSinceMs > ROTATION_MS;
+  }
+
+  @SuppressWarnings("NonAtomicOperationOnVolatileField")
+  void began() {
+    active++;
+  }
+
+  @SuppressWarnings("NonAtomicOperationOnVolatileField")
+  void ended() {
+    active--;
+  }
+
+  void refusedUnread(int status, String code) {
+    metrics.count("caller.unreadable");
+    LOG.info("request_unreadable", "status", status, "code", code);
+  }
+
+  private void sweep() {
+    long nowMs = ControlThread.nowMs();
+    connections.stream()
+        .map(channel -> channel.pipeline().get(CallerConnection.class))
+        .filter(connection -> connection != null)
+        .toList()
+        .forEach(connection -> connection.sweep(nowMs));
+  }
+
+  @Override
+  public void stop() {
+    if (listener != null) {
+      listener.close().syncUninterruptibly();
+    }
+    connections.close().awaitUninterruptibly();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/front/RequestDecoder.java
@@ -0,0 +1,24 @@
+package org.apricotstand.front;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/** Decodes requests and refuses those whose length could be read in two ways. */
+final class RequestDecoder extends HttpRequestDecoder {
+
+  private static final int MAX_LINE_BYTES = 8_192;
+
+  RequestDecoder(int maxHeaderBytes) {
+    super(
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(MAX_LINE_BYTES)
+            .setMaxHeaderSize(maxHeaderBytes)
+            .setMaxChunkSize(65_536));
+  }
+
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw new IllegalArgumentException("both a length and chunks");
+  }
+}
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -29,7 +29,12 @@
   @JsonSubTypes.Type(value = PeerMessage.TokensLent.class, name = "tokens_lent"),
   @JsonSubTypes.Type(value = PeerMessage.SuspectNoted.class, name = "suspect_noted"),
   @JsonSubTypes.Type(value = PeerMessage.ClaimWaited.class, name = "claim_waited"),
-  @JsonSubTypes.Type(value = PeerMessage.ClaimAnswered.class, name = "claim_answered")
+  @JsonSubTypes.Type(value = PeerMessage.ClaimAnswered.class, name = "claim_answered"),
+  @JsonSubTypes.Type(value = PeerMessage.LoadReport.class, name = "load_report"),
+  @JsonSubTypes.Type(value = PeerMessage.AdapterWanted.class, name = "adapter_wanted"),
+  @JsonSubTypes.Type(value = PeerMessage.AdapterMissing.class, name = "adapter_missing"),
+  @JsonSubTypes.Type(value = PeerMessage.EngineHoldings.class, name = "engine_holdings"),
+  @JsonSubTypes.Type(value = PeerMessage.CrashNoted.class, name = "crash_noted")
 })
 public sealed interface PeerMessage {
 
@@ -189,4 +194,55 @@
   record ClaimAnswered(
       String waitId, String state, int status, Map<String, String> headers, byte[] body)
       implements PeerMessage {}
+
+  /**
+   * Says what the sender has at targets and which engines it owns; sent several times a second.
+   *
+   * @param started requests whose answer began, by target id
+   * @param waiting requests whose answer has not begun, by target id
+   * @param inUse adapters in use, by engine id
+   * @param arrivals requests by adapter since the last report
+   * @param owned engines that the sender may command
+   * @param leaving whether the sender shuts down
+   */
+  record LoadReport(
+      Map<String, Integer> started,
+      Map<String, Integer> waiting,
+      Map<String, List<String>> inUse,
+      Map<String, Integer> arrivals,
+      List<String> owned,
+      boolean leaving)
+      implements PeerMessage {}
+
+  /**
+   * Asks the owner of an engine to load an adapter.
+   *
+   * @param engine id of the engine
+   * @param adapter {@code MODEL/ADAPTER}
+   * @param version least version that serves
+   * @param remainingMs time until the requests for it give up
+   */
+  record AdapterWanted(String engine, String adapter, long version, long remainingMs)
+      implements PeerMessage {}
+
+  /** Tells the owner of an engine that the engine does not hold what the owner said. */
+  record AdapterMissing(String engine, String adapter) implements PeerMessage {}
+
+  /**
+   * Says what an engine holds, as its owner knows.
+   *
+   * @param engine id of the engine
+   * @param resident versions by {@code MODEL/ADAPTER}
+   * @param arriving adapters on their way
+   */
+  record EngineHoldings(String engine, Map<String, Long> resident, List<String> arriving)
+      implements PeerMessage {}
+
+  /**
+   * Says that a target crashed while it ran a request.
+   *
+   * @param fingerprint what the sendings of the request have in common
+   * @param target incarnation of the target
+   */
+  record CrashNoted(String fingerprint, String target) implements PeerMessage {}
 }
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -0,0 +1,489 @@
+package org.apricotstand.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.dispatch.Candidate;
+import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.front.CallHandler;
+import org.apricotstand.front.CallerRequest;
+import org.apricotstand.front.EndToEnd;
+import org.apricotstand.front.Reply;
+import org.apricotstand.observe.EventLog;
+import org.apricotstand.residency.AdapterKey;
+import org.apricotstand.route.RequestKind;
+import org.apricotstand.route.Route;
+import org.apricotstand.upstream.AnswerListener;
+import org.apricotstand.upstream.SendFailure;
+import org.apricotstand.upstream.TargetConnection;
+import org.apricotstand.upstream.TargetRequest;
+
+/**
+ * The course of one request. It waits for its adapter if need be, is sent to one target at a time,
+ * and is sent again only when that is allowed: after proof that it did not run, or when it may run
+ * more than once.
+ */
+final class RequestFlow implements CallHandler.ActiveCall {
+
+  private static final EventLog LOG = EventLog.of(RequestFlow.class);
+  private static final int MAX_REJECTIONS = 4;
+  private static final int MAX_CONNECT_FAILURES = 4;
+  private static final long ANSWER_MARGIN_MS = 20;
+  private static final long REPEAT_DEMAND_MS = 400;
+  private static final long COME_BACK_MS = 400;
+  private static final int URGENCY_STEP = 2;
+  private static final int MAX_URGENCY = 9;
+
+  private final RequestRouter router;
+  private final CallerRequest request;
+  private final Reply reply;
+  private final Route route;
+  private final String service;
+  private final String id;
+  private final AdapterKey adapter;
+  private final long deadlineMs;
+  private final long callerDeadlineMs;
+  private final Set<String> excluded = new HashSet<>();
+  private final EventSplitter events;
+  private ScheduledFuture<?> deadline;
+  private String wantedFrom;
+  private long wantedAtMs;
+  private Attempt attempt;
+  private int runs;
+  private int rejections;
+  private int connectFailures;
+  private boolean answering;
+  private boolean ended;
+
+  RequestFlow(
+      RequestRouter router, CallerRequest request, Reply reply, Route route, String service) {
+    this.router = router;
+    this.request = request;
+    this.reply = reply;
+    this.route = route;
+    this.service = service;
+    this.id = request.headers().get(router.names().requestId());
+    String model = request.headers().get(router.names().model());
+    boolean engine =
+        router.view().plan().service(service).flatMap(spec -> spec.engine()).isPresent();
+    this.adapter = engine && model != null ? AdapterKey.parse(model) : null;
+    this.callerDeadlineMs = request.arrivedMs() + callerWaitsMs(request.headers());
+    this.deadlineMs =
+        Math.min(callerDeadlineMs, request.arrivedMs() + route.timeoutMs()) - ANSWER_MARGIN_MS;
+    this.events = route.resumable() ? new EventSplitter() : null;
+  }
+
+  private long callerWaitsMs(HttpHeaders headers) {
+    String text = headers.get(router.names().deadlineMs());
+    return text != null && text.matches("\\d{1,9}") ? Long.parseLong(text) : route.timeoutMs();
+  }
+
+  String service() {
+    return service;
+  }
+
+  AdapterKey adapter() {
+    return adapter;
+  }
+
+  boolean excludes(TargetEntry target) {
+    return excluded.contains(target.id());
+  }
+
+  void start() {
+    long leftMs = Math.max(0, deadlineMs - ControlThread.nowMs());
+    deadline = router.loop().schedule(this::deadlinePassed, leftMs, TimeUnit.MILLISECONDS);
+    if (adapter != null) {
+      router.board().arrived(adapter);
+    }
+    dispatch();
+  }
+
+  /** Looks again for a target, after what is known has changed. */
+  void reconsider() {
+    if (!ended && attempt == null) {
+      dispatch();
+    }
+  }
+
+  private void dispatch() {
+    Optional<Candidate> chosen = router.choose(this);
+    if (chosen.isEmpty()) {
+      noTarget();
+      return;
+    }
+    Candidate candidate = chosen.get();
+    if (candidate.resident()) {
+      router.waiting().remove(this);
+      send(candidate.target());
+    } else {
+      await(candidate);
+    }
+  }
+
+  private void noTarget() {
+    boolean hasTargets = !router.view().targetsOf(service).isEmpty();
+    if (answering) {
+      finish("resume_failed", 0);
+      reply.abort();
+      return;
+    }
+    // A request that ran and failed must not be called not run.
+    int status = runs > 0 ? 502 : 503;
+    fail(status, hasTargets ? "no_target_left" : "no_target", runs > 0 ? 0 : COME_BACK_MS);
+  }
+
+  private void await(Candidate candidate) {
+    long nowMs = ControlThread.nowMs();
+    String engine = candidate.target().id();
+    boolean asked = engine.equals(wantedFrom) && nowMs - wantedAtMs < REPEAT_DEMAND_MS;
+    router.waiting().add(this);
+    if (!asked && candidate.loadable()) {
+      wantedFrom = engine;
+      wantedAtMs = nowMs;
+      router.demand().want(engine, adapter, router.view().versionOf(adapter), deadlineMs);
+    }
+  }
+
+  private void send(TargetEntry target) {
+    attempt = new Attempt(target);
+    TargetRequest sent =
+        new TargetRequest(id, request.method(), request.uri(), headersFor(target), request.body());
+    router.board().sent(target.id(), adapter);
+    Attempt current = attempt;
+    router.connections().send(target, sent, current, current::connected);
+  }
+
+  private HttpHeaders headersFor(TargetEntry target) {
+    HttpHeaders headers = EndToEnd.without(request.headers(), router.names().reserved());
+    long leftMs = Math.max(1, callerDeadlineMs - ControlThread.nowMs());
+    headers.set(router.names().deadlineMs(), leftMs);
+    headers.set(router.names().expectTarget(), target.id());
+    headers.set(router.names().urgency(), Math.min(MAX_URGENCY, 1 + URGENCY_STEP * route.rank()));
+    if (adapter != null && router.view().versionOf(adapter) > 0) {
+      headers.set(router.names().expectVersion(), router.view().versionOf(adapter));
+    }
+    if (events != null && events.lastEventId() != null) {
+      headers.set(router.names().lastEventId(), events.lastEventId());
+    }
+    if (request.body().length > 0 || declaresBody()) {
+      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+    }
+    return headers;
+  }
+
+  private boolean declaresBody() {
+    return request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
+        || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
+  }
+
+  private boolean mayRunAgain() {
+    boolean repeatable = route.isRepeatable() || route.resumable();
+    return repeatable && runs < route.maxAttempts() && router.tryRepeat(service);
+  }
+
+  private void notRun(Attempt rejected, int status) {
+    rejections++;
+    excludeOrReport(rejected.target, status);
+    if (rejections < MAX_REJECTIONS && router.tryRepeat(service)) {
+      dispatch();
+    } else if (answering) {
+      finish("resume_failed", status);
+      reply.abort();
+    } else {
+      fail(503, "rejected_by_targets", COME_BACK_MS);
+    }
+  }
+
+  private void excludeOrReport(TargetEntry target, int status) {
+    long nowMs = ControlThread.nowMs();
+    if (adapter == null) {
+      excluded.add(target.id());
+      router.health().failed(target.id(), nowMs);
+    } else if (status == 421) {
+      router.noteMissing(target.id(), adapter);
+    } else {
+      router.health().failed(target.id(), nowMs);
+      excluded.add(target.id());
+    }
+  }
+
+  private void lost(Attempt broken, SendFailure failure) {
+    long nowMs = ControlThread.nowMs();
+    LOG.info(
+        "attempt_lost",
+        "request",
+        id,
+        "target",
+        broken.target.id(),
+        "failure",
+        failure.getClass().getSimpleName(),
+        "detail",
+        failure.detail(),
+        "answering",
+        answering);
+    if (failure instanceof SendFailure.NotSent) {
+      connectFailures++;
+      router.health().unreachable(broken.target.id(), nowMs);
+      excluded.add(broken.target.id());
+      if (connectFailures < MAX_CONNECT_FAILURES) {
+        dispatch();
+      } else {
+        fail(503, "targets_unreachable", COME_BACK_MS);
+      }
+      return;
+    }
+    runs++;
+    router.health().failed(broken.target.id(), nowMs);
+    if (mayRunAgain()) {
+      if (events != null) {
+        events.takeIncomplete();
+      }
+      excluded.add(broken.target.id());
+      dispatch();
+    } else if (answering) {
+      finish("broken_off", 0);
+      reply.abort();
+    } else {
+      fail(502, "answer_lost", 0);
+    }
+  }
+
+  private void fail(int status, String code, long comeBackMs) {
+    if (ended) {
+      return;
+    }
+    finish(code, status);
+    reply.fail(status, code, comeBackMs == 0 ? 0 : router.spread(comeBackMs));
+  }
+
+  private void finish(String code, int status) {
+    ended = true;
+    deadline.cancel(false);
+    router.waiting().remove(this);
+    router.metrics().count("request.ended." + code);
+    if (!code.equals("answered")) {
+      LOG.info(
+          "request_ended",
+          "request",
+          id,
+          "route",
+          route.name(),
+          "code",
+          code,
+          "status",
+          status,
+          "target",
+          attempt == null ? "" : attempt.target.id(),
+          "adapter",
+          adapter,
+          "wanted_from",
+          wantedFrom,
+          "runs",
+          runs,
+          "rejections",
+          rejections,
+          "age_ms",
+          ControlThread.nowMs() - request.arrivedMs());
+    }
+  }
+
+  private void deadlinePassed() {
+    if (ended) {
+      return;
+    }
+    Attempt current = attempt;
+    if (current != null) {
+      current.cancel();
+    }
+    if (answering) {
+      finish("deadline", 0);
+      reply.abort();
+    } else if (current != null || runs > 0) {
+      fail(504, "deadline", 0);
+    } else {
+      fail(503, "adapter_not_loaded", COME_BACK_MS);
+    }
+  }
+
+  @Override
+  public void callerGone() {
+    if (ended) {
+      return;
+    }
+    if (attempt != null) {
+      attempt.cancel();
+    }
+    finish("caller_gone", 0);
+  }
+
+  @Override
+  public void callerWritable() {
+    if (attempt != null && attempt.connection != null) {
+      attempt.connection.setReading(true);
+    }
+  }
+
+  /** One sending of the request to one target. */
+  private final class Attempt implements AnswerListener {
+
+    private final TargetEntry target;
+    private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+    private TargetConnection connection;
+    private HttpResponse head;
+    private boolean discarding;
+    private boolean started;
+    private boolean over;
+
+    Attempt(TargetEntry target) {
+      this.target = target;
+    }
+
+    boolean connected(TargetConnection carrier) {
+      if (over) {
+        return false;
+      }
+      connection = carrier;
+      return true;
+    }
+
+    void cancel() {
+      leave();
+      if (connection != null) {
+        connection.cancel();
+      }
+    }
+
+    private void leave() {
+      if (!over) {
+        over = true;
+        attempt = null;
+        router.board().ended(target.id(), adapter, started);
+      }
+    }
+
+    @Override
+    public void onHead(HttpResponse answer) {
+      head = answer;
+      discarding = isNotExecuted() || (isFailure() && mayRepeatFailure());
+      if (discarding) {
+        return;
+      }
+      if (answering) {
+        discarding = answer.status().code() != 200;
+      } else if (isStreamed()) {
+        answering = true;
+        reply.head(answer);
+      }
+    }
+
+    private boolean isNotExecuted() {
+      return head.status().code() == 421 || head.headers().contains(router.names().notExecuted());
+    }
+
+    private boolean isFailure() {
+      return head.status().code() >= 500;
+    }
+
+    private boolean mayRepeatFailure() {
+      runs++;
+      boolean again = mayRunAgain();
+      runs--;
+      return again;
+    }
+
+    private boolean isStreamed() {
+      return route.kind() == RequestKind.STREAM && head.status().code() == 200;
+    }
+
+    @Override
+    public void onPart(ByteBuf part) {
+      if (!started) {
+        started = true;
+        router.board().started(target.id());
+      }
+      if (discarding) {
+        return;
+      }
+      if (!isStreamed()) {
+        buffered.writeBytes(ByteBufUtil.getBytes(part));
+      } else if (events != null) {
+        passEvents(events.feed(ByteBufUtil.getBytes(part)));
+      } else {
+        reply.part(part);
+      }
+      if (answering && !reply.isWritable()) {
+        connection.setReading(false);
+      }
+    }
+
+    private void passEvents(byte[] whole) {
+      if (whole.length > 0) {
+        ByteBuf passed = Unpooled.wrappedBuffer(whole);
+        reply.part(passed);
+        passed.release();
+      }
+    }
+
+    @Override
+    public void onEnd() {
+      if (over) {
+        return;
+      }
+      leave();
+      if (discarding) {
+        discarded();
+        return;
+      }
+      runs++;
+      long nowMs = ControlThread.nowMs();
+      if (isFailure()) {
+        router.health().failed(target.id(), nowMs);
+      } else {
+        router.health().succeeded(target.id(), nowMs);
+      }
+      finish("answered", head.status().code());
+      if (!isStreamed()) {
+        reply.head(head);
+        passEvents(buffered.toByteArray());
+      } else if (events != null) {
+        passEvents(events.takeIncomplete());
+      }
+      reply.end();
+    }
+
+    private void discarded() {
+      if (isNotExecuted()) {
+        notRun(this, head.status().code());
+        return;
+      }
+      runs++;
+      router.health().failed(target.id(), ControlThread.nowMs());
+      excluded.add(target.id());
+      dispatch();
+    }
+
+    @Override
+    public void onBroken(SendFailure failure) {
+      if (over) {
+        return;
+      }
+      leave();
+      if (discarding && isNotExecuted()) {
+        notRun(this, head.status().code());
+      } else {
+        lost(this, failure);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -0,0 +1,235 @@
+package org.apricotstand.request;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.dispatch.Candidate;
+import org.apricotstand.dispatch.TargetChooser;
+import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.dispatch.TargetHealth;
+import org.apricotstand.dispatch.TargetLoad;
+import org.apricotstand.fleet.FleetView;
+import org.apricotstand.fleet.LoadBoard;
+import org.apricotstand.front.CallHandler;
+import org.apricotstand.front.CallerRequest;
+import org.apricotstand.front.Reply;
+import org.apricotstand.limit.WindowedRetryBudget;
+import org.apricotstand.observe.EventLog;
+import org.apricotstand.observe.Metrics;
+import org.apricotstand.port.FrontSettings;
+import org.apricotstand.port.HeaderNames;
+import org.apricotstand.residency.AdapterKey;
+import org.apricotstand.residency.Residency;
+import org.apricotstand.route.Route;
+import org.apricotstand.upstream.TargetConnections;
+
+/** Starts the course of each request and holds what requests share on the traffic thread. */
+public final class RequestRouter implements CallHandler {
+
+  private static final EventLog LOG = EventLog.of(RequestRouter.class);
+  private static final long SWEEP_MS = 500;
+  private static final long NO_PLAN_RETRY_MS = 500;
+
+  private final EventLoop loop;
+  private final FrontSettings settings;
+  private final HeaderNames names;
+  private final Supplier<FleetView> view;
+  private final TargetConnections connections;
+  private final LoadBoard board;
+  private final AdapterDemand demand;
+  private final Metrics metrics;
+  private final Random random;
+  private final TargetHealth health = new TargetHealth();
+  private final Map<String, WindowedRetryBudget> budgets = new HashMap<>();
+  private final Set<RequestFlow> waiting = new LinkedHashSet<>();
+  private final Map<MissingAdapter, Residency> missing = new HashMap<>();
+
+  private record MissingAdapter(String engine, AdapterKey key) {}
+
+  /** Creates a router; its calls must run on the loop. */
+  public RequestRouter(
+      EventLoop loop,
+      FrontSettings settings,
+      HeaderNames names,
+      Supplier<FleetView> view,
+      LoadBoard board,
+      AdapterDemand demand,
+      Metrics metrics,
+      Random random) {
+    this.loop = loop;
+    this.settings = settings;
+    this.names = names;
+    this.view = view;
+    this.connections = new TargetConnections(loop, names.requestId());
+    this.board = board;
+    this.demand = demand;
+    this.metrics = metrics;
+    this.random = random;
+    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public ActiveCall handle(CallerRequest request, Reply reply) {
+    FleetView now = view.get();
+    if (now.plan() == null) {
+      refused(request, 503, "no_configuration");
+      reply.fail(503, "no_configuration", NO_PLAN_RETRY_MS);
+      return new EndedCall();
+    }
+    Optional<Route> route = now.plan().find(request.headers().get("host"), request.uri());
+    if (route.isEmpty()) {
+      refused(request, 404, "no_route");
+      reply.fail(404, "no_route", 0);
+      return new EndedCall();
+    }
+    String service = route.get().serviceFor(random.nextDouble());
+    budget(service).requested(ControlThread.nowMs());
+    RequestFlow flow = new RequestFlow(this, request, reply, route.get(), service);
+    flow.start();
+    return flow;
+  }
+
+  /** Lets the requests that wait for an adapter look at the new view. */
+  public void viewChanged() {
+    FleetView now = view.get();
+    missing
+        .entrySet()
+        .removeIf(entry -> now.residency().get(entry.getKey().engine) != entry.getValue());
+    List.copyOf(waiting).forEach(RequestFlow::reconsider);
+  }
+
+  private void refused(CallerRequest request, int status, String code) {
+    metrics.count("request.refused." + code);
+    LOG.info(
+        "request_refused",
+        "request",
+        request.headers().get(names.requestId()),
+        "status",
+        status,
+        "code",
+        code,
+        "path",
+        request.uri());
+  }
+
+  Optional<Candidate> choose(RequestFlow flow) {
+    FleetView now = view.get();
+    List<Candidate> candidates =
+        now.targetsOf(flow.service()).stream()
+            .filter(target -> !flow.excludes(target))
+            .map(target -> candidate(now, target, flow.adapter()))
+            .toList();
+    return flow.adapter() == null
+        ? TargetChooser.choosePlain(settings.domain(), candidates)
+        : TargetChooser.chooseEngine(flow.adapter().toString(), settings.domain(), candidates);
+  }
+
+  private Candidate candidate(FleetView now, TargetEntry target, AdapterKey key) {
+    TargetLoad load =
+        board.load(target.id()).plus(now.peerLoads().getOrDefault(target.id(), TargetLoad.NONE));
+    double penaltyMs = health.penaltyMs(target.id(), ControlThread.nowMs());
+    if (key == null) {
+      return new Candidate(target, load, true, false, false, penaltyMs);
+    }
+    Residency held = now.residency().getOrDefault(target.id(), Residency.EMPTY);
+    boolean resident =
+        held.serves(key, now.versionOf(key))
+            && !missing.containsKey(new MissingAdapter(target.id(), key));
+    boolean arriving = held.arriving().contains(key);
+    boolean loadable = now.commandable().contains(target.id());
+    return new Candidate(target, load, resident, arriving, loadable, penaltyMs);
+  }
+
+  /** Remembers that an engine refused a request until its owner says again what it holds. */
+  void noteMissing(String engine, AdapterKey key) {
+    Residency held = view.get().residency().get(engine);
+    if (held != null) {
+      missing.put(new MissingAdapter(engine, key), held);
+    }
+    demand.missing(engine, key);
+  }
+
+  boolean tryRepeat(String service) {
+    return budget(service).tryRepeat(view.get().instances(), ControlThread.nowMs());
+  }
+
+  private WindowedRetryBudget budget(String service) {
+    return budgets.computeIfAbsent(
+        service,
+        name ->
+            new WindowedRetryBudget(
+                settings.retryRatio(), settings.retryAllowance(), settings.retryWindowMs()));
+  }
+
+  private void sweep() {
+    FleetView now = view.get();
+    connections.sweep(
+        now.targets().values().stream()
+            .flatMap(List::stream)
+            .map(TargetEntry::incarnation)
+            .collect(java.util.stream.Collectors.toSet()));
+    health.retain(
+        now.targets().values().stream()
+            .flatMap(List::stream)
+            .map(TargetEntry::id)
+            .collect(java.util.stream.Collectors.toSet()));
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  HeaderNames names() {
+    return names;
+  }
+
+  FleetView view() {
+    return view.get();
+  }
+
+  TargetConnections connections() {
+    return connections;
+  }
+
+  LoadBoard board() {
+    return board;
+  }
+
+  AdapterDemand demand() {
+    return demand;
+  }
+
+  TargetHealth health() {
+    return health;
+  }
+
+  Metrics metrics() {
+    return metrics;
+  }
+
+  Set<RequestFlow> waiting() {
+    return waiting;
+  }
+
+  /** Returns a time around the given one, so that callers do not come back together. */
+  long spread(long aroundMs) {
+    return aroundMs / 2 + (long) (random.nextDouble() * aroundMs);
+  }
+
+  /** A call that was answered at once. */
+  private static final class EndedCall implements ActiveCall {
+    @Override
+    public void callerGone() {}
+
+    @Override
+    public void callerWritable() {}
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/request/package-info.java
@@ -0,0 +1,2 @@
+/** The course of one request: target, sending, answer, repeats and resumption; traffic thread. */
+package org.apricotstand.request;
