Prefer engines that keep a copy of a missing adapter

Cause: each load of an adapter that its engine has not held before is fetched from the weight store and priced; requests spread adapters over engines. Change: instances remember what each engine held; a load from the store costs more than its time. Commands and reports without an outcome count as unanswered after 2 s. Open: requests still wait in vain for some adapters.

--- a/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
@@ -20,8 +20,14 @@
   /** Slow-down by one more request in the batch. */
   static final double RUNNING_COST_MS = 4;
 
-  /** Time to load a missing adapter. */
-  static final double LOAD_COST_MS = 290;
+  /** Time to load a missing adapter of which the engine keeps a copy. */
+  static final double WARM_LOAD_COST_MS = 40;
+
+  /**
+   * Cost of a load from the weight store. Each one takes from a rate that all engines share, so it
+   * counts for more than the time it takes.
+   */
+  static final double LOAD_COST_MS = 700;
 
   /** Time left on average of a load in progress. */
   static final double ARRIVING_COST_MS = 150;
@@ -74,7 +80,10 @@
     if (candidate.resident()) {
       return 0;
     }
-    return candidate.arriving() ? ARRIVING_COST_MS : LOAD_COST_MS;
+    if (candidate.arriving()) {
+      return ARRIVING_COST_MS;
+    }
+    return candidate.warm() ? WARM_LOAD_COST_MS : LOAD_COST_MS;
   }
 
   private static double plainCost(Candidate candidate, String domain) {
--- a/core/src/main/java/org/apricotstand/residency/EngineSlots.java
+++ b/core/src/main/java/org/apricotstand/residency/EngineSlots.java
@@ -33,6 +33,9 @@
   /** How long an adapter takes to arrive while few are on their way. */
   static final long ADAPTER_LOAD_MS = 250;
 
+  /** Longer than the transport waits for any answer of an engine. */
+  static final long CALL_LIMIT_MS = 2_000;
+
   private static final long CONFLICT_PAUSE_MS = 150;
   private static final long REPORT_RETRY_MS = 300;
   private static final long REFUSAL_PAUSE_MS = 1_000;
@@ -48,6 +51,8 @@
   private final Map<AdapterKey, Demand> wanted = new LinkedHashMap<>();
   private final Map<AdapterKey, Long> unknownUntilMs = new HashMap<>();
   private long sequence = ANY_SEQUENCE;
+  private long commandNumber;
+  private long overdueMs;
   private EngineCommand outstanding;
   private boolean outstandingIsCheck;
   private boolean reportAsked;
@@ -74,7 +79,11 @@
   public List<SlotAction> handle(SlotEvent event, long nowMs) {
     switch (event) {
       case SlotEvent.Wanted want -> demand(want);
-      case SlotEvent.Answered answer -> answered(answer.result(), nowMs);
+      case SlotEvent.Answered answer -> {
+        if (outstanding != null && answer.number() == commandNumber) {
+          answered(answer.result(), nowMs);
+        }
+      }
       case SlotEvent.Reported reported -> reported(reported.report(), nowMs);
       case SlotEvent.ReportFailed failed -> reportFailed(nowMs);
       case SlotEvent.Contradicted contradicted -> {
@@ -82,7 +91,7 @@
           forget(nowMs + REPORT_LAG_MS);
         }
       }
-      case SlotEvent.Tick tick -> wanted.values().removeIf(demand -> demand.deadlineMs < nowMs);
+      case SlotEvent.Tick tick -> ticked(nowMs);
     }
     List<SlotAction> actions = new ArrayList<>();
     next(nowMs).ifPresent(actions::add);
@@ -95,7 +104,7 @@
 
   /** Returns what the engine holds. */
   public Residency residency() {
-    return new Residency(resident, arriving.keySet());
+    return new Residency(resident, arriving.keySet(), Set.of());
   }
 
   /** Returns whether commands wait or are in progress. */
@@ -103,6 +112,19 @@
     return outstanding != null || reportAsked || !wanted.isEmpty() || !arriving.isEmpty();
   }
 
+  /** A call that reports nothing counts as unanswered: it may still be carried out. */
+  private void ticked(long nowMs) {
+    wanted.values().removeIf(demand -> demand.deadlineMs < nowMs);
+    if (nowMs < overdueMs) {
+      return;
+    }
+    if (outstanding != null) {
+      answered(CommandResult.UNANSWERED, nowMs);
+    } else if (reportAsked) {
+      reportFailed(nowMs);
+    }
+  }
+
   private void demand(SlotEvent.Wanted want) {
     Long held = resident.get(want.key());
     if (held != null && held >= want.version()) {
@@ -221,6 +243,7 @@
     }
     if (sequence == ANY_SEQUENCE) {
       reportAsked = true;
+      overdueMs = nowMs + CALL_LIMIT_MS;
       return Optional.of(new SlotAction.AskReport());
     }
     return dueCheck(nowMs).or(() -> firstModel(nowMs)).or(() -> nextLoad(nowMs));
@@ -237,9 +260,8 @@
 
   private SlotAction check(EngineCommand.Load load, long nowMs) {
     arriving.put(load.key(), new Arrival(load.version(), nowMs + CHECK_PERIOD_MS));
-    outstanding = load;
     outstandingIsCheck = true;
-    return new SlotAction.Send(load, sequence);
+    return sent(load, nowMs);
   }
 
   private Optional<SlotAction> firstModel(long nowMs) {
@@ -250,7 +272,7 @@
       return Optional.empty();
     }
     AdapterKey model = new AdapterKey(modelToLoad().name(), "");
-    return Optional.of(send(new EngineCommand.Load(model, 0)));
+    return Optional.of(send(new EngineCommand.Load(model, 0), nowMs));
   }
 
   private ModelSpec modelToLoad() {
@@ -269,14 +291,14 @@
         .filter(entry -> !arriving.containsKey(entry.getKey()))
         .filter(entry -> unknownUntilMs.getOrDefault(entry.getKey(), 0L) <= nowMs)
         .findFirst()
-        .flatMap(entry -> loadOrMakeRoom(entry.getKey(), entry.getValue()));
+        .flatMap(entry -> loadOrMakeRoom(entry.getKey(), entry.getValue(), nowMs));
   }
 
-  private Optional<SlotAction> loadOrMakeRoom(AdapterKey key, Demand demand) {
+  private Optional<SlotAction> loadOrMakeRoom(AdapterKey key, Demand demand, long nowMs) {
     if (resident.containsKey(key) || usedPlaces() < places()) {
-      return Optional.of(send(new EngineCommand.Load(key, demand.version)));
+      return Optional.of(send(new EngineCommand.Load(key, demand.version), nowMs));
     }
-    return leastPopular().map(victim -> send(new EngineCommand.Unload(victim)));
+    return leastPopular().map(victim -> send(new EngineCommand.Unload(victim), nowMs));
   }
 
   private Optional<AdapterKey> leastPopular() {
@@ -287,10 +309,16 @@
         .min(Comparator.comparingDouble(use::popularity).thenComparing(AdapterKey::toString));
   }
 
-  private SlotAction send(EngineCommand command) {
-    outstanding = command;
+  private SlotAction send(EngineCommand command, long nowMs) {
     outstandingIsCheck = false;
-    return new SlotAction.Send(command, sequence);
+    return sent(command, nowMs);
+  }
+
+  private SlotAction sent(EngineCommand command, long nowMs) {
+    outstanding = command;
+    overdueMs = nowMs + CALL_LIMIT_MS;
+    commandNumber++;
+    return new SlotAction.Send(command, sequence, commandNumber);
   }
 
   private long usedPlaces() {
--- a/core/src/main/java/org/apricotstand/residency/SlotEvent.java
+++ b/core/src/main/java/org/apricotstand/residency/SlotEvent.java
@@ -11,8 +11,8 @@
    */
   record Wanted(AdapterKey key, long version, long deadlineMs) implements SlotEvent {}
 
-  /** The engine answered the command that was sent last. */
-  record Answered(CommandResult result) implements SlotEvent {}
+  /** The engine answered the command of the given number; older ones are ignored. */
+  record Answered(CommandResult result, long number) implements SlotEvent {}
 
   /** The engine reported its state. */
   record Reported(EngineReport report) implements SlotEvent {}
--- a/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
+++ b/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
@@ -238,25 +238,30 @@
   private void carryOut(String id, Owned engine, SlotAction action) {
     switch (action) {
       case SlotAction.Send send -> command(id, engine, send);
-      case SlotAction.AskReport ask ->
-          engines
-              .report(engine.target)
-              .whenComplete(
-                  (report, failure) ->
-                      answer(
-                          id,
-                          engine,
-                          failure == null
-                              ? new SlotEvent.Reported(report)
-                              : new SlotEvent.ReportFailed()));
+      case SlotAction.AskReport ask -> askReport(id, engine);
       case SlotAction.Publish publish -> published.accept(id, publish.residency());
     }
   }
 
+  private void askReport(String id, Owned engine) {
+    engines
+        .report(engine.target)
+        .whenComplete(
+            (report, failure) -> {
+              if (failure == null) {
+                LOG.info("engine_reported", "engine", id, "report", report);
+                answer(id, engine, new SlotEvent.Reported(report));
+              } else {
+                LOG.warn("engine_not_reported", "engine", id, "error", failure.toString());
+                answer(id, engine, new SlotEvent.ReportFailed());
+              }
+            });
+  }
+
   private void command(String id, Owned engine, SlotAction.Send send) {
     // Checked on the thread that sends, immediately before the call.
     if (!leases.mayCommand(id, ControlThread.nowMs())) {
-      answer(id, engine, new SlotEvent.Answered(CommandResult.REFUSED));
+      answer(id, engine, new SlotEvent.Answered(CommandResult.REFUSED, send.number()));
       return;
     }
     metrics.count("engine.commands");
@@ -282,7 +287,7 @@
                   result,
                   "took_ms",
                   ControlThread.nowMs() - sentMs);
-              answer(id, engine, new SlotEvent.Answered(result));
+              answer(id, engine, new SlotEvent.Answered(result, send.number()));
             });
   }
 
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -26,6 +26,7 @@
 import org.apricotstand.request.AdapterDemand;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
+import org.apricotstand.residency.WarmCopies;
 import org.apricotstand.route.EngineSpec;
 import org.apricotstand.route.RoutingPlan;
 import org.apricotstand.route.ServiceSpec;
@@ -40,6 +41,9 @@
   private static final long SILENCE_MS = 1_500;
   private static final long RECONNECT_MS = 1_000;
 
+  /** Adapters of which an engine keeps copies. */
+  private static final int WARM_ADAPTERS = 100;
+
   private final ControlThread control;
   private final FrontSettings settings;
   private final ConfigurationSource configuration;
@@ -51,6 +55,7 @@
   private final Popularity popularity = new Popularity();
   private final Map<AdapterKey, Long> versions = new HashMap<>();
   private final Map<String, Residency> residency = new HashMap<>();
+  private final Map<String, WarmCopies> warm = new HashMap<>();
   private final Map<String, String> incarnations = new HashMap<>();
   private final Map<String, Peer> heard = new HashMap<>();
   private final Map<String, Long> triedMs = new HashMap<>();
@@ -151,12 +156,14 @@
       String before = incarnations.put(target.id(), target.incarnation());
       boolean owned = owner.ownedNow().contains(target.id());
       if (!target.incarnation().equals(before)) {
-        residency.put(target.id(), new Residency(target.holdings(), Set.of()));
+        warm.remove(target.id());
+        residency.put(target.id(), new Residency(target.holdings(), Set.of(), Set.of()));
       } else if (!owned && owner.ownerOf(target.id()) == null) {
-        residency.put(target.id(), new Residency(target.holdings(), Set.of()));
+        residency.put(target.id(), new Residency(target.holdings(), Set.of(), Set.of()));
       }
     }
     residency.keySet().retainAll(live);
+    warm.keySet().retainAll(live);
     incarnations.keySet().retainAll(live);
     enginesChanged();
     changed();
@@ -177,7 +184,7 @@
   }
 
   private void ownEngineChanged(String engine, Residency held) {
-    residency.put(engine, held);
+    note(engine, held.resident(), held.arriving());
     PeerMessage message = holdings(engine, held);
     directory.others().stream().filter(this::isHeard).forEach(peer -> peers.send(peer, message));
     changed();
@@ -261,10 +268,16 @@
     holdings.resident().forEach((key, version) -> resident.put(AdapterKey.parse(key), version));
     Set<AdapterKey> arriving =
         holdings.arriving().stream().map(AdapterKey::parse).collect(Collectors.toSet());
-    residency.put(holdings.engine(), new Residency(resident, arriving));
+    note(holdings.engine(), resident, arriving);
     changed();
   }
 
+  private void note(String engine, Map<AdapterKey, Long> resident, Set<AdapterKey> arriving) {
+    WarmCopies copies = warm.computeIfAbsent(engine, id -> new WarmCopies(WARM_ADAPTERS));
+    copies.held(resident.keySet());
+    residency.put(engine, new Residency(resident, arriving, copies.adapters()));
+  }
+
   private void reported(InstanceId from, PeerMessage.LoadReport report) {
     Map<String, TargetLoad> loads = new HashMap<>();
     report.started().forEach((id, count) -> loads.put(id, new TargetLoad(count, 0)));
