Replace an adapter only while it is idle

Change: a replacement waits until no request runs on the old version, is sent once and followed by reports; meanwhile the new version is loaded elsewhere. Outdated versions are evicted first.

--- a/core/src/main/java/org/apricotstand/dispatch/Candidate.java
+++ b/core/src/main/java/org/apricotstand/dispatch/Candidate.java
@@ -7,6 +7,7 @@
  * @param load requests at it
  * @param resident whether it can run the request now
  * @param arriving whether what the request needs is on its way
+ * @param stale whether the target holds an older version than the request needs
  * @param warm whether the target held what is missing recently and loads it fast
  * @param loadable whether an owner that can be reached may load what is missing
  * @param penaltyMs extra cost for recent failures
@@ -16,6 +17,7 @@
     TargetLoad load,
     boolean resident,
     boolean arriving,
+    boolean stale,
     boolean warm,
     boolean loadable,
     double penaltyMs) {}
--- a/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
@@ -32,6 +32,9 @@
   /** Time left on average of a load in progress. */
   static final double ARRIVING_COST_MS = 150;
 
+  /** Time until the runs on an older version end and the newer one is loaded. */
+  static final double REPLACEMENT_COST_MS = 1_500;
+
   /** Prefers engines by rank, so that each adapter is loaded on few of them. */
   static final double RANK_COST_MS = 25;
 
@@ -83,6 +86,9 @@
     if (candidate.arriving()) {
       return ARRIVING_COST_MS;
     }
+    if (candidate.stale()) {
+      return REPLACEMENT_COST_MS;
+    }
     return candidate.warm() ? WARM_LOAD_COST_MS : LOAD_COST_MS;
   }
 
--- a/core/src/main/java/org/apricotstand/residency/AdapterUse.java
+++ b/core/src/main/java/org/apricotstand/residency/AdapterUse.java
@@ -6,6 +6,9 @@
   /** Returns whether a request runs on the adapter at the engine in question. */
   boolean isRunning(AdapterKey key);
 
+  /** Returns the declared version of the adapter; 0 when none was declared. */
+  long declaredVersion(AdapterKey key);
+
   /** Returns the recent number of requests for the adapter. */
   double popularity(AdapterKey key);
 }
--- a/core/src/main/java/org/apricotstand/residency/EngineSlots.java
+++ b/core/src/main/java/org/apricotstand/residency/EngineSlots.java
@@ -187,9 +187,15 @@
     advance();
     switch (command) {
       case EngineCommand.Load(AdapterKey key, long version) -> {
-        resident.remove(key);
+        boolean replaced = resident.remove(key) != null;
         wanted.remove(key);
-        arriving.put(key, new Arrival(version, nowMs + loadMs(key)));
+        if (replaced) {
+          // The engine carries out nothing else meanwhile. The same command again would start a
+          // second replacement, so that only reports tell when it is done.
+          forget(nowMs + REPORT_LAG_MS);
+        } else {
+          arriving.put(key, new Arrival(version, nowMs + loadMs(key)));
+        }
       }
       case EngineCommand.Unload(AdapterKey key) -> {
         resident.remove(key);
@@ -290,11 +296,15 @@
         .filter(entry -> resident.containsKey(entry.getKey().modelKey()))
         .filter(entry -> !arriving.containsKey(entry.getKey()))
         .filter(entry -> unknownUntilMs.getOrDefault(entry.getKey(), 0L) <= nowMs)
-        .findFirst()
-        .flatMap(entry -> loadOrMakeRoom(entry.getKey(), entry.getValue(), nowMs));
+        .flatMap(entry -> loadOrMakeRoom(entry.getKey(), entry.getValue(), nowMs).stream())
+        .findFirst();
   }
 
   private Optional<SlotAction> loadOrMakeRoom(AdapterKey key, Demand demand, long nowMs) {
+    if (resident.containsKey(key) && use.isRunning(key)) {
+      // A replacement waits for the runs on the old version and blocks all other commands.
+      return Optional.empty();
+    }
     if (resident.containsKey(key) || usedPlaces() < places()) {
       return Optional.of(send(new EngineCommand.Load(key, demand.version), nowMs));
     }
@@ -306,7 +316,14 @@
         .filter(key -> !key.isModel())
         .filter(key -> !use.isRunning(key))
         .filter(key -> !wanted.containsKey(key))
-        .min(Comparator.comparingDouble(use::popularity).thenComparing(AdapterKey::toString));
+        .min(
+            Comparator.comparing(this::isCurrent)
+                .thenComparingDouble(use::popularity)
+                .thenComparing(AdapterKey::toString));
+  }
+
+  private boolean isCurrent(AdapterKey key) {
+    return resident.get(key) >= use.declaredVersion(key);
   }
 
   private SlotAction send(EngineCommand command, long nowMs) {
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -90,7 +90,13 @@
     this.board = board;
     this.owner =
         new EngineOwner(
-            control, store, engines, settings, metrics, popularity::at, this::ownEngineChanged);
+            control,
+            store,
+            engines,
+            settings,
+            metrics,
+            engine -> popularity.at(engine, key -> versions.getOrDefault(key, 0L)),
+            this::ownEngineChanged);
   }
 
   /** Sets what runs after each new view, on the control thread. */
--- a/node/src/main/java/org/apricotstand/fleet/Popularity.java
+++ b/node/src/main/java/org/apricotstand/fleet/Popularity.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.placement.DecayingCounts;
 import org.apricotstand.residency.AdapterKey;
@@ -38,8 +39,12 @@
     inUse.remove(instance);
   }
 
-  /** Returns the use as seen from one engine. */
-  AdapterUse at(String engine) {
+  /**
+   * Returns the use as seen from one engine.
+   *
+   * @param versions declared version of each adapter
+   */
+  AdapterUse at(String engine, ToLongFunction<AdapterKey> versions) {
     return new AdapterUse() {
       @Override
       public boolean isRunning(AdapterKey key) {
@@ -48,6 +53,11 @@
             .anyMatch(adapters -> adapters.getOrDefault(engine, Set.of()).contains(name));
       }
 
+      @Override
+      public long declaredVersion(AdapterKey key) {
+        return versions.applyAsLong(key);
+      }
+
       @Override
       public double popularity(AdapterKey key) {
         return counts.value(key, ControlThread.nowMs());
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -137,16 +137,17 @@
         board.load(target.id()).plus(now.peerLoads().getOrDefault(target.id(), TargetLoad.NONE));
     double penaltyMs = health.penaltyMs(target.id(), ControlThread.nowMs());
     if (key == null) {
-      return new Candidate(target, load, true, false, false, false, penaltyMs);
+      return new Candidate(target, load, true, false, false, false, false, penaltyMs);
     }
     Residency held = now.residency().getOrDefault(target.id(), Residency.EMPTY);
     boolean resident =
         held.serves(key, now.versionOf(key))
             && !missing.containsKey(new MissingAdapter(target.id(), key));
     boolean arriving = held.arriving().contains(key);
+    boolean stale = !resident && held.resident().containsKey(key);
     boolean warm = held.warm().contains(key);
     boolean loadable = now.commandable().contains(target.id());
-    return new Candidate(target, load, resident, arriving, warm, loadable, penaltyMs);
+    return new Candidate(target, load, resident, arriving, stale, warm, loadable, penaltyMs);
   }
 
   /** Remembers that an engine refused a request until its owner says again what it holds. */
