--- a/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
@@ -27,7 +27,7 @@
    * Cost of a load from the weight store. Each one takes from a rate that all engines share, so it
    * counts for more than the time it takes.
    */
-  static final double LOAD_COST_MS = 700;
+  static final double LOAD_COST_MS = 1_000;
 
   /** Time left on average of a load in progress. */
   static final double ARRIVING_COST_MS = 150;
--- a/core/src/main/java/org/apricotstand/order/OrderLeases.java
+++ b/core/src/main/java/org/apricotstand/order/OrderLeases.java
@@ -31,6 +31,7 @@
   private static final long RENEWAL_MS = 2_000;
   private static final long SILENCE_MS = 1_500;
   private static final long READ_PERIOD_MS = 1_000;
+  // Instances with a lower rank or more engines claim later, so that ownership spreads.
   private static final long RANK_DELAY_MS = 300;
   private static final long CLOCK_MARGIN_MS = 300;
   private static final int MAX_ROWS = 40;
@@ -141,6 +142,7 @@
 
   private void written(LeaseEvent.Written written, List<LeaseAction> actions) {
     callInProgress = false;
+    nextRenewalMs = written.sentMs() + RENEWAL_MS;
     for (LeaseRecord row : written.rows()) {
       seen.remove(row.engine());
       if (row.holder().isEmpty()) {
@@ -246,7 +248,8 @@
       return false;
     }
     long rank = Rendezvous.rank(engine, instances, name -> name).indexOf(self);
-    return nowMs >= row.sinceMs + pauseMs(row.row) + Math.max(0, rank) * RANK_DELAY_MS;
+    return nowMs
+        >= row.sinceMs + pauseMs(row.row) + (Math.max(0, rank) + held.size()) * RANK_DELAY_MS;
   }
 
   private long pauseMs(LeaseRecord row) {
--- a/core/src/main/java/org/apricotstand/residency/EngineSlots.java
+++ b/core/src/main/java/org/apricotstand/residency/EngineSlots.java
@@ -179,7 +179,8 @@
         unknownUntilMs.put(command.key(), nowMs + UNKNOWN_NAME_MS);
       }
       case REFUSED -> forget(nowMs + REFUSAL_PAUSE_MS);
-      case UNANSWERED -> forget(nowMs + REPORT_LAG_MS);
+      // Unanswered: it may have been carried out, or may still be.
+      default -> forget(nowMs + REPORT_LAG_MS);
     }
   }
 
--- /dev/null
+++ b/core/src/test/java/org/apricotstand/order/OrderLeasesTest.java
@@ -0,0 +1,122 @@
+package org.apricotstand.order;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class OrderLeasesTest {
+
+  private static final long PAUSE_MS = 3_000;
+
+  private final OrderLeases leases = new OrderLeases("n1", PAUSE_MS);
+
+  private List<LeaseAction> tick(long nowMs) {
+    return leases.handle(new LeaseEvent.Tick(), nowMs);
+  }
+
+  private void claimFresh() {
+    leases.handle(new LeaseEvent.InstancesChanged(Set.of("n1")), 0);
+    assertThat(leases.handle(new LeaseEvent.EnginesChanged(Set.of("e")), 0))
+        .containsExactly(new LeaseAction.ReadRows());
+    List<LeaseAction> claim = leases.handle(new LeaseEvent.RowsRead(List.of(), 0), 10);
+    LeaseRecord row = new LeaseRecord("e", "n1", 0);
+    assertThat(claim).containsExactly(new LeaseAction.WriteRows(List.of(row)));
+    leases.handle(new LeaseEvent.Written(List.of(row), 5, 10), 20);
+  }
+
+  // Guards against commands after the end of a lease that could not be renewed.
+  @Test
+  void aLeaseEndsATermAfterItsRenewalWasSent() {
+    claimFresh();
+    assertThat(leases.fencingNumber("e")).isEqualTo(5);
+    long lastMs = 10 + OrderLeases.TERM_MS - OrderLeases.COMMAND_MARGIN_MS;
+    assertThat(leases.mayCommand("e", lastMs - 1)).isTrue();
+    assertThat(leases.mayCommand("e", lastMs)).isFalse();
+  }
+
+  // Guards against commands of an instance that stood still past its lease without noticing.
+  @Test
+  void aPauseSuspendsAllLeasesUntilTheNextRenewal() {
+    claimFresh();
+    List<LeaseAction> actions = leases.handle(new LeaseEvent.Paused(), 100);
+    assertThat(leases.mayCommand("e", 101)).isFalse();
+    LeaseRecord renewal = new LeaseRecord("e", "n1", 5);
+    assertThat(actions).containsExactly(new LeaseAction.WriteRows(List.of(renewal)));
+    leases.handle(new LeaseEvent.Written(List.of(renewal), 6, 101), 110);
+    assertThat(leases.mayCommand("e", 111)).isTrue();
+    assertThat(leases.fencingNumber("e")).isEqualTo(5);
+  }
+
+  // Guards against two owners within the pause that must lie between their commands.
+  @Test
+  void takesALeaseOnlyAfterTermAndPauseWithoutChange() {
+    leases.handle(new LeaseEvent.InstancesChanged(Set.of("n1")), 0);
+    leases.handle(new LeaseEvent.EnginesChanged(Set.of("e")), 0);
+    LeaseRecord other = new LeaseRecord("e", "n2", 7);
+    leases.handle(new LeaseEvent.RowsRead(List.of(other), 0), 10);
+    long soonestMs = OrderLeases.TERM_MS + PAUSE_MS;
+    assertThat(tick(soonestMs)).isEmpty();
+    assertThat(tick(soonestMs + 1_000))
+        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", 7))));
+  }
+
+  // Guards against a takeover from an owner that was silent for a while but lives.
+  @Test
+  void startsTheWaitAnewWhenTheOwnerIsHeard() {
+    leases.handle(new LeaseEvent.InstancesChanged(Set.of("n1", "n2")), 0);
+    leases.handle(new LeaseEvent.EnginesChanged(Set.of("e")), 0);
+    leases.handle(new LeaseEvent.RowsRead(List.of(new LeaseRecord("e", "n2", 7)), 0), 10);
+    leases.handle(new LeaseEvent.OwnerHeard("n2", Set.of("e")), 8_000);
+    assertThat(tick(20_000)).containsExactly(new LeaseAction.ReadRows());
+  }
+
+  // Guards against a wait of seconds after a restart of the owner itself.
+  @Test
+  void takesItsOwnRowBackAtOnce() {
+    leases.handle(new LeaseEvent.InstancesChanged(Set.of("n1")), 0);
+    leases.handle(new LeaseEvent.EnginesChanged(Set.of("e")), 0);
+    LeaseRecord own = new LeaseRecord("e", "n1", 7);
+    assertThat(leases.handle(new LeaseEvent.RowsRead(List.of(own), 0), 10))
+        .containsExactly(new LeaseAction.WriteRows(List.of(own)));
+  }
+
+  // Guards against losing a lease when a renewal took effect and its answer was lost.
+  @Test
+  void adoptsARenewalWhoseAnswerWasLost() {
+    claimFresh();
+    LeaseRecord renewal = new LeaseRecord("e", "n1", 5);
+    assertThat(tick(2_500)).containsExactly(new LeaseAction.WriteRows(List.of(renewal)));
+    leases.handle(new LeaseEvent.CallFailed(), 3_700);
+    tick(4_600);
+    List<LeaseAction> actions =
+        leases.handle(
+            new LeaseEvent.Rejected(List.of(renewal), List.of(new LeaseRecord("e", "n1", 6))),
+            4_610);
+    assertThat(actions)
+        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", 6))));
+  }
+
+  // Guards against commands of a former owner after another took over.
+  @Test
+  void givesUpARowThatAnotherTook() {
+    claimFresh();
+    LeaseRecord renewal = new LeaseRecord("e", "n1", 5);
+    List<LeaseAction> actions =
+        leases.handle(
+            new LeaseEvent.Rejected(List.of(renewal), List.of(new LeaseRecord("e", "n2", 9))),
+            2_600);
+    assertThat(actions).contains(new LeaseAction.Lost("e", "taken_by_n2"));
+    assertThat(leases.mayCommand("e", 2_601)).isFalse();
+  }
+
+  // Guards against a takeover that waits a whole term after a planned stop.
+  @Test
+  void releasesAllRowsWhenLeaving() {
+    claimFresh();
+    assertThat(leases.handle(new LeaseEvent.Leaving(), 100))
+        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "", 5))));
+    assertThat(leases.mayCommand("e", 101)).isFalse();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/apricotstand/residency/EngineSlotsTest.java
@@ -0,0 +1,179 @@
+package org.apricotstand.residency;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apricotstand.route.EngineSpec;
+import org.apricotstand.route.ModelSpec;
+import org.junit.jupiter.api.Test;
+
+class EngineSlotsTest {
+
+  private static final AdapterKey MODEL = new AdapterKey("m", "");
+  private static final EngineSpec SPEC =
+      new EngineSpec(64, 1_000, 2, List.of(new ModelSpec("m", 500, 5_000, 10)));
+
+  private final FakeUse use = new FakeUse();
+  private final EngineSlots slots = new EngineSlots(SPEC, use, 2);
+
+  private static final class FakeUse implements AdapterUse {
+    private final Set<AdapterKey> running = new HashSet<>();
+    private final Map<AdapterKey, Double> popularity = new HashMap<>();
+    private final Map<AdapterKey, Long> declared = new HashMap<>();
+
+    @Override
+    public boolean isRunning(AdapterKey key) {
+      return running.contains(key);
+    }
+
+    @Override
+    public long declaredVersion(AdapterKey key) {
+      return declared.getOrDefault(key, 0L);
+    }
+
+    @Override
+    public double popularity(AdapterKey key) {
+      return popularity.getOrDefault(key, 0.0);
+    }
+  }
+
+  private static AdapterKey adapter(String name) {
+    return new AdapterKey("m", name);
+  }
+
+  private static EngineReport report(long sequence, AdapterKey... resident) {
+    Map<AdapterKey, Long> held = new HashMap<>(Map.of(MODEL, 1L));
+    List.of(resident).forEach(key -> held.put(key, 1L));
+    return new EngineReport(sequence, false, held, Set.of());
+  }
+
+  private SlotAction.Send send(SlotEvent event, long nowMs) {
+    return (SlotAction.Send)
+        slots.handle(event, nowMs).stream()
+            .filter(action -> action instanceof SlotAction.Send)
+            .findFirst()
+            .orElse(null);
+  }
+
+  private void started(EngineReport report) {
+    assertThat(slots.handle(new SlotEvent.Tick(), 0)).contains(new SlotAction.AskReport());
+    slots.handle(new SlotEvent.Reported(report), 1);
+  }
+
+  // Guards against a command that is carried out late after others changed the engine.
+  @Test
+  void eachCommandExpectsTheSequenceAfterTheOneBefore() {
+    started(report(4));
+    SlotAction.Send first = send(new SlotEvent.Wanted(adapter("a1"), 0, 9_000), 2);
+    assertThat(first.command()).isEqualTo(new EngineCommand.Load(adapter("a1"), 0));
+    assertThat(first.expectedSequence()).isEqualTo(4);
+    assertThat(send(new SlotEvent.Wanted(adapter("a2"), 0, 9_000), 3)).isNull();
+    SlotAction.Send second =
+        send(new SlotEvent.Answered(CommandResult.ACCEPTED, first.number()), 4);
+    assertThat(second.command()).isEqualTo(new EngineCommand.Load(adapter("a2"), 0));
+    assertThat(second.expectedSequence()).isEqualTo(5);
+  }
+
+  // Guards against more adapters than the engine has places for, which makes it crash.
+  @Test
+  void dropsTheLeastPopularIdleAdapterWhenFull() {
+    started(report(0, adapter("a1"), adapter("a2")));
+    use.popularity.put(adapter("a1"), 3.0);
+    use.popularity.put(adapter("a2"), 5.0);
+    SlotAction.Send send = send(new SlotEvent.Wanted(adapter("a3"), 0, 9_000), 2);
+    assertThat(send.command()).isEqualTo(new EngineCommand.Unload(adapter("a1")));
+    SlotAction.Send load = send(new SlotEvent.Answered(CommandResult.HOLDS, send.number()), 3);
+    assertThat(load.command()).isEqualTo(new EngineCommand.Load(adapter("a3"), 0));
+  }
+
+  @Test
+  void keepsAdaptersInUse() {
+    started(report(0, adapter("a1"), adapter("a2")));
+    use.running.add(adapter("a1"));
+    use.running.add(adapter("a2"));
+    assertThat(send(new SlotEvent.Wanted(adapter("a3"), 0, 9_000), 2)).isNull();
+  }
+
+  // Guards against an outdated adapter that stays because its name is popular.
+  @Test
+  void dropsAnOutdatedAdapterFirst() {
+    started(report(0, adapter("a1"), adapter("a2")));
+    use.popularity.put(adapter("a2"), 5.0);
+    use.declared.put(adapter("a2"), 2L);
+    SlotAction.Send send = send(new SlotEvent.Wanted(adapter("a3"), 0, 9_000), 2);
+    assertThat(send.command()).isEqualTo(new EngineCommand.Unload(adapter("a2")));
+  }
+
+  // Guards against a replacement that blocks all commands of the engine until long runs end.
+  @Test
+  void replacesOnlyAnIdleAdapter() {
+    started(report(0, adapter("a1")));
+    use.running.add(adapter("a1"));
+    assertThat(send(new SlotEvent.Wanted(adapter("a1"), 2, 9_000), 2)).isNull();
+    SlotAction.Send other = send(new SlotEvent.Wanted(adapter("a2"), 0, 9_000), 3);
+    assertThat(other.command()).isEqualTo(new EngineCommand.Load(adapter("a2"), 0));
+    use.running.clear();
+    SlotAction.Send replacing =
+        send(new SlotEvent.Answered(CommandResult.ACCEPTED, other.number()), 4);
+    assertThat(replacing.command()).isEqualTo(new EngineCommand.Load(adapter("a1"), 2));
+  }
+
+  // Guards against a second replacement: engines accepted the same command again and then refused
+  // all others until the end of the day.
+  @Test
+  void followsAReplacementByReportsOnly() {
+    started(report(0, adapter("a1")));
+    SlotAction.Send replacing = send(new SlotEvent.Wanted(adapter("a1"), 2, 90_000), 2);
+    slots.handle(new SlotEvent.Answered(CommandResult.ACCEPTED, replacing.number()), 3);
+    for (long nowMs = 10; nowMs < EngineSlots.REPORT_LAG_MS; nowMs += 10) {
+      assertThat(slots.handle(new SlotEvent.Tick(), nowMs)).isEmpty();
+    }
+    assertThat(slots.handle(new SlotEvent.Tick(), 1_000)).contains(new SlotAction.AskReport());
+    EngineReport done = new EngineReport(1, false, Map.of(MODEL, 1L, adapter("a1"), 2L), Set.of());
+    List<SlotAction> actions = slots.handle(new SlotEvent.Reported(done), 1_001);
+    assertThat(actions).hasSize(1);
+    assertThat(slots.residency().serves(adapter("a1"), 2)).isTrue();
+  }
+
+  // Guards against an engine whose commands stop for good because one call reported nothing.
+  @Test
+  void aCommandWithoutAnyOutcomeCountsAsUnanswered() {
+    started(report(0));
+    SlotAction.Send load = send(new SlotEvent.Wanted(adapter("a1"), 0, 90_000), 2);
+    long overdueMs = 2 + EngineSlots.CALL_LIMIT_MS;
+    assertThat(slots.handle(new SlotEvent.Tick(), overdueMs)).isEmpty();
+    assertThat(slots.handle(new SlotEvent.Tick(), overdueMs + EngineSlots.REPORT_LAG_MS))
+        .containsExactly(new SlotAction.AskReport());
+    SlotAction.Send again = send(new SlotEvent.Reported(report(0)), overdueMs + 900);
+    assertThat(again.command()).isEqualTo(load.command());
+    assertThat(send(new SlotEvent.Answered(CommandResult.REFUSED, load.number()), 9_000)).isNull();
+    assertThat(slots.isActive()).isTrue();
+  }
+
+  // Guards against requests sent to an engine before the adapter is there.
+  @Test
+  void servesAfterTheEngineSaysThatTheLoadHolds() {
+    started(report(0));
+    SlotAction.Send load = send(new SlotEvent.Wanted(adapter("a1"), 0, 9_000), 2);
+    slots.handle(new SlotEvent.Answered(CommandResult.ACCEPTED, load.number()), 3);
+    assertThat(slots.residency().serves(adapter("a1"), 0)).isFalse();
+    assertThat(slots.residency().arriving()).containsExactly(adapter("a1"));
+    SlotAction.Send check = send(new SlotEvent.Tick(), 3 + EngineSlots.ADAPTER_LOAD_MS);
+    assertThat(check.command()).isEqualTo(load.command());
+    slots.handle(new SlotEvent.Answered(CommandResult.HOLDS, check.number()), 300);
+    assertThat(slots.residency().serves(adapter("a1"), 0)).isTrue();
+  }
+
+  // Guards against an engine that restarted empty and stays without its model.
+  @Test
+  void loadsTheModelOfAnEmptyEngine() {
+    slots.handle(new SlotEvent.Tick(), 0);
+    SlotAction.Send send =
+        send(new SlotEvent.Reported(new EngineReport(0, false, Map.of(), Set.of())), 1);
+    assertThat(send.command()).isEqualTo(new EngineCommand.Load(MODEL, 0));
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -0,0 +1,428 @@
+package org.apricotstand.request;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.apricotstand.request.ScriptedTarget.ok;
+import static org.apricotstand.request.ScriptedTarget.write;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.fleet.FleetView;
+import org.apricotstand.fleet.LoadBoard;
+import org.apricotstand.front.CallerServer;
+import org.apricotstand.observe.Metrics;
+import org.apricotstand.port.FrontSettings;
+import org.apricotstand.port.HeaderNames;
+import org.apricotstand.residency.AdapterKey;
+import org.apricotstand.residency.Residency;
+import org.apricotstand.route.CallerLimits;
+import org.apricotstand.route.EngineSpec;
+import org.apricotstand.route.ModelSpec;
+import org.apricotstand.route.RequestKind;
+import org.apricotstand.route.Route;
+import org.apricotstand.route.RoutingPlan;
+import org.apricotstand.route.ServiceSpec;
+import org.apricotstand.route.WeightedService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class RequestRouterTest {
+
+  private static final HeaderNames NAMES =
+      new HeaderNames(
+          "x-id",
+          "x-deadline",
+          "x-model",
+          "x-expect-target",
+          "x-expect-version",
+          "x-urgency",
+          "x-not-executed",
+          "last-event-id",
+          Set.of("x-expect-target", "x-reserved"));
+  private static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
+  private static final long PATIENCE_MS = 20_000;
+
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final List<ScriptedTarget> targets = new ArrayList<>();
+  private final List<String> wanted = new CopyOnWriteArrayList<>();
+  private final LoadBoard board = new LoadBoard();
+  private volatile FleetView view = FleetView.EMPTY;
+  private CallerServer server;
+  private RequestRouter router;
+
+  private final class RecordingDemand implements AdapterDemand {
+    @Override
+    public void want(String engine, AdapterKey key, long version, long deadlineMs) {
+      wanted.add(engine + " " + key + " " + version);
+    }
+
+    @Override
+    public void missing(String engine, AdapterKey key) {
+      wanted.add("missing " + engine + " " + key);
+    }
+  }
+
+  @BeforeEach
+  void start() {
+    InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    FrontSettings settings =
+        new FrontSettings("n", "d", any, any, any, any, 8_000, 3_000, 0.2, 50, 10_000);
+    EventLoop loop = group.next();
+    Metrics metrics = new Metrics();
+    router =
+        new RequestRouter(
+            loop,
+            settings,
+            NAMES,
+            () -> view,
+            board,
+            new RecordingDemand(),
+            metrics,
+            new Random(1));
+    CallerLimits limits = new CallerLimits(16_384, 65_536, 3_000, 15_000);
+    server = new CallerServer(loop, any, () -> limits, router, metrics);
+    server.start();
+  }
+
+  @AfterEach
+  void stop() {
+    server.stop();
+    targets.forEach(ScriptedTarget::close);
+    group.shutdownGracefully();
+  }
+
+  private TargetEntry target(String id, ScriptedTarget.Script script) throws IOException {
+    ScriptedTarget target = new ScriptedTarget(script);
+    targets.add(target);
+    return new TargetEntry(id, "s", "127.0.0.1", target.port(), "d", 8, false, 1, Map.of());
+  }
+
+  private void serve(RequestKind kind, int maxAttempts, boolean resumable, TargetEntry... entries) {
+    view = view(kind, maxAttempts, resumable, Optional.empty(), Map.of(), entries);
+  }
+
+  private FleetView view(
+      RequestKind kind,
+      int maxAttempts,
+      boolean resumable,
+      Optional<EngineSpec> engine,
+      Map<String, Residency> residency,
+      TargetEntry... entries) {
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/p/",
+            kind,
+            5_000,
+            500,
+            maxAttempts,
+            0,
+            resumable,
+            List.of(new WeightedService("s", 1)));
+    RoutingPlan plan =
+        new RoutingPlan(
+            1,
+            List.of(route),
+            List.of(new ServiceSpec("s", 100, engine)),
+            new CallerLimits(16_384, 65_536, 3_000, 15_000));
+    return new FleetView(
+        plan, Map.of("s", List.of(entries)), residency, Set.of("t1"), Map.of(), Map.of(), 1);
+  }
+
+  /** Sends one request on a connection of its own and returns all that comes back. */
+  private String call(String headers) throws IOException {
+    return raw(
+        "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nConnection: close\r\n"
+            + headers
+            + "Content-Length: 2\r\n\r\nhi");
+  }
+
+  private String raw(String request) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", server.address().getPort())) {
+      socket.setSoTimeout((int) PATIENCE_MS);
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      return readAll(socket.getInputStream());
+    }
+  }
+
+  private static String readAll(InputStream in) throws IOException {
+    StringBuilder all = new StringBuilder();
+    byte[] buffer = new byte[4_096];
+    try {
+      int read = in.read(buffer);
+      while (read > 0) {
+        all.append(new String(buffer, 0, read, StandardCharsets.UTF_8));
+        read = in.read(buffer);
+      }
+    } catch (java.net.SocketException e) {
+      all.append("[reset]");
+    }
+    return all.toString();
+  }
+
+  // Guards against a target's answer that is changed on its way, and against reserved headers.
+  @Test
+  void passesRequestAndAnswerOn() throws IOException {
+    serve(
+        RequestKind.IDEMPOTENT,
+        1,
+        false,
+        target(
+            "t1",
+            (id, number, out) -> {
+              write(
+                  out,
+                  "HTTP/1.1 201 Created\r\nX-Id: q1\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nyes");
+              return true;
+            }));
+    String answer = call("X-Reserved: forged\r\nX-Deadline: 900\r\n");
+    assertThat(answer).contains("201 Created");
+    assertThat(answer).contains("X-Seal: s");
+    assertThat(answer).endsWith("\r\n\r\nyes");
+    String head = targets.getFirst().heads().getFirst();
+    assertThat(head).startsWith("POST /p/x HTTP/1.1\n");
+    assertThat(head).contains("x-expect-target: t1");
+    assertThat(head).doesNotContain("forged");
+    assertThat(Long.parseLong(ScriptedTarget.valueOf(head, "x-deadline", ""))).isAtMost(900);
+  }
+
+  // Guards against an answer to another request that reaches the caller.
+  @Test
+  void dropsAnAnswerWithAnotherId() throws IOException {
+    serve(
+        RequestKind.NON_IDEMPOTENT,
+        1,
+        false,
+        target(
+            "t1",
+            (id, number, out) -> {
+              write(out, ok("other", "wrong") + ok(id, "right"));
+              return true;
+            }));
+    assertThat(call("")).endsWith("right");
+  }
+
+  // Guards against a second run of a request that may have run.
+  @Test
+  void aLostAnswerOfANonIdempotentRequestIsNotRepeated() throws IOException {
+    ScriptedTarget.Script lose = (id, number, out) -> false;
+    serve(RequestKind.NON_IDEMPOTENT, 3, false, target("t1", lose), target("t2", lose));
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+    assertThat(targets.get(0).heads().size() + targets.get(1).heads().size()).isEqualTo(1);
+  }
+
+  // Guards against a truncated answer that looks complete.
+  @Test
+  void aTruncatedAnswerIsNotPassedOn() throws IOException {
+    serve(
+        RequestKind.NON_IDEMPOTENT,
+        1,
+        false,
+        target(
+            "t1",
+            (id, number, out) -> {
+              write(out, "HTTP/1.1 200 OK\r\nX-Id: q1\r\nContent-Length: 9\r\n\r\nhalf");
+              return false;
+            }));
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+  }
+
+  // Guards against bytes that are not HTTP.
+  @Test
+  void garbageIsAFailure() throws IOException {
+    serve(
+        RequestKind.NON_IDEMPOTENT,
+        1,
+        false,
+        target(
+            "t1",
+            (id, number, out) -> {
+              write(out, "\u0001\u0002 what is this\r\n\r\n");
+              return false;
+            }));
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+  }
+
+  // Guards against a failure where the target promised that it did not run the request.
+  @Test
+  void aRequestThatDidNotRunGoesToAnotherTarget() throws IOException {
+    ScriptedTarget.Script full =
+        (id, number, out) -> {
+          write(out, "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+          return true;
+        };
+    ScriptedTarget.Script good =
+        (id, number, out) -> {
+          write(out, ok(id, "done"));
+          return true;
+        };
+    serve(RequestKind.NON_IDEMPOTENT, 1, false, target("t1", full), target("t2", good));
+    assertThat(call("")).endsWith("done");
+  }
+
+  // Guards against an idempotent request that fails although a second target could serve it.
+  @Test
+  void anIdempotentRequestIsRepeatedAfterAFailure() throws IOException {
+    ScriptedTarget.Script failing =
+        (id, number, out) -> {
+          write(out, "HTTP/1.1 500 Oops\r\nX-Id: q1\r\nContent-Length: 0\r\n\r\n");
+          return true;
+        };
+    ScriptedTarget.Script good =
+        (id, number, out) -> {
+          write(out, ok(id, "done"));
+          return true;
+        };
+    serve(RequestKind.IDEMPOTENT, 2, false, target("t1", failing), target("t2", good));
+    assertThat(call("")).endsWith("done");
+  }
+
+  // Guards against more runs than the route allows.
+  @Test
+  void theLastFailureIsPassedOnWhenNoAttemptIsLeft() throws IOException {
+    ScriptedTarget.Script failing =
+        (id, number, out) -> {
+          write(out, "HTTP/1.1 500 Oops\r\nX-Id: q1\r\nContent-Length: 4\r\n\r\noops");
+          return true;
+        };
+    serve(RequestKind.IDEMPOTENT, 1, false, target("t1", failing), target("t2", failing));
+    String answer = call("");
+    assertThat(answer).startsWith("HTTP/1.1 500 ");
+    assertThat(answer).endsWith("oops");
+  }
+
+  // Guards against events that are lost, doubled or joined when a stream goes on elsewhere.
+  @Test
+  void aResumableStreamGoesOnAfterItsLastWholeEvent() throws IOException {
+    String head = "HTTP/1.1 200 OK\r\nX-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    ScriptedTarget.Script breaking =
+        (id, number, out) -> {
+          write(out, head + chunk("id: 1\ndata: a\n\nid: 2\nda"));
+          return false;
+        };
+    ScriptedTarget.Script resuming =
+        (id, number, out) -> {
+          write(out, head + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+          return true;
+        };
+    ScriptedTarget.Script both =
+        (id, number, out) ->
+            lastHead().contains("last-event-id: 1")
+                ? resuming.answer(id, number, out)
+                : breaking.answer(id, number, out);
+    serve(RequestKind.STREAM, 2, true, target("t1", both), target("t2", both));
+    String answer = call("");
+    assertThat(answer).contains("id: 1\ndata: a\n\n");
+    assertThat(answer).contains("id: 2\ndata: b\n\n");
+    assertThat(answer).endsWith("0\r\n\r\n");
+    assertThat(answer.split("id: 2", -1)).hasLength(2);
+  }
+
+  private String lastHead() {
+    return targets.stream()
+        .flatMap(target -> target.heads().stream())
+        .reduce("", (all, head) -> all + head);
+  }
+
+  private static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
+
+  // Guards against a broken stream that looks complete to the caller.
+  @Test
+  void aBrokenStreamEndsWithoutItsLastChunk() throws IOException {
+    serve(
+        RequestKind.STREAM,
+        1,
+        false,
+        target(
+            "t1",
+            (id, number, out) -> {
+              write(
+                  out,
+                  "HTTP/1.1 200 OK\r\nX-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      + chunk("id: 1\n\n"));
+              return false;
+            }));
+    assertThat(call("")).doesNotContain("0\r\n\r\n");
+  }
+
+  // Guards against a request sent to an engine that does not hold its adapter.
+  @Test
+  void waitsUntilTheEngineHoldsTheAdapter() throws Exception {
+    EngineSpec engine = new EngineSpec(8, 1_000, 4, List.of(new ModelSpec("m", 500, 1_000, 10)));
+    TargetEntry target =
+        target(
+            "t1",
+            (id, number, out) -> {
+              write(out, ok(id, "done"));
+              return true;
+            });
+    view = view(RequestKind.STREAM, 1, false, Optional.of(engine), Map.of(), target);
+    Thread loader =
+        Thread.ofPlatform()
+            .start(
+                () -> {
+                  awaitWanted();
+                  Residency held = new Residency(Map.of(ADAPTER, 1L), Set.of(), Set.of());
+                  view =
+                      view(
+                          RequestKind.STREAM,
+                          1,
+                          false,
+                          Optional.of(engine),
+                          Map.of("t1", held),
+                          target);
+                  router.loop().execute(router::viewChanged);
+                });
+    assertThat(call("X-Model: m/a1\r\n")).contains("done");
+    loader.join();
+    assertThat(wanted).contains("t1 m/a1 0");
+  }
+
+  private void awaitWanted() {
+    long endMs = System.nanoTime() / 1_000_000 + PATIENCE_MS;
+    while (wanted.isEmpty() && System.nanoTime() / 1_000_000 < endMs) {
+      Thread.onSpinWait();
+    }
+  }
+
+  // Guards against requests smuggled through two readings of one length.
+  @Test
+  void refusesARequestWithTwoLengths() throws IOException {
+    serve(RequestKind.IDEMPOTENT, 1, false, target("t1", (id, number, out) -> false));
+    String both =
+        "POST /p/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "0\r\n\r\nGET /p/y HTTP/1.1\r\nHost: h\r\n\r\n";
+    assertThat(raw(both)).startsWith("HTTP/1.1 400 ");
+    String odd =
+        "POST /p/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n";
+    assertThat(raw(odd)).startsWith("HTTP/1.1 400 ");
+    assertThat(targets.getFirst().heads()).isEmpty();
+  }
+
+  // Guards against a 404 before any configuration is known.
+  @Test
+  void answersNotRunBeforeAConfigurationIsKnown() throws IOException {
+    String answer = call("");
+    assertThat(answer).startsWith("HTTP/1.1 503 ");
+    assertThat(answer.toLowerCase(java.util.Locale.ROOT)).contains("retry-after: ");
+  }
+}
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/request/ScriptedTarget.java
@@ -0,0 +1,128 @@
+package org.apricotstand.request;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** Target on a real socket that answers each request by a script. */
+final class ScriptedTarget implements AutoCloseable {
+
+  /** What the target does with one request. */
+  interface Script {
+    /**
+     * Writes the answer.
+     *
+     * @return whether the connection stays open
+     */
+    boolean answer(String requestId, int number, OutputStream out) throws IOException;
+  }
+
+  private final ServerSocket server;
+  private final Script script;
+  private final List<String> heads = new CopyOnWriteArrayList<>();
+
+  ScriptedTarget(Script script) throws IOException {
+    this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    this.script = script;
+    Thread.ofPlatform().daemon().start(this::accept);
+  }
+
+  int port() {
+    return server.getLocalPort();
+  }
+
+  /** Returns the heads of all requests that arrived. */
+  List<String> heads() {
+    return heads;
+  }
+
+  static void write(OutputStream out, String text) throws IOException {
+    out.write(text.getBytes(StandardCharsets.UTF_8));
+    out.flush();
+  }
+
+  static String ok(String requestId, String body) {
+    return "HTTP/1.1 200 OK\r\nX-Id: "
+        + requestId
+        + "\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  private void accept() {
+    try {
+      while (true) {
+        Socket socket = server.accept();
+        Thread.ofPlatform().daemon().start(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // The test closed the listener.
+      assert server.isClosed();
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      BufferedReader in =
+          new BufferedReader(
+              new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+      boolean open = true;
+      while (open) {
+        String head = readHead(in);
+        if (head.isEmpty()) {
+          return;
+        }
+        heads.add(head);
+        open = script.answer(valueOf(head, "x-id"), heads.size(), socket.getOutputStream());
+      }
+    } catch (IOException e) {
+      if (!server.isClosed()) {
+        heads.add("failed: " + e);
+      }
+    }
+  }
+
+  private static String readHead(BufferedReader in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    String line = in.readLine();
+    while (line != null && !line.isEmpty()) {
+      head.append(line).append('\n');
+      line = in.readLine();
+    }
+    int length = Integer.parseInt(valueOf(head.toString(), "content-length", "0"));
+    for (int i = 0; i < length; i++) {
+      in.read();
+    }
+    return head.toString();
+  }
+
+  private static String valueOf(String head, String name) {
+    return valueOf(head, name, "");
+  }
+
+  static String valueOf(String head, String name, String missing) {
+    return head.lines()
+        .filter(line -> line.toLowerCase(java.util.Locale.ROOT).startsWith(name + ":"))
+        .map(line -> line.substring(name.length() + 1).trim())
+        .findFirst()
+        .orElse(missing);
+  }
+
+  @Override
+  public void close() {
+    try {
+      server.close();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
