Do not count a command that is accepted again while in progress

Cause: engines answer 202 to a load that is in progress already without counting it, while the owner advanced its expected sequence; every later command conflicted, and requests for adapters of that engine waited until their deadline. Ruled out: lost reports (the engine answered each call within 10 ms) and lost leases (no lease changed). Change: an accepted check leaves the sequence; three conflicting checks in a row make the owner read a report.

--- a/core/src/main/java/org/apricotstand/residency/EngineSlots.java
+++ b/core/src/main/java/org/apricotstand/residency/EngineSlots.java
@@ -37,6 +37,10 @@
   static final long CALL_LIMIT_MS = 2_000;
 
   private static final long CONFLICT_PAUSE_MS = 150;
+
+  /** Checks that conflict this often in a row show that the sequence is not what it seemed. */
+  private static final int MAX_CONFLICTING_CHECKS = 3;
+
   private static final long REPORT_RETRY_MS = 300;
   private static final long REFUSAL_PAUSE_MS = 1_000;
   private static final long UNKNOWN_NAME_MS = 30_000;
@@ -55,6 +59,7 @@
   private long overdueMs;
   private EngineCommand outstanding;
   private boolean outstandingIsCheck;
+  private int conflictingChecks;
   private boolean reportAsked;
   private long notBeforeMs;
   private boolean changed;
@@ -185,6 +190,10 @@
   }
 
   private void accepted(EngineCommand command, long nowMs) {
+    if (outstandingIsCheck) {
+      // The load is still in progress. Commands that are in progress already do not count.
+      return;
+    }
     advance();
     switch (command) {
       case EngineCommand.Load(AdapterKey key, long version) -> {
@@ -209,6 +218,7 @@
   }
 
   private void holds(EngineCommand command) {
+    conflictingChecks = 0;
     switch (command) {
       case EngineCommand.Load(AdapterKey key, long version) -> {
         Arrival arrival = arriving.remove(key);
@@ -225,11 +235,11 @@
   }
 
   private void conflict(EngineCommand command, long nowMs) {
-    Arrival arrival = arriving.get(command.key());
-    if (outstandingIsCheck && arrival != null) {
-      arriving.put(command.key(), new Arrival(arrival.version, nowMs + CHECK_PERIOD_MS));
+    boolean stillArriving = outstandingIsCheck && arriving.containsKey(command.key());
+    if (stillArriving && ++conflictingChecks < MAX_CONFLICTING_CHECKS) {
       return;
     }
+    conflictingChecks = 0;
     forget(nowMs + CONFLICT_PAUSE_MS);
   }
 
--- a/core/src/test/java/org/apricotstand/residency/EngineSlotsTest.java
+++ b/core/src/test/java/org/apricotstand/residency/EngineSlotsTest.java
@@ -176,4 +176,37 @@
         send(new SlotEvent.Reported(new EngineReport(0, false, Map.of(), Set.of())), 1);
     assertThat(send.command()).isEqualTo(new EngineCommand.Load(MODEL, 0));
   }
+
+  // Guards against a sequence that runs ahead of the engine: a command that is in progress already
+  // is accepted again without counting, and every later command was refused for the whole day.
+  @Test
+  void anAcceptedCheckDoesNotAdvanceTheSequence() {
+    started(report(4));
+    SlotAction.Send load = send(new SlotEvent.Wanted(adapter("a1"), 0, 9_000), 2);
+    slots.handle(new SlotEvent.Answered(CommandResult.ACCEPTED, load.number()), 3);
+    SlotAction.Send check = send(new SlotEvent.Tick(), 3 + EngineSlots.ADAPTER_LOAD_MS);
+    assertThat(check.expectedSequence()).isEqualTo(5);
+    slots.handle(new SlotEvent.Answered(CommandResult.ACCEPTED, check.number()), 260);
+    SlotAction.Send again = send(new SlotEvent.Tick(), 400);
+    assertThat(again.expectedSequence()).isEqualTo(5);
+  }
+
+  // Guards against an engine that is lost for good once the sequence is wrong.
+  @Test
+  void readsAReportWhenChecksKeepConflicting() {
+    started(report(4));
+    SlotAction.Send load = send(new SlotEvent.Wanted(adapter("a1"), 0, 90_000), 2);
+    slots.handle(new SlotEvent.Answered(CommandResult.ACCEPTED, load.number()), 3);
+    boolean asked = false;
+    for (long nowMs = 300; nowMs < 2_000 && !asked; nowMs += 50) {
+      List<SlotAction> actions = slots.handle(new SlotEvent.Tick(), nowMs);
+      asked = actions.contains(new SlotAction.AskReport());
+      for (SlotAction action : actions) {
+        if (action instanceof SlotAction.Send sent) {
+          slots.handle(new SlotEvent.Answered(CommandResult.CONFLICT, sent.number()), nowMs + 5);
+        }
+      }
+    }
+    assertThat(asked).isTrue();
+  }
 }
