--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -37,6 +37,8 @@
   private static final EventLog LOG = EventLog.of(RequestRouter.class);
   private static final long SWEEP_MS = 500;
   private static final long NO_PLAN_RETRY_MS = 500;
+  private static final long LEAVING_RETRY_MS = 40;
+  private static final long LAST_LONG_REQUEST_MS = 2_700;
 
   private final EventLoop loop;
   private final FrontSettings settings;
@@ -52,6 +54,9 @@
   private final Set<RequestFlow> waiting = new LinkedHashSet<>();
   private final Map<MissingAdapter, Residency> missing = new HashMap<>();
 
+  private volatile long refuseLongAfterMs = Long.MAX_VALUE;
+  private volatile long drainEndMs = Long.MAX_VALUE;
+
   private record MissingAdapter(String engine, AdapterKey key) {}
 
   /** Creates a router; its calls must run on the loop. */
@@ -90,6 +95,11 @@
       reply.fail(404, "no_route", 0);
       return new EndedCall();
     }
+    if (!endsInTime(request, route.get())) {
+      refused(request, 503, "shutting_down");
+      reply.fail(503, "shutting_down", spread(LEAVING_RETRY_MS));
+      return new EndedCall();
+    }
     String service = route.get().serviceFor(random.nextDouble());
     budget(service).requested(ControlThread.nowMs());
     RequestFlow flow = new RequestFlow(this, request, reply, route.get(), service);
@@ -106,6 +116,22 @@
     List.copyOf(waiting).forEach(RequestFlow::reconsider);
   }
 
+  /**
+   * Sets when the process ends; requests that could still run then are refused from a while after
+   * the call on, when callers had time to choose another instance.
+   *
+   * @param endMs when the process ends at the latest, monotonic
+   */
+  public void drain(long endMs) {
+    refuseLongAfterMs = ControlThread.nowMs() + LAST_LONG_REQUEST_MS;
+    drainEndMs = endMs;
+  }
+
+  private boolean endsInTime(CallerRequest request, Route route) {
+    long nowMs = ControlThread.nowMs();
+    return nowMs < refuseLongAfterMs || request.arrivedMs() + route.timeoutMs() < drainEndMs;
+  }
+
   private void refused(CallerRequest request, int status, String code) {
     metrics.count("request.refused." + code);
     LOG.info(
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -43,6 +43,7 @@
   private final Kernel kernel = new Kernel();
   private final FrontSettings settings;
   private final FleetService fleet;
+  private final RequestRouter router;
   private final CallerServer callers;
   private volatile boolean draining;
 
@@ -72,7 +73,7 @@
             board,
             metrics);
     Random random = new Random(incarnation ^ settings.name().hashCode());
-    RequestRouter router =
+    router =
         new RequestRouter(
             loop, settings, ports.headers(), fleet::view, board, fleet, metrics, random);
     fleet.onView(() -> loop.execute(router::viewChanged));
@@ -122,6 +123,7 @@
     fleet.leave();
     callers.drain();
     long endMs = startMs + settings.graceMs() - EXIT_MARGIN_MS;
+    router.drain(endMs);
     while (ControlThread.nowMs() < endMs && !isDrained(startMs)) {
       sleep();
     }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -425,4 +425,24 @@
     assertThat(answer).startsWith("HTTP/1.1 503 ");
     assertThat(answer.toLowerCase(java.util.Locale.ROOT)).contains("retry-after: ");
   }
+
+  // Guards against a request that a stopping instance takes late and then cuts off.
+  @Test
+  void aStoppingInstanceRefusesWhatCouldOutliveIt() throws Exception {
+    serve(
+        RequestKind.STREAM,
+        1,
+        false,
+        target(
+            "t1",
+            (id, number, out) -> {
+              write(out, ok(id, "done"));
+              return true;
+            }));
+    long nowMs = System.nanoTime() / 1_000_000;
+    router.drain(nowMs + 8_000);
+    assertThat(call("")).contains("done");
+    Thread.sleep(2_800);
+    assertThat(call("")).startsWith("HTTP/1.1 503 ");
+  }
 }
