--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -38,7 +38,6 @@
   private static final long SWEEP_MS = 500;
   private static final long NO_PLAN_RETRY_MS = 500;
   private static final long LEAVING_RETRY_MS = 40;
-  private static final long LAST_LONG_REQUEST_MS = 2_700;
 
   private final EventLoop loop;
   private final FrontSettings settings;
@@ -117,13 +116,14 @@
   }
 
   /**
-   * Sets when the process ends; requests that could still run then are refused from a while after
-   * the call on, when callers had time to choose another instance.
+   * Sets when the process ends; requests that could outlive it are refused from a while before,
+   * when callers had time to choose another instance.
    *
+   * @param refuseFromMs when refusals begin, monotonic
    * @param endMs when the process ends at the latest, monotonic
    */
-  public void drain(long endMs) {
-    refuseLongAfterMs = ControlThread.nowMs() + LAST_LONG_REQUEST_MS;
+  public void drain(long refuseFromMs, long endMs) {
+    refuseLongAfterMs = refuseFromMs;
     drainEndMs = endMs;
   }
 
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -37,6 +37,7 @@
       new CallerLimits(16_384, 4_194_304, 3_000, 15_000);
   // Readiness is asked once a second, and two misses take an instance out of rotation.
   private static final long ROTATION_MS = 3_000;
+  private static final long LAST_LONG_REQUEST_MS = 2_700;
   private static final long EXIT_MARGIN_MS = 400;
   private static final long POLL_MS = 50;
 
@@ -123,7 +124,7 @@
     fleet.leave();
     callers.drain();
     long endMs = startMs + settings.graceMs() - EXIT_MARGIN_MS;
-    router.drain(endMs);
+    router.drain(startMs + LAST_LONG_REQUEST_MS, endMs);
     while (ControlThread.nowMs() < endMs && !isDrained(startMs)) {
       sleep();
     }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -440,9 +440,11 @@
               return true;
             }));
     long nowMs = System.nanoTime() / 1_000_000;
-    router.drain(nowMs + 8_000);
+    router.drain(nowMs + 60_000, nowMs + 1_000);
     assertThat(call("")).contains("done");
-    Thread.sleep(2_800);
+    router.drain(nowMs, nowMs + 60_000);
+    assertThat(call("")).contains("done");
+    router.drain(nowMs, nowMs + 1_000);
     assertThat(call("")).startsWith("HTTP/1.1 503 ");
   }
 }
