Keep lapsed targets after an outage; leave silent targets and stuck loads

Cause: by reading: entries that lapse during an outage of the list emptied the fleet at its return; an idempotent request stayed with a silent target until its deadline; a request stayed with one engine although its load did not get on.

--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -10,6 +10,7 @@
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.dispatch.TargetLoad;
+import org.apricotstand.dispatch.TargetRoster;
 import org.apricotstand.kernel.Service;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.EventLog;
@@ -22,6 +23,7 @@
 import org.apricotstand.port.EngineControl;
 import org.apricotstand.port.FrontSettings;
 import org.apricotstand.port.RowStore;
+import org.apricotstand.port.TargetListener;
 import org.apricotstand.port.TargetSource;
 import org.apricotstand.request.AdapterDemand;
 import org.apricotstand.residency.AdapterKey;
@@ -33,7 +35,7 @@
 
 /** Collects what is known of the fleet on the control thread and publishes it as a view. */
 public final class FleetService
-    implements Service, ConfigurationListener, PeerListener, AdapterDemand {
+    implements Service, ConfigurationListener, TargetListener, PeerListener, AdapterDemand {
 
   private static final EventLog LOG = EventLog.of(FleetService.class);
   private static final long TICK_MS = 20;
@@ -52,6 +54,7 @@
   private final InstanceDirectory directory;
   private final LoadBoard board;
   private final EngineOwner owner;
+  private final TargetRoster roster = new TargetRoster();
   private final Popularity popularity = new Popularity();
   private final Map<AdapterKey, Long> versions = new HashMap<>();
   private final Map<String, Residency> residency = new HashMap<>();
@@ -116,7 +119,7 @@
     control.execute(
         () -> {
           configuration.follow(this);
-          targetSource.follow(this::targetsChanged);
+          targetSource.follow(this);
           directory.start();
         });
     control.executeEvery(TICK_MS, this::tick);
@@ -154,7 +157,19 @@
     }
   }
 
-  private void targetsChanged(List<TargetEntry> listed) {
+  @Override
+  public void onTargets(List<TargetEntry> listed) {
+    roster.listed(listed, ControlThread.nowMs());
+    targetsChanged();
+  }
+
+  @Override
+  public void onRegained() {
+    roster.regained(ControlThread.nowMs());
+  }
+
+  private void targetsChanged() {
+    List<TargetEntry> listed = roster.current(ControlThread.nowMs());
     targets = listed;
     Set<String> live = new HashSet<>();
     for (TargetEntry target : listed) {
@@ -315,6 +330,9 @@
   private void tick() {
     owner.tick();
     long nowMs = ControlThread.nowMs();
+    if (roster.keepsLapsed() && roster.current(nowMs).size() < targets.size()) {
+      targetsChanged();
+    }
     List<String> silent =
         heard.entrySet().stream()
             .filter(entry -> nowMs - entry.getValue().atMs > SILENCE_MS)
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -40,6 +40,9 @@
   private static final int MAX_CONNECT_FAILURES = 4;
   private static final long ANSWER_MARGIN_MS = 20;
   private static final long REPEAT_DEMAND_MS = 400;
+  private static final long LOAD_PATIENCE_MS = 1_200;
+  private static final long MIN_HEDGE_MS = 100;
+  private static final double HEDGE_PART = 0.35;
   private static final long COME_BACK_MS = 400;
   private static final int URGENCY_STEP = 2;
   private static final int MAX_URGENCY = 9;
@@ -58,6 +61,7 @@
   private ScheduledFuture<?> deadline;
   private String wantedFrom;
   private long wantedAtMs;
+  private long wantedSinceMs;
   private Attempt attempt;
   private int runs;
   private int rejections;
@@ -146,6 +150,16 @@
   private void await(Candidate candidate) {
     long nowMs = ControlThread.nowMs();
     String engine = candidate.target().id();
+    if (engine.equals(wantedFrom) && nowMs - wantedSinceMs > LOAD_PATIENCE_MS) {
+      // The engine or its owner does not get on with the load: look elsewhere.
+      excluded.add(engine);
+      wantedFrom = null;
+      dispatch();
+      return;
+    }
+    if (!engine.equals(wantedFrom)) {
+      wantedSinceMs = nowMs;
+    }
     boolean asked = engine.equals(wantedFrom) && nowMs - wantedAtMs < REPEAT_DEMAND_MS;
     router.waiting().add(this);
     if (!asked && candidate.loadable()) {
@@ -162,6 +176,30 @@
     router.board().sent(target.id(), adapter);
     Attempt current = attempt;
     router.connections().send(target, sent, current, current::connected);
+    if (route.isRepeatable()) {
+      long leftMs = deadlineMs - ControlThread.nowMs();
+      long patienceMs = Math.max(MIN_HEDGE_MS, (long) (HEDGE_PART * leftMs));
+      router.loop().schedule(() -> giveUpOn(current), patienceMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Turns to another target when one does not answer an idempotent request in time. */
+  private void giveUpOn(Attempt silent) {
+    if (silent.over || silent.head != null) {
+      return;
+    }
+    runs++;
+    boolean again = hasOtherTarget(silent.target) && mayRunAgain();
+    runs--;
+    if (again) {
+      silent.cancel();
+      lost(silent, new SendFailure.Silent("no answer in time"), true);
+    }
+  }
+
+  private boolean hasOtherTarget(TargetEntry target) {
+    return router.view().targetsOf(service).stream()
+        .anyMatch(other -> !other.id().equals(target.id()) && !excludes(other));
   }
 
   private HttpHeaders headersFor(TargetEntry target) {
@@ -218,7 +256,7 @@
     }
   }
 
-  private void lost(Attempt broken, SendFailure failure) {
+  private void lost(Attempt broken, SendFailure failure, boolean mayRepeat) {
     long nowMs = ControlThread.nowMs();
     LOG.info(
         "attempt_lost",
@@ -245,7 +283,7 @@
     }
     runs++;
     router.health().failed(broken.target.id(), nowMs);
-    if (mayRunAgain()) {
+    if (mayRepeat || mayRunAgain()) {
       if (events != null) {
         events.takeIncomplete();
       }
@@ -482,7 +520,7 @@
       if (discarding && isNotExecuted()) {
         notRun(this, head.status().code());
       } else {
-        lost(this, failure);
+        lost(this, failure, false);
       }
     }
   }
--- a/node/src/main/java/org/apricotstand/upstream/SendFailure.java
+++ b/node/src/main/java/org/apricotstand/upstream/SendFailure.java
@@ -12,6 +12,9 @@
   /** The request was sent and the connection ended without the end of an answer. */
   record ConnectionLost(String detail) implements SendFailure {}
 
+  /** The target did not answer in the time that a repeat leaves it. */
+  record Silent(String detail) implements SendFailure {}
+
   /** The target sent bytes that are not an answer. */
   record Malformed(String detail) implements SendFailure {}
 }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -447,4 +447,22 @@
     router.drain(nowMs, nowMs + 1_000);
     assertThat(call("")).startsWith("HTTP/1.1 503 ");
   }
+
+  // Guards against an idempotent request that waits for a silent target until its deadline.
+  @Test
+  void anIdempotentRequestLeavesASilentTarget() throws IOException {
+    ScriptedTarget.Script oneIsSilent =
+        (id, number, out) -> {
+          if (allHeads() > 1) {
+            write(out, ok(id, "done"));
+          }
+          return true;
+        };
+    serve(RequestKind.IDEMPOTENT, 2, false, target("t1", oneIsSilent), target("t2", oneIsSilent));
+    assertThat(call("X-Deadline: 1500\r\n")).endsWith("done");
+  }
+
+  private int allHeads() {
+    return targets.stream().mapToInt(target -> target.heads().size()).sum();
+  }
 }
