End a request everywhere after crashes of two targets

Cause: a request that crashes the target that runs it comes again at any instance, and nothing on this path counted its crashes. Change: when the connection of a request is lost, a new connection shows whether the target is gone; if so, the crash counts for the request's fingerprint at all instances, and after two targets it is refused as not run.

--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import java.util.stream.Collectors;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
@@ -25,7 +26,7 @@
 import org.apricotstand.port.RowStore;
 import org.apricotstand.port.TargetListener;
 import org.apricotstand.port.TargetSource;
-import org.apricotstand.request.AdapterDemand;
+import org.apricotstand.request.FleetRequests;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
 import org.apricotstand.residency.WarmCopies;
@@ -35,7 +36,7 @@
 
 /** Collects what is known of the fleet on the control thread and publishes it as a view. */
 public final class FleetService
-    implements Service, ConfigurationListener, TargetListener, PeerListener, AdapterDemand {
+    implements Service, ConfigurationListener, TargetListener, PeerListener, FleetRequests {
 
   private static final EventLog LOG = EventLog.of(FleetService.class);
   private static final long TICK_MS = 20;
@@ -63,6 +64,7 @@
   private final Map<String, Peer> heard = new HashMap<>();
   private final Map<String, Long> triedMs = new HashMap<>();
   private Runnable viewListener = () -> {};
+  private BiConsumer<String, String> crashListener = (fingerprint, incarnation) -> {};
   private RoutingPlan plan;
   private List<TargetEntry> targets = List.of();
   private boolean publishing;
@@ -107,6 +109,11 @@
     viewListener = listener;
   }
 
+  /** Sets what hears of crashes at other instances: fingerprint and incarnation. */
+  public void onCrash(BiConsumer<String, String> listener) {
+    crashListener = listener;
+  }
+
   /** Returns the newest view. */
   public FleetView view() {
     return view;
@@ -253,6 +260,16 @@
         });
   }
 
+  @Override
+  public void crashed(String fingerprint, String incarnation) {
+    PeerMessage message = new PeerMessage.CrashNoted(fingerprint, incarnation);
+    control.execute(
+        () ->
+            directory.others().stream()
+                .filter(this::isHeard)
+                .forEach(peer -> peers.send(peer, message)));
+  }
+
   @Override
   public void onHello(InstanceId peer, PeerMessage.Hello hello) {
     LOG.info("peer_linked", "peer", peer, "incarnation", hello.incarnation());
@@ -277,6 +294,8 @@
       case PeerMessage.AdapterMissing missing ->
           owner.missing(missing.engine(), AdapterKey.parse(missing.adapter()));
       case PeerMessage.EngineHoldings holdings -> held(holdings);
+      case PeerMessage.CrashNoted(String fingerprint, String incarnation) ->
+          crashListener.accept(fingerprint, incarnation);
       default -> LOG.debug("peer_message_unused", "peer", from, "type", message.getClass());
     }
   }
--- a/node/src/main/java/org/apricotstand/request/AdapterDemand.java
+++ b/node/src/main/java/org/apricotstand/request/FleetRequests.java
@@ -2,8 +2,8 @@
 
 import org.apricotstand.residency.AdapterKey;
 
-/** Tells the owners of engines what requests need; calls return at once. */
-public interface AdapterDemand {
+/** What the course of a request asks of the rest of the fleet; calls return at once. */
+public interface FleetRequests {
 
   /**
    * Asks the owner of an engine to load an adapter.
@@ -14,4 +14,12 @@
 
   /** Tells the owner that its engine refused a request for an adapter that it should hold. */
   void missing(String engine, AdapterKey key);
+
+  /**
+   * Tells all instances that a target crashed while it ran a request.
+   *
+   * @param fingerprint what all sendings of the request have in common
+   * @param incarnation the start of the target that crashed
+   */
+  void crashed(String fingerprint, String incarnation);
 }
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -165,7 +165,7 @@
     if (!asked && candidate.loadable()) {
       wantedFrom = engine;
       wantedAtMs = nowMs;
-      router.demand().want(engine, adapter, router.view().versionOf(adapter), deadlineMs);
+      router.fleet().want(engine, adapter, router.view().versionOf(adapter), deadlineMs);
     }
   }
 
@@ -283,6 +283,9 @@
     }
     runs++;
     router.health().failed(broken.target.id(), nowMs);
+    if (failure instanceof SendFailure.ConnectionLost) {
+      router.suspectCrash(request, broken.target);
+    }
     if (mayRepeat || mayRunAgain()) {
       if (events != null) {
         events.takeIncomplete();
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -29,14 +29,17 @@
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
 import org.apricotstand.route.Route;
+import org.apricotstand.suspect.CrashCounts;
 import org.apricotstand.upstream.TargetConnections;
 
 /** Starts the course of each request and holds what requests share on the traffic thread. */
 public final class RequestRouter implements CallHandler {
 
   private static final EventLog LOG = EventLog.of(RequestRouter.class);
+  private static final long PROBE_DELAY_MS = 100;
   private static final long SWEEP_MS = 500;
   private static final long NO_PLAN_RETRY_MS = 500;
+  private static final long CRASHER_RETRY_MS = 60_000;
   private static final long LEAVING_RETRY_MS = 40;
 
   private final EventLoop loop;
@@ -45,9 +48,10 @@
   private final Supplier<FleetView> view;
   private final TargetConnections connections;
   private final LoadBoard board;
-  private final AdapterDemand demand;
+  private final FleetRequests fleet;
   private final Metrics metrics;
   private final Random random;
+  private final CrashCounts crashes = new CrashCounts();
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> budgets = new HashMap<>();
   private final Set<RequestFlow> waiting = new LinkedHashSet<>();
@@ -65,7 +69,7 @@
       HeaderNames names,
       Supplier<FleetView> view,
       LoadBoard board,
-      AdapterDemand demand,
+      FleetRequests fleet,
       Metrics metrics,
       Random random) {
     this.loop = loop;
@@ -74,7 +78,7 @@
     this.view = view;
     this.connections = new TargetConnections(loop, names.requestId());
     this.board = board;
-    this.demand = demand;
+    this.fleet = fleet;
     this.metrics = metrics;
     this.random = random;
     loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
@@ -99,6 +103,12 @@
       reply.fail(503, "shutting_down", spread(LEAVING_RETRY_MS));
       return new EndedCall();
     }
+    if (!crashes.isEmpty()
+        && crashes.isRefused(RequestFingerprint.of(request), ControlThread.nowMs())) {
+      refused(request, 503, "crashes_targets");
+      reply.fail(503, "crashes_targets", CRASHER_RETRY_MS);
+      return new EndedCall();
+    }
     String service = route.get().serviceFor(random.nextDouble());
     budget(service).requested(ControlThread.nowMs());
     RequestFlow flow = new RequestFlow(this, request, reply, route.get(), service);
@@ -182,7 +192,32 @@
     if (held != null) {
       missing.put(new MissingAdapter(engine, key), held);
     }
-    demand.missing(engine, key);
+    fleet.missing(engine, key);
+  }
+
+  /** Counts a crash that another instance saw. */
+  public void noteCrash(String fingerprint, String incarnation) {
+    crashes.crashed(fingerprint, incarnation, ControlThread.nowMs());
+  }
+
+  /** Finds out whether a target crashed when it lost the connection of a request. */
+  void suspectCrash(CallerRequest request, TargetEntry target) {
+    loop.schedule(
+        () ->
+            connections.probe(
+                target,
+                alive -> {
+                  if (!alive) {
+                    String fingerprint = RequestFingerprint.of(request);
+                    LOG.info(
+                        "crash_noted", "fingerprint", fingerprint, "target", target.incarnation());
+                    health.unreachable(target.id(), ControlThread.nowMs());
+                    noteCrash(fingerprint, target.incarnation());
+                    fleet.crashed(fingerprint, target.incarnation());
+                  }
+                }),
+        PROBE_DELAY_MS,
+        TimeUnit.MILLISECONDS);
   }
 
   boolean tryRepeat(String service) {
@@ -231,8 +266,8 @@
     return board;
   }
 
-  AdapterDemand demand() {
-    return demand;
+  FleetRequests fleet() {
+    return fleet;
   }
 
   TargetHealth health() {
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -77,6 +77,8 @@
     router =
         new RequestRouter(
             loop, settings, ports.headers(), fleet::view, board, fleet, metrics, random);
+    fleet.onCrash(
+        (fingerprint, target) -> loop.execute(() -> router.noteCrash(fingerprint, target)));
     fleet.onView(() -> loop.execute(router::viewChanged));
     callers =
         new CallerServer(loop, settings.callerAddress(), limitsOf(fleet::view), router, metrics);
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnections.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnections.java
@@ -2,6 +2,9 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -13,6 +16,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import jdk.net.ExtendedSocketOptions;
 import org.apricotstand.control.ControlThread;
@@ -74,6 +78,19 @@
     open(target, request, listener, connected);
   }
 
+  private Bootstrap bootstrap(ChannelHandler handler) {
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.SO_KEEPALIVE, true)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_IDLE_S)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_INTERVAL_S)
+        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBE_COUNT)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+        .handler(handler);
+  }
+
   private TargetConnection takeIdle(String key) {
     Deque<TargetConnection> waiting = idle.get(key);
     long nowMs = ControlThread.nowMs();
@@ -94,22 +111,14 @@
       Predicate<TargetConnection> connected) {
     AnswerDecoder decoder = new AnswerDecoder();
     TargetConnection connection = new TargetConnection(this, decoder);
-    new Bootstrap()
-        .group(loop)
-        .channel(NioSocketChannel.class)
-        .option(ChannelOption.TCP_NODELAY, true)
-        .option(ChannelOption.SO_KEEPALIVE, true)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), PROBE_IDLE_S)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), PROBE_INTERVAL_S)
-        .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), PROBE_COUNT)
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-        .handler(
-            new ChannelInitializer<Channel>() {
-              @Override
-              protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
-              }
-            })
+    ChannelInitializer<Channel> pipeline =
+        new ChannelInitializer<>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
+          }
+        };
+    bootstrap(pipeline)
         .connect(target.host(), target.port())
         .addListener(
             done -> {
@@ -126,6 +135,18 @@
             });
   }
 
+  /** Tells whether a target accepts a new connection. */
+  public void probe(TargetEntry target, Consumer<Boolean> result) {
+    bootstrap(new ChannelInboundHandlerAdapter())
+        .connect(target.host(), target.port())
+        .addListener(
+            (ChannelFutureListener)
+                done -> {
+                  result.accept(done.isSuccess());
+                  done.channel().close();
+                });
+  }
+
   String requestIdHeader() {
     return requestIdHeader;
   }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -7,6 +7,8 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -23,6 +25,7 @@
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.fleet.FleetView;
 import org.apricotstand.fleet.LoadBoard;
+import org.apricotstand.front.CallerRequest;
 import org.apricotstand.front.CallerServer;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.port.FrontSettings;
@@ -66,12 +69,17 @@
   private CallerServer server;
   private RequestRouter router;
 
-  private final class RecordingDemand implements AdapterDemand {
+  private final class RecordingFleet implements FleetRequests {
     @Override
     public void want(String engine, AdapterKey key, long version, long deadlineMs) {
       wanted.add(engine + " " + key + " " + version);
     }
 
+    @Override
+    public void crashed(String fingerprint, String incarnation) {
+      wanted.add("crashed " + incarnation);
+    }
+
     @Override
     public void missing(String engine, AdapterKey key) {
       wanted.add("missing " + engine + " " + key);
@@ -87,14 +95,7 @@
     Metrics metrics = new Metrics();
     router =
         new RequestRouter(
-            loop,
-            settings,
-            NAMES,
-            () -> view,
-            board,
-            new RecordingDemand(),
-            metrics,
-            new Random(1));
+            loop, settings, NAMES, () -> view, board, new RecordingFleet(), metrics, new Random(1));
     CallerLimits limits = new CallerLimits(16_384, 65_536, 3_000, 15_000);
     server = new CallerServer(loop, any, () -> limits, router, metrics);
     server.start();
@@ -465,4 +466,32 @@
   private int allHeads() {
     return targets.stream().mapToInt(target -> target.heads().size()).sum();
   }
+
+  // Guards against a request that crashes targets and is sent on again and again.
+  @Test
+  void aRequestThatCrashedTwoTargetsIsRefused() throws Exception {
+    serve(
+        RequestKind.IDEMPOTENT,
+        1,
+        false,
+        target(
+            "t1",
+            (id, number, out) -> {
+              targets.getFirst().close();
+              return false;
+            }));
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+    awaitWanted();
+    assertThat(wanted).containsExactly("crashed t1#1");
+    CallerRequest same =
+        new CallerRequest(
+            HttpMethod.POST,
+            "/p/x",
+            new DefaultHttpHeaders(),
+            "hi".getBytes(StandardCharsets.UTF_8),
+            "127.0.0.1",
+            0);
+    router.loop().submit(() -> router.noteCrash(RequestFingerprint.of(same), "t2#1")).sync();
+    assertThat(call("")).contains("crashes_targets");
+  }
 }
