Pass on no success without a target's signature

Ruled out: a head cut in the middle (the decoder reports it). Change: such an answer counts as broken; an answer without a length ends with the connection at the caller too. Tests fail without the change.

--- a/node/src/main/java/org/apricotstand/front/CallReply.java
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -97,10 +97,12 @@
     boolean bodiless = HttpMethod.HEAD.equals(request.method()) || isBodiless(head);
     if (length != null && !HttpUtil.isTransferEncodingChunked(head)) {
       answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-    } else if (!bodiless) {
+    } else if (HttpUtil.isTransferEncodingChunked(head) && !bodiless) {
       HttpUtil.setTransferEncodingChunked(answer, true);
     }
-    setConnection(answer, true);
+    // An answer that ends with its connection must not get an end that its target did not send.
+    boolean framed = bodiless || length != null || HttpUtil.isTransferEncodingChunked(head);
+    setConnection(answer, framed);
     channel.write(answer, channel.voidPromise());
   }
 
--- a/node/src/main/java/org/apricotstand/port/HeaderNames.java
+++ b/node/src/main/java/org/apricotstand/port/HeaderNames.java
@@ -12,6 +12,7 @@
  * @param expectVersion version of the weights that may run the request
  * @param urgency 0 is served first
  * @param notExecuted present when the target did not run the request
+ * @param signature present in every answer that a target made
  * @param lastEventId event after which a stream goes on
  * @param reserved headers that callers may not set
  */
@@ -23,5 +24,6 @@
     String expectVersion,
     String urgency,
     String notExecuted,
+    String signature,
     String lastEventId,
     Set<String> reserved) {}
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.ByteArrayOutputStream;
@@ -416,6 +417,12 @@
     @Override
     public void onHead(HttpResponse answer) {
       head = answer;
+      if (isUnsignedSuccess()) {
+        TargetConnection carrier = connection;
+        onBroken(new SendFailure.Malformed("success without signature"));
+        carrier.cancel();
+        return;
+      }
       discarding = isNotExecuted() || (isFailure() && mayRepeatFailure());
       if (discarding) {
         return;
@@ -428,6 +435,11 @@
       }
     }
 
+    private boolean isUnsignedSuccess() {
+      return head.status().code() / 100 == 2
+          && !head.headers().contains(router.names().signature());
+    }
+
     private boolean isNotExecuted() {
       return head.status().code() == 421 || head.headers().contains(router.names().notExecuted());
     }
@@ -495,6 +507,11 @@
       }
       finish("answered", head.status().code());
       if (!isStreamed()) {
+        // The whole body is here, so that its length is known whatever framed it.
+        if (head.status().code() != 204 && head.status().code() != 304) {
+          head.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyLength());
+        }
+        head.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
         reply.head(head);
         passEvents(buffered.toByteArray());
       } else if (events != null) {
@@ -503,6 +520,12 @@
       reply.end();
     }
 
+    private String bodyLength() {
+      String declared = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+      boolean bodiless = HttpMethod.HEAD.equals(request.method());
+      return bodiless && declared != null ? declared : Integer.toString(buffered.size());
+    }
+
     private void discarded() {
       if (isNotExecuted()) {
         notRun(this, head.status().code());
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -55,6 +55,7 @@
           "x-expect-version",
           "x-urgency",
           "x-not-executed",
+          "x-seal",
           "last-event-id",
           Set.of("x-expect-target", "x-reserved"));
   private static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
@@ -239,7 +240,8 @@
         target(
             "t1",
             (id, number, out) -> {
-              write(out, "HTTP/1.1 200 OK\r\nX-Id: q1\r\nContent-Length: 9\r\n\r\nhalf");
+              write(
+                  out, "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nhalf");
               return false;
             }));
     assertThat(call("")).startsWith("HTTP/1.1 502 ");
@@ -312,7 +314,7 @@
   // Guards against events that are lost, doubled or joined when a stream goes on elsewhere.
   @Test
   void aResumableStreamGoesOnAfterItsLastWholeEvent() throws IOException {
-    String head = "HTTP/1.1 200 OK\r\nX-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    String head = "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
     ScriptedTarget.Script breaking =
         (id, number, out) -> {
           write(out, head + chunk("id: 1\ndata: a\n\nid: 2\nda"));
@@ -358,7 +360,7 @@
             (id, number, out) -> {
               write(
                   out,
-                  "HTTP/1.1 200 OK\r\nX-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                  "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
                       + chunk("id: 1\n\n"));
               return false;
             }));
@@ -494,4 +496,38 @@
     router.loop().submit(() -> router.noteCrash(RequestFingerprint.of(same), "t2#1")).sync();
     assertThat(call("")).contains("crashes_targets");
   }
+
+  // Guards against a success that no target signed, as a crashing target can send.
+  @Test
+  void aSuccessWithoutSignatureIsNotPassedOn() throws IOException {
+    serve(
+        RequestKind.STREAM,
+        1,
+        false,
+        target(
+            "t1",
+            (id, number, out) -> {
+              write(out, "HTTP/1.1 200 OK\r\nX-Id: q1\r\n\r\n");
+              return false;
+            }));
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+  }
+
+  // Guards against an answer without a length that gets an end which the target did not send.
+  @Test
+  void anAnswerWithoutLengthEndsWithItsConnection() throws IOException {
+    serve(
+        RequestKind.STREAM,
+        1,
+        false,
+        target(
+            "t1",
+            (id, number, out) -> {
+              write(out, "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\n\r\nid: 1\n\n");
+              return false;
+            }));
+    String answer = call("");
+    assertThat(answer).endsWith("\r\n\r\nid: 1\n\n");
+    assertThat(answer.toLowerCase(java.util.Locale.ROOT)).doesNotContain("transfer-encoding");
+  }
 }
--- a/node/src/test/java/org/apricotstand/request/ScriptedTarget.java
+++ b/node/src/test/java/org/apricotstand/request/ScriptedTarget.java
@@ -52,7 +52,7 @@
   static String ok(String requestId, String body) {
     return "HTTP/1.1 200 OK\r\nX-Id: "
         + requestId
-        + "\r\nContent-Length: "
+        + "\r\nX-Seal: s\r\nContent-Length: "
         + body.length()
         + "\r\n\r\n"
         + body;
