--- a/core/src/main/java/org/apricotstand/dispatch/Candidate.java
+++ b/core/src/main/java/org/apricotstand/dispatch/Candidate.java
@@ -20,4 +20,10 @@
     boolean stale,
     boolean warm,
     boolean loadable,
-    double penaltyMs) {}
+    double penaltyMs) {
+
+  /** Returns this candidate with another penalty. */
+  Candidate withPenaltyMs(double changedMs) {
+    return new Candidate(target, load, resident, arriving, stale, warm, loadable, changedMs);
+  }
+}
--- a/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
@@ -46,7 +46,8 @@
   public static Optional<Candidate> chooseEngine(
       String adapter, String domain, List<Candidate> candidates) {
     List<Candidate> ranked =
-        Rendezvous.rank(adapter, candidates, candidate -> candidate.target().id());
+        Rendezvous.rank(
+            adapter, withRelativePenalties(candidates), candidate -> candidate.target().id());
     return ranked.stream()
         .filter(candidate -> candidate.resident() || candidate.arriving() || candidate.loadable())
         .min(
@@ -58,12 +59,20 @@
 
   /** Returns the least loaded target of a plain service. */
   public static Optional<Candidate> choosePlain(String domain, List<Candidate> candidates) {
-    return candidates.stream()
+    return withRelativePenalties(candidates).stream()
         .min(
             Comparator.comparingDouble((Candidate candidate) -> plainCost(candidate, domain))
                 .thenComparing(candidate -> candidate.target().id()));
   }
 
+  /** Failures that all targets share say nothing about which one to choose. */
+  private static List<Candidate> withRelativePenalties(List<Candidate> candidates) {
+    double sharedMs = candidates.stream().mapToDouble(Candidate::penaltyMs).min().orElse(0);
+    return candidates.stream()
+        .map(candidate -> candidate.withPenaltyMs(candidate.penaltyMs() - sharedMs))
+        .toList();
+  }
+
   private static double rankCost(Candidate candidate) {
     return candidate.resident() ? 1 : RANK_COST_MS;
   }
--- a/core/src/main/java/org/apricotstand/residency/EngineSlots.java
+++ b/core/src/main/java/org/apricotstand/residency/EngineSlots.java
@@ -41,6 +41,9 @@
   /** Checks that conflict this often in a row show that the sequence is not what it seemed. */
   private static final int MAX_CONFLICTING_CHECKS = 3;
 
+  /** Requests that wait for an adapter hear of its arrival and are sent within this time. */
+  static final long MIN_STAY_MS = 700;
+
   private static final long REPORT_RETRY_MS = 300;
   private static final long REFUSAL_PAUSE_MS = 1_000;
   private static final long UNKNOWN_NAME_MS = 30_000;
@@ -51,6 +54,7 @@
   private final int maxArriving;
   private final Map<AdapterKey, Long> resident = new HashMap<>();
   private final Map<AdapterKey, Arrival> arriving = new LinkedHashMap<>();
+  private final Map<AdapterKey, Long> arrivedMs = new HashMap<>();
   private final Set<AdapterKey> leaving = new HashSet<>();
   private final Map<AdapterKey, Demand> wanted = new LinkedHashMap<>();
   private final Map<AdapterKey, Long> unknownUntilMs = new HashMap<>();
@@ -150,6 +154,7 @@
     sequence = report.sequence();
     resident.clear();
     resident.putAll(report.resident());
+    arrivedMs.keySet().retainAll(resident.keySet());
     leaving.clear();
     Map<AdapterKey, Arrival> known = Map.copyOf(arriving);
     arriving.clear();
@@ -177,7 +182,7 @@
     outstanding = null;
     switch (result) {
       case ACCEPTED -> accepted(command, nowMs);
-      case HOLDS -> holds(command);
+      case HOLDS -> holds(command, nowMs);
       case CONFLICT -> conflict(command, nowMs);
       case UNKNOWN_NAME -> {
         wanted.remove(command.key());
@@ -217,17 +222,19 @@
     changed = true;
   }
 
-  private void holds(EngineCommand command) {
+  private void holds(EngineCommand command, long nowMs) {
     conflictingChecks = 0;
     switch (command) {
       case EngineCommand.Load(AdapterKey key, long version) -> {
         Arrival arrival = arriving.remove(key);
+        arrivedMs.put(key, nowMs);
         wanted.remove(key);
         resident.put(key, Math.max(version, arrival == null ? 1 : Math.max(1, arrival.version)));
       }
       case EngineCommand.Unload(AdapterKey key) -> {
         resident.remove(key);
         leaving.remove(key);
+        arrivedMs.remove(key);
         advance();
       }
     }
@@ -319,13 +326,14 @@
     if (resident.containsKey(key) || usedPlaces() < places()) {
       return Optional.of(send(new EngineCommand.Load(key, demand.version), nowMs));
     }
-    return leastPopular().map(victim -> send(new EngineCommand.Unload(victim), nowMs));
+    return leastPopular(nowMs).map(victim -> send(new EngineCommand.Unload(victim), nowMs));
   }
 
-  private Optional<AdapterKey> leastPopular() {
+  private Optional<AdapterKey> leastPopular(long nowMs) {
     return resident.keySet().stream()
         .filter(key -> !key.isModel())
         .filter(key -> !use.isRunning(key))
+        .filter(key -> nowMs - arrivedMs.getOrDefault(key, Long.MIN_VALUE / 2) >= MIN_STAY_MS)
         .filter(key -> !wanted.containsKey(key))
         .min(
             Comparator.comparing(this::isCurrent)
--- a/core/src/test/java/org/apricotstand/dispatch/TargetChooserTest.java
+++ b/core/src/test/java/org/apricotstand/dispatch/TargetChooserTest.java
@@ -80,4 +80,13 @@
     assertThat(atOnceMs).isGreaterThan(0.0);
     assertThat(health.penaltyMs("t", 10_000)).isLessThan(atOnceMs / 10);
   }
+
+  // Guards against adapters that move to other engines because all engines fail alike.
+  @Test
+  void failuresOfAllEnginesMoveNothing() {
+    Candidate failing = resident("e1", 0).withPenaltyMs(3_000);
+    Candidate alsoFailing = cold("e2").withPenaltyMs(2_500);
+    assertThat(chosen(List.of(failing, alsoFailing))).isEqualTo("e1");
+    assertThat(chosen(List.of(failing, cold("e2")))).isEqualTo("e2");
+  }
 }
--- a/core/src/test/java/org/apricotstand/residency/EngineSlotsTest.java
+++ b/core/src/test/java/org/apricotstand/residency/EngineSlotsTest.java
@@ -209,4 +209,27 @@
     }
     assertThat(asked).isTrue();
   }
+
+  // Guards against a burst of rare adapters in which each is dropped before its request is sent.
+  @Test
+  void keepsAnAdapterThatJustArrived() {
+    started(report(0, adapter("a1")));
+    use.popularity.put(adapter("a1"), 9.0);
+    SlotAction.Send load = send(new SlotEvent.Wanted(adapter("a2"), 0, 9_000), 2);
+    slots.handle(new SlotEvent.Answered(CommandResult.ACCEPTED, load.number()), 3);
+    SlotAction.Send check = send(new SlotEvent.Tick(), 300);
+    slots.handle(new SlotEvent.Answered(CommandResult.HOLDS, check.number()), 301);
+    SlotAction.Send victim = send(new SlotEvent.Wanted(adapter("a3"), 0, 9_000), 302);
+    assertThat(victim.command()).isEqualTo(new EngineCommand.Unload(adapter("a1")));
+  }
+
+  // Guards against loads for callers that are gone.
+  @Test
+  void loadsNothingThatNobodyWaitsForAnyMore() {
+    started(report(0));
+    SlotAction.Send first = send(new SlotEvent.Wanted(adapter("a1"), 0, 9_000), 2);
+    slots.handle(new SlotEvent.Wanted(adapter("a2"), 0, 500), 3);
+    slots.handle(new SlotEvent.Tick(), 600);
+    assertThat(send(new SlotEvent.Answered(CommandResult.ACCEPTED, first.number()), 601)).isNull();
+  }
 }
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -42,6 +42,7 @@
   private static final long ANSWER_MARGIN_MS = 20;
   private static final long REPEAT_DEMAND_MS = 400;
   private static final long LOAD_PATIENCE_MS = 1_200;
+  private static final int MAX_STUCK_LOADS = 2;
   private static final long MIN_HEDGE_MS = 100;
   private static final double HEDGE_PART = 0.35;
   private static final long COME_BACK_MS = 400;
@@ -67,6 +68,7 @@
   private int runs;
   private int rejections;
   private int connectFailures;
+  private int stuckLoads;
   private boolean answering;
   private boolean ended;
 
@@ -155,7 +157,12 @@
       // The engine or its owner does not get on with the load: look elsewhere.
       excluded.add(engine);
       wantedFrom = null;
-      dispatch();
+      stuckLoads++;
+      if (stuckLoads < MAX_STUCK_LOADS) {
+        dispatch();
+      } else {
+        refuseLoad();
+      }
       return;
     }
     if (!engine.equals(wantedFrom)) {
@@ -166,7 +173,20 @@
     if (!asked && candidate.loadable()) {
       wantedFrom = engine;
       wantedAtMs = nowMs;
-      router.fleet().want(engine, adapter, router.view().versionOf(adapter), deadlineMs);
+      // Asked again while the request waits, so that nothing is loaded for callers that left.
+      long untilMs = Math.min(deadlineMs, nowMs + 2 * REPEAT_DEMAND_MS);
+      router.fleet().want(engine, adapter, router.view().versionOf(adapter), untilMs);
+    }
+  }
+
+  private void refuseLoad() {
+    if (answering) {
+      finish("resume_failed", 0);
+      reply.abort();
+    } else if (runs > 0) {
+      fail(502, "adapter_not_loaded", 0);
+    } else {
+      fail(503, "adapter_not_loaded", COME_BACK_MS);
     }
   }
 
