--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -65,6 +65,7 @@
   private long wantedAtMs;
   private long wantedSinceMs;
   private Attempt attempt;
+  private String lastTarget = "";
   private int runs;
   private int rejections;
   private int connectFailures;
@@ -192,6 +193,7 @@
 
   private void send(TargetEntry target) {
     attempt = new Attempt(target);
+    lastTarget = target.id();
     TargetRequest sent =
         new TargetRequest(id, request.method(), request.uri(), headersFor(target), request.body());
     router.board().sent(target.id(), adapter);
@@ -334,30 +336,28 @@
     deadline.cancel(false);
     router.waiting().remove(this);
     router.metrics().count("request.ended." + code);
-    if (!code.equals("answered")) {
-      LOG.info(
-          "request_ended",
-          "request",
-          id,
-          "route",
-          route.name(),
-          "code",
-          code,
-          "status",
-          status,
-          "target",
-          attempt == null ? "" : attempt.target.id(),
-          "adapter",
-          adapter,
-          "wanted_from",
-          wantedFrom,
-          "runs",
-          runs,
-          "rejections",
-          rejections,
-          "age_ms",
-          ControlThread.nowMs() - request.arrivedMs());
-    }
+    LOG.info(
+        "request_ended",
+        "request",
+        id,
+        "route",
+        route.name(),
+        "code",
+        code,
+        "status",
+        status,
+        "target",
+        lastTarget,
+        "adapter",
+        adapter,
+        "wanted_from",
+        wantedFrom,
+        "runs",
+        runs,
+        "rejections",
+        rejections,
+        "age_ms",
+        ControlThread.nowMs() - request.arrivedMs());
   }
 
   private void deadlinePassed() {
