--- a/cli/src/main/java/org/apricotstand/cli/CheckCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/CheckCommand.java
@@ -1,8 +1,11 @@
 package org.apricotstand.cli;
 
 import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
 import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
 import java.nio.file.Path;
+import java.util.Optional;
 import org.apricotstand.Apricotstand;
 import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.settings.Checked;
@@ -11,21 +14,21 @@
 @Parameters(commandDescription = "checks declaration files, or a settings file, without a platform")
 final class CheckCommand implements Command {
 
-  @Parameter(names = "--files", description = "folder of declaration files, or one file")
-  private String files;
+  @ParametersDelegate private final FilesOption files = new FilesOption();
 
   @Parameter(names = "--settings", description = "settings file of an instance")
   private String settings;
 
   @Override
   public int run() {
-    if ((files == null) == (settings == null)) {
-      System.err.println("error: expected either --files or --settings");
-      return ExitCodes.USAGE;
+    Optional<Path> declarations = files.path();
+    if (declarations.isPresent() == (settings != null)) {
+      throw new ParameterException(
+          "expected either a folder or file of declarations, or --settings FILE");
     }
-    return files == null
-        ? report(Apricotstand.readSettings(Path.of(settings)))
-        : report(Apricotstand.readDeclarations(Path.of(files)));
+    return declarations.isPresent()
+        ? report(Apricotstand.readDeclarations(declarations.get()))
+        : report(Apricotstand.readSettings(Path.of(settings)));
   }
 
   private static int report(Checked<?> checked) {
--- a/cli/src/main/java/org/apricotstand/cli/DiffCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/DiffCommand.java
@@ -2,7 +2,7 @@
 
 import com.beust.jcommander.Parameter;
 import com.beust.jcommander.Parameters;
-import java.nio.file.Path;
+import com.beust.jcommander.ParametersDelegate;
 import java.util.List;
 import java.util.Optional;
 import org.apricotstand.Apricotstand;
@@ -22,15 +22,11 @@
   @Parameter(names = "--platform", description = "URL of the platform", required = true)
   private String platformUrl;
 
-  @Parameter(
-      names = "--files",
-      description = "folder of declaration files, or one file",
-      required = true)
-  private String files;
+  @ParametersDelegate private final FilesOption files = new FilesOption();
 
   @Override
   public int run() {
-    return switch (Apricotstand.readDeclarations(Path.of(files))) {
+    return switch (Apricotstand.readDeclarations(files.required())) {
       case Checked.Valid<DeclarationSet>(DeclarationSet set) -> compare(set);
       case Checked.Faulty<DeclarationSet> faulty -> {
         System.err.println(faulty.report());
--- a/cli/src/main/java/org/apricotstand/cli/Main.java
+++ b/cli/src/main/java/org/apricotstand/cli/Main.java
@@ -27,7 +27,7 @@
 
   // An exception that leaves main would end only this thread; the traffic threads would keep a
   // process alive that serves nothing.
-  private static int runToExitCode(String[] args) {
+  static int runToExitCode(String[] args) {
     try {
       return new Main().run(args);
     } catch (Exception e) {
@@ -69,7 +69,12 @@
       System.out.println(ExitCodes.HELP);
       return help ? ExitCodes.OK : ExitCodes.USAGE;
     }
-    return commands.get(name).run();
+    try {
+      return commands.get(name).run();
+    } catch (ParameterException e) {
+      System.err.println("error: " + e.getMessage());
+      return ExitCodes.USAGE;
+    }
   }
 
   private static boolean asksForHelp(String[] args) {
