--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -109,6 +109,20 @@
     group.shutdownGracefully();
   }
 
+  private static final ScriptedTarget.Script DONE =
+      (id, number, out) -> {
+        write(out, ok(id, "done"));
+        return true;
+      };
+
+  /** Script that sends the same bytes for each request. */
+  private static ScriptedTarget.Script always(String answer, boolean staysOpen) {
+    return (id, number, out) -> {
+      write(out, answer);
+      return staysOpen;
+    };
+  }
+
   private TargetEntry target(String id, ScriptedTarget.Script script) throws IOException {
     ScriptedTarget target = new ScriptedTarget(script);
     targets.add(target);
@@ -188,12 +202,9 @@
         false,
         target(
             "t1",
-            (id, number, out) -> {
-              write(
-                  out,
-                  "HTTP/1.1 201 Created\r\nX-Id: q1\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nyes");
-              return true;
-            }));
+            always(
+                "HTTP/1.1 201 Created\r\nX-Id: q1\r\nX-Seal: s\r\nContent-Length: 3\r\n\r\nyes",
+                true)));
     String answer = call("X-Reserved: forged\r\nX-Deadline: 900\r\n");
     assertThat(answer).contains("201 Created");
     assertThat(answer).contains("X-Seal: s");
@@ -239,11 +250,9 @@
         false,
         target(
             "t1",
-            (id, number, out) -> {
-              write(
-                  out, "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nhalf");
-              return false;
-            }));
+            always(
+                "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\nContent-Length: 9\r\n\r\nhalf",
+                false)));
     assertThat(call("")).startsWith("HTTP/1.1 502 ");
   }
 
@@ -254,12 +263,7 @@
         RequestKind.NON_IDEMPOTENT,
         1,
         false,
-        target(
-            "t1",
-            (id, number, out) -> {
-              write(out, "\u0001\u0002 what is this\r\n\r\n");
-              return false;
-            }));
+        target("t1", always("\u0001\u0002 what is this\r\n\r\n", false)));
     assertThat(call("")).startsWith("HTTP/1.1 502 ");
   }
 
@@ -267,16 +271,8 @@
   @Test
   void aRequestThatDidNotRunGoesToAnotherTarget() throws IOException {
     ScriptedTarget.Script full =
-        (id, number, out) -> {
-          write(out, "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-          return true;
-        };
-    ScriptedTarget.Script good =
-        (id, number, out) -> {
-          write(out, ok(id, "done"));
-          return true;
-        };
-    serve(RequestKind.NON_IDEMPOTENT, 1, false, target("t1", full), target("t2", good));
+        always("HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", true);
+    serve(RequestKind.NON_IDEMPOTENT, 1, false, target("t1", full), target("t2", DONE));
     assertThat(call("")).endsWith("done");
   }
 
@@ -284,16 +280,8 @@
   @Test
   void anIdempotentRequestIsRepeatedAfterAFailure() throws IOException {
     ScriptedTarget.Script failing =
-        (id, number, out) -> {
-          write(out, "HTTP/1.1 500 Oops\r\nX-Id: q1\r\nContent-Length: 0\r\n\r\n");
-          return true;
-        };
-    ScriptedTarget.Script good =
-        (id, number, out) -> {
-          write(out, ok(id, "done"));
-          return true;
-        };
-    serve(RequestKind.IDEMPOTENT, 2, false, target("t1", failing), target("t2", good));
+        always("HTTP/1.1 500 Oops\r\nX-Id: q1\r\nContent-Length: 0\r\n\r\n", true);
+    serve(RequestKind.IDEMPOTENT, 2, false, target("t1", failing), target("t2", DONE));
     assertThat(call("")).endsWith("done");
   }
 
@@ -301,10 +289,7 @@
   @Test
   void theLastFailureIsPassedOnWhenNoAttemptIsLeft() throws IOException {
     ScriptedTarget.Script failing =
-        (id, number, out) -> {
-          write(out, "HTTP/1.1 500 Oops\r\nX-Id: q1\r\nContent-Length: 4\r\n\r\noops");
-          return true;
-        };
+        always("HTTP/1.1 500 Oops\r\nX-Id: q1\r\nContent-Length: 4\r\n\r\noops", true);
     serve(RequestKind.IDEMPOTENT, 1, false, target("t1", failing), target("t2", failing));
     String answer = call("");
     assertThat(answer).startsWith("HTTP/1.1 500 ");
@@ -371,13 +356,7 @@
   @Test
   void waitsUntilTheEngineHoldsTheAdapter() throws Exception {
     EngineSpec engine = new EngineSpec(8, 1_000, 4, List.of(new ModelSpec("m", 500, 1_000, 10)));
-    TargetEntry target =
-        target(
-            "t1",
-            (id, number, out) -> {
-              write(out, ok(id, "done"));
-              return true;
-            });
+    TargetEntry target = target("t1", DONE);
     view = view(RequestKind.STREAM, 1, false, Optional.of(engine), Map.of(), target);
     Thread loader =
         Thread.ofPlatform()
@@ -432,16 +411,7 @@
   // Guards against a request that a stopping instance takes late and then cuts off.
   @Test
   void aStoppingInstanceRefusesWhatCouldOutliveIt() throws Exception {
-    serve(
-        RequestKind.STREAM,
-        1,
-        false,
-        target(
-            "t1",
-            (id, number, out) -> {
-              write(out, ok(id, "done"));
-              return true;
-            }));
+    serve(RequestKind.STREAM, 1, false, target("t1", DONE));
     long nowMs = System.nanoTime() / 1_000_000;
     router.drain(nowMs + 60_000, nowMs + 1_000);
     assertThat(call("")).contains("done");
@@ -504,12 +474,7 @@
         RequestKind.STREAM,
         1,
         false,
-        target(
-            "t1",
-            (id, number, out) -> {
-              write(out, "HTTP/1.1 200 OK\r\nX-Id: q1\r\n\r\n");
-              return false;
-            }));
+        target("t1", always("HTTP/1.1 200 OK\r\nX-Id: q1\r\n\r\n", false)));
     assertThat(call("")).startsWith("HTTP/1.1 502 ");
   }
 
@@ -520,12 +485,7 @@
         RequestKind.STREAM,
         1,
         false,
-        target(
-            "t1",
-            (id, number, out) -> {
-              write(out, "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\n\r\nid: 1\n\n");
-              return false;
-            }));
+        target("t1", always("HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\n\r\nid: 1\n\n", false)));
     String answer = call("");
     assertThat(answer).endsWith("\r\n\r\nid: 1\n\n");
     assertThat(answer.toLowerCase(java.util.Locale.ROOT)).doesNotContain("transfer-encoding");
