Give up a request in one way: broken off, unknown or not run

Found by reading: a resumable stream whose further targets could not be reached got a second answer in the middle of the first; a refused resumption was sent on without counting as a run. One method ends requests now; the tests were written with the change.

--- a/core/src/main/java/org/apricotstand/dispatch/TargetHealth.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetHealth.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Remembers recent failures of targets, so that they get fewer requests for a while. Failures count
@@ -47,7 +48,7 @@
   }
 
   /** Forgets targets that are gone. */
-  public void retain(java.util.Set<String> targetIds) {
+  public void retain(Set<String> targetIds) {
     penalties.keySet().retainAll(targetIds);
   }
 
--- a/core/src/main/java/org/apricotstand/order/OrderLeases.java
+++ b/core/src/main/java/org/apricotstand/order/OrderLeases.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
@@ -187,9 +188,9 @@
     nextRenewalMs = Long.MIN_VALUE;
   }
 
-  private java.util.Optional<LeaseAction> next(long nowMs) {
+  private Optional<LeaseAction> next(long nowMs) {
     if (callInProgress) {
-      return java.util.Optional.empty();
+      return Optional.empty();
     }
     List<LeaseRecord> writes = leaving ? releases() : renewals(nowMs);
     if (!leaving) {
@@ -197,15 +198,15 @@
     }
     if (!writes.isEmpty()) {
       callInProgress = true;
-      return java.util.Optional.of(
+      return Optional.of(
           new LeaseAction.WriteRows(writes.subList(0, Math.min(MAX_ROWS, writes.size()))));
     }
     if (!leaving && nowMs >= nextReadMs && engines.stream().anyMatch(e -> needsRead(e, nowMs))) {
       callInProgress = true;
       nextReadMs = nowMs + READ_PERIOD_MS;
-      return java.util.Optional.of(new LeaseAction.ReadRows());
+      return Optional.of(new LeaseAction.ReadRows());
     }
-    return java.util.Optional.empty();
+    return Optional.empty();
   }
 
   private boolean needsRead(String engine, long nowMs) {
--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -1,11 +1,13 @@
 package org.apricotstand.front;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -108,7 +110,7 @@
       refuse(413, "body_too_large");
       return;
     }
-    byte[] bytes = io.netty.buffer.ByteBufUtil.getBytes(part);
+    byte[] bytes = ByteBufUtil.getBytes(part);
     body.writeBytes(bytes);
     if (content instanceof LastHttpContent) {
       requestComplete();
@@ -185,7 +187,7 @@
   void aborted() {
     reply = null;
     server.ended();
-    channel.config().setOption(io.netty.channel.ChannelOption.SO_LINGER, 0);
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
     channel.close();
   }
 
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -141,14 +141,19 @@
 
   private void noTarget() {
     boolean hasTargets = !router.view().targetsOf(service).isEmpty();
+    giveUp(hasTargets ? "no_target_left" : "no_target");
+  }
+
+  /** Ends the request truthfully: broken off, outcome unknown or not run. */
+  private void giveUp(String code) {
     if (answering) {
-      finish("resume_failed", 0);
+      finish(code, 0);
       reply.abort();
-      return;
+    } else if (runs > 0) {
+      fail(502, code, 0);
+    } else {
+      fail(503, code, COME_BACK_MS);
     }
-    // A request that ran and failed must not be called not run.
-    int status = runs > 0 ? 502 : 503;
-    fail(status, hasTargets ? "no_target_left" : "no_target", runs > 0 ? 0 : COME_BACK_MS);
   }
 
   private void await(Candidate candidate) {
@@ -162,7 +167,7 @@
       if (stuckLoads < MAX_STUCK_LOADS) {
         dispatch();
       } else {
-        refuseLoad();
+        giveUp("adapter_not_loaded");
       }
       return;
     }
@@ -180,17 +185,6 @@
     }
   }
 
-  private void refuseLoad() {
-    if (answering) {
-      finish("resume_failed", 0);
-      reply.abort();
-    } else if (runs > 0) {
-      fail(502, "adapter_not_loaded", 0);
-    } else {
-      fail(503, "adapter_not_loaded", COME_BACK_MS);
-    }
-  }
-
   private void send(TargetEntry target) {
     attempt = new Attempt(target);
     lastTarget = target.id();
@@ -258,11 +252,8 @@
     excludeOrReport(rejected.target, status);
     if (rejections < MAX_REJECTIONS && router.tryRepeat(service)) {
       dispatch();
-    } else if (answering) {
-      finish("resume_failed", status);
-      reply.abort();
     } else {
-      fail(503, "rejected_by_targets", COME_BACK_MS);
+      giveUp("rejected_by_targets");
     }
   }
 
@@ -300,7 +291,7 @@
       if (connectFailures < MAX_CONNECT_FAILURES) {
         dispatch();
       } else {
-        fail(503, "targets_unreachable", COME_BACK_MS);
+        giveUp("targets_unreachable");
       }
       return;
     }
@@ -315,11 +306,8 @@
       }
       excluded.add(broken.target.id());
       dispatch();
-    } else if (answering) {
-      finish("broken_off", 0);
-      reply.abort();
     } else {
-      fail(502, "answer_lost", 0);
+      giveUp(answering ? "broken_off" : "answer_lost");
     }
   }
 
@@ -368,13 +356,10 @@
     if (current != null) {
       current.cancel();
     }
-    if (answering) {
-      finish("deadline", 0);
-      reply.abort();
-    } else if (current != null || runs > 0) {
+    if (!answering && (current != null || runs > 0)) {
       fail(504, "deadline", 0);
     } else {
-      fail(503, "adapter_not_loaded", COME_BACK_MS);
+      giveUp(answering ? "deadline" : "adapter_not_loaded");
     }
   }
 
@@ -404,6 +389,7 @@
     private TargetConnection connection;
     private HttpResponse head;
     private boolean discarding;
+    private boolean repeatGranted;
     private boolean started;
     private boolean over;
 
@@ -443,7 +429,8 @@
         carrier.cancel();
         return;
       }
-      discarding = isNotExecuted() || (isFailure() && mayRepeatFailure());
+      repeatGranted = !isNotExecuted() && isFailure() && mayRepeatFailure();
+      discarding = isNotExecuted() || repeatGranted;
       if (discarding) {
         return;
       }
@@ -554,7 +541,11 @@
       runs++;
       router.health().failed(target.id(), ControlThread.nowMs());
       excluded.add(target.id());
-      dispatch();
+      if (repeatGranted || mayRunAgain()) {
+        dispatch();
+      } else {
+        giveUp("resume_failed");
+      }
     }
 
     @Override
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.Candidate;
 import org.apricotstand.dispatch.TargetChooser;
@@ -238,12 +239,12 @@
         now.targets().values().stream()
             .flatMap(List::stream)
             .map(TargetEntry::incarnation)
-            .collect(java.util.stream.Collectors.toSet()));
+            .collect(Collectors.toSet()));
     health.retain(
         now.targets().values().stream()
             .flatMap(List::stream)
             .map(TargetEntry::id)
-            .collect(java.util.stream.Collectors.toSet()));
+            .collect(Collectors.toSet()));
   }
 
   EventLoop loop() {
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpObject;
@@ -60,7 +61,7 @@
             sent.uri(),
             Unpooled.wrappedBuffer(sent.body()),
             sent.headers(),
-            io.netty.handler.codec.http.EmptyHttpHeaders.INSTANCE);
+            EmptyHttpHeaders.INSTANCE);
     channel.writeAndFlush(message, channel.voidPromise());
   }
 
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -14,9 +14,11 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
@@ -187,7 +189,7 @@
         all.append(new String(buffer, 0, read, StandardCharsets.UTF_8));
         read = in.read(buffer);
       }
-    } catch (java.net.SocketException e) {
+    } catch (SocketException e) {
       all.append("[reset]");
     }
     return all.toString();
@@ -405,7 +407,7 @@
   void answersNotRunBeforeAConfigurationIsKnown() throws IOException {
     String answer = call("");
     assertThat(answer).startsWith("HTTP/1.1 503 ");
-    assertThat(answer.toLowerCase(java.util.Locale.ROOT)).contains("retry-after: ");
+    assertThat(answer.toLowerCase(Locale.ROOT)).contains("retry-after: ");
   }
 
   // Guards against a request that a stopping instance takes late and then cuts off.
@@ -488,6 +490,49 @@
         target("t1", always("HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\n\r\nid: 1\n\n", false)));
     String answer = call("");
     assertThat(answer).endsWith("\r\n\r\nid: 1\n\n");
-    assertThat(answer.toLowerCase(java.util.Locale.ROOT)).doesNotContain("transfer-encoding");
+    assertThat(answer.toLowerCase(Locale.ROOT)).doesNotContain("transfer-encoding");
+  }
+
+  // Guards against a second answer in the middle of a stream that cannot be resumed.
+  @Test
+  void aStreamThatCannotBeResumedIsBrokenOff() throws IOException {
+    ScriptedTarget.Script breaking =
+        always(
+            "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + chunk("id: 1\ndata: a\n\n"),
+            false);
+    List<TargetEntry> entries = new ArrayList<>();
+    for (int i = 1; i <= 6; i++) {
+      entries.add(target("t" + i, breaking));
+    }
+    serve(RequestKind.STREAM, 9, true, entries.toArray(new TargetEntry[0]));
+    targets.subList(1, targets.size()).forEach(ScriptedTarget::close);
+    String answer = call("");
+    assertThat(answer.split("HTTP/1.1", -1).length - 1).isAtMost(1);
+    assertThat(answer).doesNotContain("0\r\n\r\n");
+  }
+
+  // Guards against more runs than the route allows when a target refuses to resume.
+  @Test
+  void aRefusedResumptionCountsAsARun() throws IOException {
+    String head = "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    ScriptedTarget.Script script =
+        (id, number, out) -> {
+          if (lastHead().contains("last-event-id")) {
+            write(out, "HTTP/1.1 404 No\r\nX-Id: q1\r\nContent-Length: 0\r\n\r\n");
+          } else {
+            write(out, head + chunk("id: 1\n\n"));
+          }
+          return false;
+        };
+    serve(
+        RequestKind.STREAM,
+        2,
+        true,
+        target("t1", script),
+        target("t2", script),
+        target("t3", script));
+    assertThat(call("")).doesNotContain("0\r\n\r\n");
+    assertThat(allHeads()).isEqualTo(2);
   }
 }
--- a/node/src/test/java/org/apricotstand/request/ScriptedTarget.java
+++ b/node/src/test/java/org/apricotstand/request/ScriptedTarget.java
@@ -10,6 +10,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Target on a real socket that answers each request by a script. */
@@ -111,7 +112,7 @@
 
   static String valueOf(String head, String name, String missing) {
     return head.lines()
-        .filter(line -> line.toLowerCase(java.util.Locale.ROOT).startsWith(name + ":"))
+        .filter(line -> line.toLowerCase(Locale.ROOT).startsWith(name + ":"))
         .map(line -> line.substring(name.length() + 1).trim())
         .findFirst()
         .orElse(missing);
