--- a/cli/src/main/java/org/apricotstand/bench/Experiment.java
+++ b/cli/src/main/java/org/apricotstand/bench/Experiment.java
@@ -15,7 +15,7 @@
  * Runs policies one after the other on the same arrivals.
  *
  * <pre>{@code
- * Results results = Experiment.run(scenario, List.of("affinity", "random"), 1, 60_000, writer);
+ * Results results = Experiment.run(scenario, List.of("affinity", "random"), 1, 60_000, writer, progress);
  * }</pre>
  */
 public final class Experiment {
@@ -33,7 +33,8 @@
       List<String> policies,
       long seed,
       long durationMs,
-      DeclarationWriter writer)
+      DeclarationWriter writer,
+      Progress progress)
       throws IOException, InterruptedException {
     Workload workload = Workload.generate(scenario, seed, durationMs);
     long leastLoads =
@@ -45,6 +46,7 @@
     try (HttpCaller http = new HttpCaller(group)) {
       HopMeasurement.Hop hop = HopMeasurement.measure(scenario, group, http, writer);
       for (String policy : policies) {
+        progress.started(policy);
         figures.put(policy, run(scenario, policy, workload, group, http, writer));
       }
       return new Results(
--- a/cli/src/main/java/org/apricotstand/cli/BenchCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/BenchCommand.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.logging.Level;
 import org.apricotstand.bench.Experiment;
+import org.apricotstand.bench.Progress;
 import org.apricotstand.bench.Results;
 import org.apricotstand.bench.Scenario;
 import org.apricotstand.model.Failure;
@@ -53,8 +54,10 @@
 
   private int run(Scenario read) throws Exception {
     List<String> policies = policy.equals(ALL) ? Experiment.POLICIES : List.of(policy);
+    long durationMs = durationS * MS_PER_S;
+    Progress progress = new Progress(System.err, policies, durationMs);
     Results results =
-        Experiment.run(read, policies, seed, durationS * MS_PER_S, HttpResources::apply);
+        Experiment.run(read, policies, seed, durationMs, HttpResources::apply, progress);
     System.out.println(results.toTable());
     if (jsonFile != null) {
       Files.writeString(Path.of(jsonFile), results.toJson() + "\n");
