--- a/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.apricotstand.placement.Rendezvous;
 
 /**
@@ -48,13 +49,19 @@
     List<Candidate> ranked =
         Rendezvous.rank(
             adapter, withRelativePenalties(candidates), candidate -> candidate.target().id());
-    return ranked.stream()
-        .filter(candidate -> candidate.resident() || candidate.arriving() || candidate.loadable())
-        .min(
-            Comparator.comparingDouble(
-                candidate ->
-                    engineCostMs(candidate, domain)
-                        + ranked.indexOf(candidate) * rankCost(candidate)));
+    return IntStream.range(0, ranked.size())
+        .boxed()
+        .filter(rank -> canServeSoon(ranked.get(rank)))
+        .min(Comparator.comparingDouble(rank -> costAtRankMs(ranked.get(rank), rank, domain)))
+        .map(ranked::get);
+  }
+
+  private static boolean canServeSoon(Candidate candidate) {
+    return candidate.resident() || candidate.arriving() || candidate.loadable();
+  }
+
+  private static double costAtRankMs(Candidate candidate, int rank, String domain) {
+    return engineCostMs(candidate, domain) + rank * rankCost(candidate);
   }
 
   /** Returns the least loaded target of a plain service. */
--- a/core/src/main/java/org/apricotstand/order/OrderLeases.java
+++ b/core/src/main/java/org/apricotstand/order/OrderLeases.java
@@ -72,9 +72,10 @@
     switch (event) {
       case LeaseEvent.EnginesChanged(Set<String> live) -> enginesChanged(live, actions);
       case LeaseEvent.OwnerHeard(String holder, Set<String> owned) ->
-          owned.forEach(engine -> heard.put(engine, new Heard(holder, nowMs)));
+          owned.forEach(engine -> ownerHeard(engine, holder, nowMs));
       case LeaseEvent.InstancesChanged(Set<String> live) -> instances = Set.copyOf(live);
-      case LeaseEvent.RowsRead(List<LeaseRecord> rows, long askedMs) -> rowsRead(rows, askedMs);
+      case LeaseEvent.RowsRead(List<LeaseRecord> rows, long askedMs) ->
+          rowsRead(rows, askedMs, nowMs);
       case LeaseEvent.Written written -> written(written, actions);
       case LeaseEvent.Rejected rejected -> rejected(rejected, nowMs, actions);
       case LeaseEvent.CallFailed failed -> callInProgress = false;
@@ -126,12 +127,27 @@
     heard.keySet().retainAll(live);
   }
 
-  private void rowsRead(List<LeaseRecord> rows, long askedMs) {
+  private void rowsRead(List<LeaseRecord> rows, long askedMs, long nowMs) {
     callInProgress = false;
     Map<String, LeaseRecord> byEngine = new HashMap<>();
     rows.forEach(row -> byEngine.put(row.engine(), row));
-    engines.forEach(
-        engine -> note(byEngine.getOrDefault(engine, new LeaseRecord(engine, "", 0)), askedMs));
+    engines.stream()
+        .filter(engine -> !isOwnedByOther(engine, nowMs))
+        .map(engine -> byEngine.getOrDefault(engine, new LeaseRecord(engine, "", 0)))
+        .forEach(row -> note(row, askedMs));
+  }
+
+  /** While the owner lives, what was seen of its row before says nothing about its next change. */
+  private void ownerHeard(String engine, String holder, long nowMs) {
+    heard.put(engine, new Heard(holder, nowMs));
+    if (!held.containsKey(engine)) {
+      seen.remove(engine);
+    }
+  }
+
+  private boolean isOwnedByOther(String engine, long nowMs) {
+    String owner = ownerOf(engine, nowMs);
+    return owner != null && !owner.equals(self);
   }
 
   private void note(LeaseRecord row, long sinceMs) {
@@ -238,14 +254,8 @@
   }
 
   private boolean mayClaim(String engine, long nowMs) {
-    String owner = ownerOf(engine, nowMs);
     Seen row = seen.get(engine);
-    if (owner != null && !owner.equals(self)) {
-      // The owner lives: what was seen of the row before says nothing about its next change.
-      seen.remove(engine);
-      return false;
-    }
-    if (row == null) {
+    if (row == null || isOwnedByOther(engine, nowMs)) {
       return false;
     }
     long rank = Rendezvous.rank(engine, instances, name -> name).indexOf(self);
--- a/core/src/main/java/org/apricotstand/placement/Rendezvous.java
+++ b/core/src/main/java/org/apricotstand/placement/Rendezvous.java
@@ -21,13 +21,18 @@
   /** Returns the nodes by descending score for the key; ties go to the lesser name. */
   public static <T> List<T> rank(String key, Collection<T> nodes, Function<T, String> nameOf) {
     return nodes.stream()
+        .map(node -> new Scored<>(node, nameOf.apply(node), score(key, nameOf.apply(node))))
         .sorted(
-            Comparator.comparingLong((T node) -> score(key, nameOf.apply(node)))
+            Comparator.comparingLong((Scored<T> scored) -> scored.score)
                 .reversed()
-                .thenComparing(nameOf))
+                .thenComparing(scored -> scored.name))
+        .map(scored -> scored.node)
         .toList();
   }
 
+  /** A node with its score, which is costly enough to compute only once for each ranking. */
+  private record Scored<T>(T node, String name, long score) {}
+
   private static long score(String key, String node) {
     return Hashing.murmur3_128()
         .newHasher()
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -182,11 +182,11 @@
     for (TargetEntry target : listed) {
       live.add(target.id());
       String before = incarnations.put(target.id(), target.incarnation());
-      boolean owned = owner.ownedNow().contains(target.id());
-      if (!target.incarnation().equals(before)) {
+      boolean restarted = !target.incarnation().equals(before);
+      if (restarted) {
         warm.remove(target.id());
-        residency.put(target.id(), new Residency(target.holdings(), Set.of(), Set.of()));
-      } else if (!owned && owner.ownerOf(target.id()) == null) {
+      }
+      if (restarted || owner.ownerOf(target.id()) == null) {
         residency.put(target.id(), new Residency(target.holdings(), Set.of(), Set.of()));
       }
     }
@@ -213,11 +213,14 @@
 
   private void ownEngineChanged(String engine, Residency held) {
     note(engine, held.resident(), held.arriving());
-    PeerMessage message = holdings(engine, held);
-    directory.others().stream().filter(this::isHeard).forEach(peer -> peers.send(peer, message));
+    broadcast(holdings(engine, held));
     changed();
   }
 
+  private void broadcast(PeerMessage message) {
+    directory.others().stream().filter(this::isHeard).forEach(peer -> peers.send(peer, message));
+  }
+
   private static PeerMessage holdings(String engine, Residency held) {
     Map<String, Long> resident = new TreeMap<>();
     held.resident().forEach((key, version) -> resident.put(key.toString(), version));
@@ -231,43 +234,38 @@
 
   @Override
   public void want(String engine, AdapterKey key, long version, long deadlineMs) {
-    control.execute(() -> wantHere(engine, key, version, deadlineMs));
+    control.execute(
+        () -> {
+          long remainingMs = deadlineMs - ControlThread.nowMs();
+          toOwner(
+              engine, new PeerMessage.AdapterWanted(engine, key.toString(), version, remainingMs));
+        });
   }
 
-  private void wantHere(String engine, AdapterKey key, long version, long deadlineMs) {
+  @Override
+  public void missing(String engine, AdapterKey key) {
+    PeerMessage message = new PeerMessage.AdapterMissing(engine, key.toString());
+    control.execute(() -> toOwner(engine, message));
+  }
+
+  /** Brings a message to the owner of an engine, which may be this instance. */
+  private void toOwner(String engine, PeerMessage message) {
     String holder = owner.ownerOf(engine);
+    if (holder == null) {
+      return;
+    }
+    InstanceId instance = new InstanceId(holder);
     if (settings.name().equals(holder)) {
-      owner.want(engine, key, version, deadlineMs);
-    } else if (holder != null) {
-      long remainingMs = deadlineMs - ControlThread.nowMs();
-      peers.send(
-          new InstanceId(holder),
-          new PeerMessage.AdapterWanted(engine, key.toString(), version, remainingMs));
+      onMessage(instance, message);
+    } else {
+      peers.send(instance, message);
     }
   }
 
-  @Override
-  public void missing(String engine, AdapterKey key) {
-    control.execute(
-        () -> {
-          String holder = owner.ownerOf(engine);
-          if (settings.name().equals(holder)) {
-            owner.missing(engine, key);
-          } else if (holder != null) {
-            peers.send(
-                new InstanceId(holder), new PeerMessage.AdapterMissing(engine, key.toString()));
-          }
-        });
-  }
-
   @Override
   public void crashed(String fingerprint, String incarnation) {
     PeerMessage message = new PeerMessage.CrashNoted(fingerprint, incarnation);
-    control.execute(
-        () ->
-            directory.others().stream()
-                .filter(this::isHeard)
-                .forEach(peer -> peers.send(peer, message)));
+    control.execute(() -> broadcast(message));
   }
 
   @Override
@@ -383,7 +381,8 @@
   private void report() {
     Map<AdapterKey, Integer> arrivals = board.takeArrivals();
     popularity.arrived(arrivals);
-    popularity.uses(settings.name(), board.adaptersInUse());
+    Map<String, Set<String>> adaptersInUse = board.adaptersInUse();
+    popularity.uses(settings.name(), adaptersInUse);
     Map<String, Integer> started = new TreeMap<>();
     Map<String, Integer> waiting = new TreeMap<>();
     board
@@ -394,7 +393,7 @@
               waiting.put(id, load.waiting());
             });
     Map<String, List<String>> inUse = new TreeMap<>();
-    board.adaptersInUse().forEach((engine, adapters) -> inUse.put(engine, List.copyOf(adapters)));
+    adaptersInUse.forEach((engine, adapters) -> inUse.put(engine, List.copyOf(adapters)));
     Map<String, Integer> counts = new TreeMap<>();
     arrivals.forEach((key, count) -> counts.put(key.toString(), count));
     PeerMessage message =
--- a/node/src/main/java/org/apricotstand/front/CallReply.java
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -1,18 +1,14 @@
 package org.apricotstand.front;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -66,17 +62,10 @@
     if (ended) {
       return;
     }
-    FullHttpResponse answer =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(status),
-            Unpooled.wrappedBuffer(ErrorBody.of(code)));
-    HttpHeaders headers = answer.headers();
-    headers.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-    headers.set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
+    FullHttpResponse answer = FailureAnswer.of(status, code);
     if (retryAfterMs > 0) {
       String seconds = String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_S);
-      headers.set(HttpHeaderNames.RETRY_AFTER, seconds);
+      answer.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
     }
     if (HttpMethod.HEAD.equals(request.method())) {
       answer.content().clear();
--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -6,8 +6,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -20,7 +20,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -29,7 +28,7 @@
 import org.apricotstand.control.ControlThread;
 
 /** One connection of a caller: collects its requests and answers them one after the other. */
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
 
   private static final int MAX_PIPELINED = 16;
 
@@ -62,15 +61,7 @@
   }
 
   @Override
-  public void channelRead(ChannelHandlerContext context, Object message) {
-    try {
-      read((HttpObject) message);
-    } finally {
-      ReferenceCountUtil.release(message);
-    }
-  }
-
-  private void read(HttpObject message) {
+  protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
     if (refusing) {
       return;
     }
@@ -153,16 +144,8 @@
       channel.close();
       return;
     }
-    FullHttpResponse answer =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(status),
-            Unpooled.copiedBuffer(ErrorBody.of(code)));
-    answer
-        .headers()
-        .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-        .set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes())
-        .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    FullHttpResponse answer = FailureAnswer.of(status, code);
+    answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     server.refusedUnread(status, code);
     channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
   }
--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -1,21 +1,19 @@
 package org.apricotstand.front;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.http.ServerBootstraps;
 import org.apricotstand.kernel.Service;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
@@ -25,9 +23,6 @@
 public final class CallerServer implements Service {
 
   private static final EventLog LOG = EventLog.of(CallerServer.class);
-  private static final int BACKLOG = 1_024;
-  private static final int LOW_WATER_BYTES = 32 * 1024;
-  private static final int HIGH_WATER_BYTES = 128 * 1024;
   private static final long SWEEP_MS = 500;
   // Callers stop choosing this instance after two questions for readiness, one a second.
   private static final long ROTATION_MS = 2_600;
@@ -60,15 +55,8 @@
   @Override
   public void start() {
     listener =
-        new ServerBootstrap()
-            .group(loop)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        ServerBootstraps.onLoops(loop)
             .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(
-                ChannelOption.WRITE_BUFFER_WATER_MARK,
-                new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/front/FailureAnswer.java
@@ -0,0 +1,29 @@
+package org.apricotstand.front;
+
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+
+/** Answers of this system's own failures. */
+final class FailureAnswer {
+
+  private FailureAnswer() {}
+
+  /** Returns an answer whose body is a JSON object with the code, which must be a plain word. */
+  static FullHttpResponse of(int status, String code) {
+    byte[] body = ("{\"error\":\"" + code + "\"}").getBytes(StandardCharsets.UTF_8);
+    FullHttpResponse answer =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+    answer
+        .headers()
+        .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+        .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    return answer;
+  }
+}
--- a/node/src/main/java/org/apricotstand/http/HttpServer.java
+++ b/node/src/main/java/org/apricotstand/http/HttpServer.java
@@ -1,14 +1,11 @@
 package org.apricotstand.http;
 
-import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -26,8 +23,6 @@
  */
 public final class HttpServer implements AutoCloseable {
 
-  private static final int LOW_WATER_BYTES = 32 * 1024;
-  private static final int HIGH_WATER_BYTES = 128 * 1024;
   private static final int MAX_INITIAL_LINE_BYTES = 8_192;
 
   private final Channel listener;
@@ -43,15 +38,8 @@
       EventLoopGroup group, InetSocketAddress address, HttpLimits limits, HttpHandler handler) {
     ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     Channel listener =
-        new ServerBootstrap()
-            .group(group)
-            .channel(NioServerSocketChannel.class)
-            .option(ChannelOption.SO_BACKLOG, 1_024)
-            .childOption(ChannelOption.TCP_NODELAY, true)
+        ServerBootstraps.onLoops(group)
             .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-            .childOption(
-                ChannelOption.WRITE_BUFFER_WATER_MARK,
-                new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/http/ServerBootstraps.java
@@ -0,0 +1,29 @@
+package org.apricotstand.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+
+/** What all HTTP servers of the product have in common at their sockets. */
+public final class ServerBootstraps {
+
+  private static final int BACKLOG = 1_024;
+  private static final int LOW_WATER_BYTES = 32 * 1024;
+  private static final int HIGH_WATER_BYTES = 128 * 1024;
+
+  private ServerBootstraps() {}
+
+  /** Returns a bootstrap that lacks a handler and an address. */
+  public static ServerBootstrap onLoops(EventLoopGroup group) {
+    return new ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(
+            ChannelOption.WRITE_BUFFER_WATER_MARK,
+            new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES));
+  }
+}
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -159,7 +159,8 @@
   private void await(Candidate candidate) {
     long nowMs = ControlThread.nowMs();
     String engine = candidate.target().id();
-    if (engine.equals(wantedFrom) && nowMs - wantedSinceMs > LOAD_PATIENCE_MS) {
+    boolean sameEngine = engine.equals(wantedFrom);
+    if (sameEngine && nowMs - wantedSinceMs > LOAD_PATIENCE_MS) {
       // The engine or its owner does not get on with the load: look elsewhere.
       excluded.add(engine);
       wantedFrom = null;
@@ -171,10 +172,10 @@
       }
       return;
     }
-    if (!engine.equals(wantedFrom)) {
+    if (!sameEngine) {
       wantedSinceMs = nowMs;
     }
-    boolean asked = engine.equals(wantedFrom) && nowMs - wantedAtMs < REPEAT_DEMAND_MS;
+    boolean asked = sameEngine && nowMs - wantedAtMs < REPEAT_DEMAND_MS;
     router.waiting().add(this);
     if (!asked && candidate.loadable()) {
       wantedFrom = engine;
@@ -205,10 +206,7 @@
     if (silent.over || silent.head != null) {
       return;
     }
-    runs++;
-    boolean again = hasOtherTarget(silent.target) && mayRunAgain();
-    runs--;
-    if (again) {
+    if (hasOtherTarget(silent.target) && mayRunAgainAfter(runs + 1)) {
       silent.cancel();
       lost(silent, new SendFailure.Silent("no answer in time"), true);
     }
@@ -242,9 +240,10 @@
         || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
   }
 
-  private boolean mayRunAgain() {
+  /** Takes a repeat from the budget if the route allows one after so many runs. */
+  private boolean mayRunAgainAfter(int runsSoFar) {
     boolean repeatable = route.isRepeatable() || route.resumable();
-    return repeatable && runs < route.maxAttempts() && router.tryRepeat(service);
+    return repeatable && runsSoFar < route.maxAttempts() && router.tryRepeat(service);
   }
 
   private void notRun(Attempt rejected, int status) {
@@ -270,7 +269,7 @@
     }
   }
 
-  private void lost(Attempt broken, SendFailure failure, boolean mayRepeat) {
+  private void lost(Attempt broken, SendFailure failure, boolean repeatGranted) {
     long nowMs = ControlThread.nowMs();
     LOG.info(
         "attempt_lost",
@@ -300,7 +299,7 @@
     if (failure instanceof SendFailure.ConnectionLost) {
       router.suspectCrash(request, broken.target);
     }
-    if (mayRepeat || mayRunAgain()) {
+    if (repeatGranted || mayRunAgainAfter(runs)) {
       if (events != null) {
         events.takeIncomplete();
       }
@@ -429,7 +428,7 @@
         carrier.cancel();
         return;
       }
-      repeatGranted = !isNotExecuted() && isFailure() && mayRepeatFailure();
+      repeatGranted = !isNotExecuted() && isFailure() && mayRunAgainAfter(runs + 1);
       discarding = isNotExecuted() || repeatGranted;
       if (discarding) {
         return;
@@ -455,13 +454,6 @@
       return head.status().code() >= 500;
     }
 
-    private boolean mayRepeatFailure() {
-      runs++;
-      boolean again = mayRunAgain();
-      runs--;
-      return again;
-    }
-
     private boolean isStreamed() {
       return route.kind() == RequestKind.STREAM && head.status().code() == 200;
     }
@@ -541,7 +533,7 @@
       runs++;
       router.health().failed(target.id(), ControlThread.nowMs());
       excluded.add(target.id());
-      if (repeatGranted || mayRunAgain()) {
+      if (repeatGranted || mayRunAgainAfter(runs)) {
         dispatch();
       } else {
         giveUp("resume_failed");
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -234,17 +234,9 @@
   }
 
   private void sweep() {
-    FleetView now = view.get();
-    connections.sweep(
-        now.targets().values().stream()
-            .flatMap(List::stream)
-            .map(TargetEntry::incarnation)
-            .collect(Collectors.toSet()));
-    health.retain(
-        now.targets().values().stream()
-            .flatMap(List::stream)
-            .map(TargetEntry::id)
-            .collect(Collectors.toSet()));
+    List<TargetEntry> live = view.get().targets().values().stream().flatMap(List::stream).toList();
+    connections.sweep(live.stream().map(TargetEntry::incarnation).collect(Collectors.toSet()));
+    health.retain(live.stream().map(TargetEntry::id).collect(Collectors.toSet()));
   }
 
   EventLoop loop() {
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -3,7 +3,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
@@ -14,7 +14,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.util.ReferenceCountUtil;
 import org.apricotstand.control.ControlThread;
 
 /**
@@ -22,7 +21,7 @@
  * one late, where the next answer is expected. A connection that receives bytes while it is idle is
  * closed.
  */
-public final class TargetConnection extends ChannelInboundHandlerAdapter {
+public final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
 
   private final TargetConnections owner;
   private final AnswerDecoder decoder;
@@ -90,15 +89,7 @@
   }
 
   @Override
-  public void channelRead(ChannelHandlerContext context, Object message) {
-    try {
-      read((HttpObject) message);
-    } finally {
-      ReferenceCountUtil.release(message);
-    }
-  }
-
-  private void read(HttpObject message) {
+  protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
     if (listener == null) {
       channel.close();
       return;
