Keep engines under an owner: leases end by their holder's word

Ruled out: slow loads (median 266 ms, 90 % 287 ms) and rejected orders.

Change: reports to peers carry version and remaining time of each lease, so a challenger that reads the same version knows the end; the term is 9 s, longer than most outages of the store; instances of the engine's domain claim first; a draining owner goes on until just before it ends, and a released row names its last holder, who may take it back at once. Pauses count from 1.1 s on, since a frozen holder must not overrun the pause between two owners.

--- a/core/src/main/java/org/apricotstand/order/LeaseEvent.java
+++ b/core/src/main/java/org/apricotstand/order/LeaseEvent.java
@@ -1,19 +1,31 @@
 package org.apricotstand.order;
 
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 
 /** Input of {@link OrderLeases}. */
 public sealed interface LeaseEvent {
 
-  /** The live engines. */
-  record EnginesChanged(Set<String> engines) implements LeaseEvent {}
+  /**
+   * The live engines.
+   *
+   * @param domains failure domain of each engine
+   */
+  record EnginesChanged(Map<String, String> domains) implements LeaseEvent {}
 
-  /** A peer said which engines it owns. */
-  record OwnerHeard(String holder, Set<String> engines) implements LeaseEvent {}
+  /**
+   * A peer said which leases it holds.
+   *
+   * @param held all its leases, by engine
+   */
+  record OwnerHeard(String holder, Map<String, LeaseStanding> held) implements LeaseEvent {}
 
-  /** The live instances, this one included. */
-  record InstancesChanged(Set<String> instances) implements LeaseEvent {}
+  /**
+   * The live instances, this one included.
+   *
+   * @param domains failure domain of each instance
+   */
+  record InstancesChanged(Map<String, String> domains) implements LeaseEvent {}
 
   /** All lease rows, read by a call that began at the given time. */
   record RowsRead(List<LeaseRecord> rows, long askedMs) implements LeaseEvent {}
--- a/core/src/main/java/org/apricotstand/order/OrderLeases.java
+++ b/core/src/main/java/org/apricotstand/order/OrderLeases.java
@@ -1,12 +1,14 @@
 package org.apricotstand.order;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.stream.Collectors;
 import org.apricotstand.placement.Rendezvous;
@@ -14,8 +16,10 @@
 /**
  * Decides which engines this instance owns. A lease is held while its last confirmed renewal is
  * younger than {@link #TERM_MS}, counted from before the renewal was sent. Another instance takes
- * it only after the row stayed unchanged for the term and the pause that must lie between commands
- * of two owners.
+ * it only when the lease has ended and the pause that must lie between commands of two owners has
+ * passed. The end is known from the holder's own word about the version that the row still has;
+ * without it, the row must have stayed unchanged for a whole term. Instances of the engine's own
+ * failure domain claim first, so that owner and engine are cut off together.
  *
  * <pre>{@code
  * if (leases.mayCommand(engine, nowMs)) { ... }
@@ -23,8 +27,8 @@
  */
 public final class OrderLeases {
 
-  /** How long a renewal counts. */
-  public static final long TERM_MS = 6_000;
+  /** How long a renewal counts; most outages of the store are shorter. */
+  public static final long TERM_MS = 9_000;
 
   /** A command that is sent later than this before the end of the lease could arrive after it. */
   static final long COMMAND_MARGIN_MS = 600;
@@ -33,8 +37,9 @@
   private static final long SILENCE_MS = 1_500;
   private static final long READ_PERIOD_MS = 1_000;
   // Instances with a lower rank or more engines claim later, so that ownership spreads.
-  private static final long RANK_DELAY_MS = 300;
-  private static final long CLOCK_MARGIN_MS = 300;
+  private static final long RANK_DELAY_MS = 200;
+  private static final long HELD_DELAY_MS = 400;
+  private static final long CLOCK_MARGIN_MS = 700;
   private static final int MAX_ROWS = 40;
 
   private final String self;
@@ -42,8 +47,8 @@
   private final Map<String, Held> held = new HashMap<>();
   private final Map<String, Heard> heard = new HashMap<>();
   private final Map<String, Seen> seen = new HashMap<>();
-  private Set<String> engines = Set.of();
-  private Set<String> instances = Set.of();
+  private Map<String, String> engineDomains = Map.of();
+  private Map<String, String> instanceDomains = Map.of();
   private boolean callInProgress;
   private long nextReadMs;
   private long nextRenewalMs;
@@ -51,7 +56,7 @@
 
   private record Held(long fencingNumber, long rowVersion, long confirmedMs) {}
 
-  private record Heard(String holder, long atMs) {}
+  private record Heard(String holder, long rowVersion, long endsAtMs, long atMs) {}
 
   private record Seen(LeaseRecord row, long sinceMs) {}
 
@@ -70,10 +75,11 @@
   public List<LeaseAction> handle(LeaseEvent event, long nowMs) {
     List<LeaseAction> actions = new ArrayList<>();
     switch (event) {
-      case LeaseEvent.EnginesChanged(Set<String> live) -> enginesChanged(live, actions);
-      case LeaseEvent.OwnerHeard(String holder, Set<String> owned) ->
-          owned.forEach(engine -> ownerHeard(engine, holder, nowMs));
-      case LeaseEvent.InstancesChanged(Set<String> live) -> instances = Set.copyOf(live);
+      case LeaseEvent.EnginesChanged(Map<String, String> live) -> enginesChanged(live, actions);
+      case LeaseEvent.OwnerHeard(String holder, Map<String, LeaseStanding> leases) ->
+          ownerHeard(holder, leases, nowMs);
+      case LeaseEvent.InstancesChanged(Map<String, String> live) ->
+          instanceDomains = Map.copyOf(live);
       case LeaseEvent.RowsRead(List<LeaseRecord> rows, long askedMs) ->
           rowsRead(rows, askedMs, nowMs);
       case LeaseEvent.Written written -> written(written, actions);
@@ -105,17 +111,39 @@
         .collect(Collectors.toCollection(TreeSet::new));
   }
 
+  /** Returns all leases of this instance, also those that could not be renewed in time. */
+  public Map<String, LeaseStanding> standings(long nowMs) {
+    Map<String, LeaseStanding> standings = new TreeMap<>();
+    held.forEach(
+        (engine, lease) ->
+            standings.put(
+                engine,
+                new LeaseStanding(
+                    lease.rowVersion, Math.max(0, lease.confirmedMs + TERM_MS - nowMs))));
+    return standings;
+  }
+
+  /** Returns whether no lease is held any longer. */
+  public boolean isReleased() {
+    return held.isEmpty();
+  }
+
   /** Returns the instance that was last heard to own the engine; null when none was. */
   public String ownerOf(String engine, long nowMs) {
     if (mayCommand(engine, nowMs)) {
       return self;
     }
     Heard last = heard.get(engine);
-    return last == null || nowMs - last.atMs > SILENCE_MS ? null : last.holder;
+    boolean owns =
+        last != null
+            && nowMs - last.atMs <= SILENCE_MS
+            && nowMs < last.endsAtMs - COMMAND_MARGIN_MS;
+    return owns ? last.holder : null;
   }
 
-  private void enginesChanged(Set<String> live, List<LeaseAction> actions) {
-    engines = Set.copyOf(live);
+  private void enginesChanged(Map<String, String> domains, List<LeaseAction> actions) {
+    engineDomains = Map.copyOf(domains);
+    Set<String> live = domains.keySet();
     Set<String> ended = new HashSet<>(held.keySet());
     ended.removeAll(live);
     ended.forEach(
@@ -131,18 +159,35 @@
     callInProgress = false;
     Map<String, LeaseRecord> byEngine = new HashMap<>();
     rows.forEach(row -> byEngine.put(row.engine(), row));
-    engines.stream()
+    engineDomains.keySet().stream()
         .filter(engine -> !isOwnedByOther(engine, nowMs))
-        .map(engine -> byEngine.getOrDefault(engine, new LeaseRecord(engine, "", 0)))
+        .map(engine -> byEngine.getOrDefault(engine, LeaseRecord.absent(engine)))
         .forEach(row -> note(row, askedMs));
   }
 
-  /** While the owner lives, what was seen of its row before says nothing about its next change. */
-  private void ownerHeard(String engine, String holder, long nowMs) {
-    heard.put(engine, new Heard(holder, nowMs));
-    if (!held.containsKey(engine)) {
-      seen.remove(engine);
-    }
+  private void ownerHeard(String holder, Map<String, LeaseStanding> leases, long nowMs) {
+    heard
+        .entrySet()
+        .removeIf(
+            entry -> entry.getValue().holder.equals(holder) && !leases.containsKey(entry.getKey()));
+    leases.forEach(
+        (engine, standing) -> {
+          heard.put(engine, heardNow(engine, holder, standing, nowMs));
+          Seen known = seen.get(engine);
+          if (known != null && known.row.rowVersion() != standing.rowVersion()) {
+            // The row was renewed since it was read.
+            seen.remove(engine);
+          }
+        });
+  }
+
+  /** A lease whose row does not change ends at the earliest time that its holder ever named. */
+  private Heard heardNow(String engine, String holder, LeaseStanding standing, long nowMs) {
+    Heard before = heard.get(engine);
+    boolean sameRow = before != null && before.rowVersion == standing.rowVersion();
+    long earlierMs = sameRow ? before.endsAtMs : Long.MAX_VALUE;
+    long endsAtMs = Math.min(earlierMs, nowMs + standing.remainingMs());
+    return new Heard(holder, standing.rowVersion(), endsAtMs, nowMs);
   }
 
   private boolean isOwnedByOther(String engine, long nowMs) {
@@ -162,7 +207,7 @@
     nextRenewalMs = written.sentMs() + RENEWAL_MS;
     for (LeaseRecord row : written.rows()) {
       seen.remove(row.engine());
-      if (row.holder().isEmpty()) {
+      if (row.released()) {
         held.remove(row.engine());
         actions.add(new LeaseAction.Lost(row.engine(), "released"));
         continue;
@@ -217,7 +262,9 @@
       return Optional.of(
           new LeaseAction.WriteRows(writes.subList(0, Math.min(MAX_ROWS, writes.size()))));
     }
-    if (!leaving && nowMs >= nextReadMs && engines.stream().anyMatch(e -> needsRead(e, nowMs))) {
+    if (!leaving
+        && nowMs >= nextReadMs
+        && engineDomains.keySet().stream().anyMatch(engine -> needsRead(engine, nowMs))) {
       callInProgress = true;
       nextReadMs = nowMs + READ_PERIOD_MS;
       return Optional.of(new LeaseAction.ReadRows());
@@ -231,7 +278,7 @@
 
   private List<LeaseRecord> releases() {
     return held.entrySet().stream()
-        .map(entry -> new LeaseRecord(entry.getKey(), "", entry.getValue().rowVersion))
+        .map(entry -> new LeaseRecord(entry.getKey(), self, true, entry.getValue().rowVersion))
         .collect(Collectors.toCollection(ArrayList::new));
   }
 
@@ -241,33 +288,48 @@
     }
     nextRenewalMs = nowMs + RENEWAL_MS;
     return held.entrySet().stream()
-        .map(entry -> new LeaseRecord(entry.getKey(), self, entry.getValue().rowVersion))
+        .map(entry -> new LeaseRecord(entry.getKey(), self, false, entry.getValue().rowVersion))
         .collect(Collectors.toCollection(ArrayList::new));
   }
 
   private List<LeaseRecord> claims(long nowMs) {
-    return engines.stream()
+    return engineDomains.keySet().stream()
         .filter(engine -> !held.containsKey(engine))
         .filter(engine -> mayClaim(engine, nowMs))
-        .map(engine -> new LeaseRecord(engine, self, seen.get(engine).row.rowVersion()))
+        .map(engine -> new LeaseRecord(engine, self, false, seen.get(engine).row.rowVersion()))
         .toList();
   }
 
   private boolean mayClaim(String engine, long nowMs) {
     Seen row = seen.get(engine);
-    if (row == null || isOwnedByOther(engine, nowMs)) {
-      return false;
-    }
-    long rank = Rendezvous.rank(engine, instances, name -> name).indexOf(self);
-    return nowMs
-        >= row.sinceMs + pauseMs(row.row) + (Math.max(0, rank) + held.size()) * RANK_DELAY_MS;
+    return row != null
+        && !isOwnedByOther(engine, nowMs)
+        && nowMs >= claimableAtMs(row) + claimDelayMs(engine);
   }
 
-  private long pauseMs(LeaseRecord row) {
+  /** Returns when commands of another instance than the row's holder are safe. */
+  private long claimableAtMs(Seen seenRow) {
+    LeaseRecord row = seenRow.row;
     if (row.rowVersion() == 0 || row.holder().equals(self)) {
-      return 0;
+      return seenRow.sinceMs;
     }
-    long terms = row.holder().isEmpty() ? 0 : TERM_MS;
-    return terms + handoverPauseMs + CLOCK_MARGIN_MS;
+    long endsAtMs = row.released() ? seenRow.sinceMs : endsAtMs(seenRow);
+    return endsAtMs + handoverPauseMs + CLOCK_MARGIN_MS;
+  }
+
+  private long endsAtMs(Seen seenRow) {
+    long latestMs = seenRow.sinceMs + TERM_MS;
+    Heard last = heard.get(seenRow.row.engine());
+    boolean sameRow = last != null && last.rowVersion == seenRow.row.rowVersion();
+    return sameRow ? Math.min(latestMs, last.endsAtMs) : latestMs;
+  }
+
+  private long claimDelayMs(String engine) {
+    String domain = engineDomains.get(engine);
+    List<String> ranked =
+        Rendezvous.rank(engine, instanceDomains.keySet(), name -> name).stream()
+            .sorted(Comparator.comparing(name -> !instanceDomains.get(name).equals(domain)))
+            .toList();
+    return Math.max(0, ranked.indexOf(self)) * RANK_DELAY_MS + held.size() * HELD_DELAY_MS;
   }
 }
--- a/core/src/test/java/org/apricotstand/order/OrderLeasesTest.java
+++ b/core/src/test/java/org/apricotstand/order/OrderLeasesTest.java
@@ -2,8 +2,9 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class OrderLeasesTest {
@@ -17,11 +18,11 @@
   }
 
   private void claimFresh() {
-    leases.handle(new LeaseEvent.InstancesChanged(Set.of("n1")), 0);
-    assertThat(leases.handle(new LeaseEvent.EnginesChanged(Set.of("e")), 0))
+    leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
+    assertThat(leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0))
         .containsExactly(new LeaseAction.ReadRows());
     List<LeaseAction> claim = leases.handle(new LeaseEvent.RowsRead(List.of(), 0), 10);
-    LeaseRecord row = new LeaseRecord("e", "n1", 0);
+    LeaseRecord row = new LeaseRecord("e", "n1", false, 0);
     assertThat(claim).containsExactly(new LeaseAction.WriteRows(List.of(row)));
     leases.handle(new LeaseEvent.Written(List.of(row), 5, 10), 20);
   }
@@ -42,7 +43,7 @@
     claimFresh();
     List<LeaseAction> actions = leases.handle(new LeaseEvent.Paused(), 100);
     assertThat(leases.mayCommand("e", 101)).isFalse();
-    LeaseRecord renewal = new LeaseRecord("e", "n1", 5);
+    LeaseRecord renewal = new LeaseRecord("e", "n1", false, 5);
     assertThat(actions).containsExactly(new LeaseAction.WriteRows(List.of(renewal)));
     leases.handle(new LeaseEvent.Written(List.of(renewal), 6, 101), 110);
     assertThat(leases.mayCommand("e", 111)).isTrue();
@@ -52,32 +53,32 @@
   // Guards against two owners within the pause that must lie between their commands.
   @Test
   void takesALeaseOnlyAfterTermAndPauseWithoutChange() {
-    leases.handle(new LeaseEvent.InstancesChanged(Set.of("n1")), 0);
-    leases.handle(new LeaseEvent.EnginesChanged(Set.of("e")), 0);
-    LeaseRecord other = new LeaseRecord("e", "n2", 7);
+    leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
+    leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
+    LeaseRecord other = new LeaseRecord("e", "n2", false, 7);
     leases.handle(new LeaseEvent.RowsRead(List.of(other), 0), 10);
     long soonestMs = OrderLeases.TERM_MS + PAUSE_MS;
     assertThat(tick(soonestMs)).isEmpty();
     assertThat(tick(soonestMs + 1_000))
-        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", 7))));
+        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 7))));
   }
 
   // Guards against a takeover from an owner that was silent for a while but lives.
   @Test
   void startsTheWaitAnewWhenTheOwnerIsHeard() {
-    leases.handle(new LeaseEvent.InstancesChanged(Set.of("n1", "n2")), 0);
-    leases.handle(new LeaseEvent.EnginesChanged(Set.of("e")), 0);
-    leases.handle(new LeaseEvent.RowsRead(List.of(new LeaseRecord("e", "n2", 7)), 0), 10);
-    leases.handle(new LeaseEvent.OwnerHeard("n2", Set.of("e")), 8_000);
+    leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1", "n2", "d2")), 0);
+    leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
+    leases.handle(new LeaseEvent.RowsRead(List.of(new LeaseRecord("e", "n2", false, 7)), 0), 10);
+    leases.handle(new LeaseEvent.OwnerHeard("n2", Map.of("e", new LeaseStanding(8, 9_000))), 8_000);
     assertThat(tick(20_000)).containsExactly(new LeaseAction.ReadRows());
   }
 
   // Guards against a wait of seconds after a restart of the owner itself.
   @Test
   void takesItsOwnRowBackAtOnce() {
-    leases.handle(new LeaseEvent.InstancesChanged(Set.of("n1")), 0);
-    leases.handle(new LeaseEvent.EnginesChanged(Set.of("e")), 0);
-    LeaseRecord own = new LeaseRecord("e", "n1", 7);
+    leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
+    leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
+    LeaseRecord own = new LeaseRecord("e", "n1", false, 7);
     assertThat(leases.handle(new LeaseEvent.RowsRead(List.of(own), 0), 10))
         .containsExactly(new LeaseAction.WriteRows(List.of(own)));
   }
@@ -86,26 +87,28 @@
   @Test
   void adoptsARenewalWhoseAnswerWasLost() {
     claimFresh();
-    LeaseRecord renewal = new LeaseRecord("e", "n1", 5);
+    LeaseRecord renewal = new LeaseRecord("e", "n1", false, 5);
     assertThat(tick(2_500)).containsExactly(new LeaseAction.WriteRows(List.of(renewal)));
     leases.handle(new LeaseEvent.CallFailed(), 3_700);
     tick(4_600);
     List<LeaseAction> actions =
         leases.handle(
-            new LeaseEvent.Rejected(List.of(renewal), List.of(new LeaseRecord("e", "n1", 6))),
+            new LeaseEvent.Rejected(
+                List.of(renewal), List.of(new LeaseRecord("e", "n1", false, 6))),
             4_610);
     assertThat(actions)
-        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", 6))));
+        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 6))));
   }
 
   // Guards against commands of a former owner after another took over.
   @Test
   void givesUpARowThatAnotherTook() {
     claimFresh();
-    LeaseRecord renewal = new LeaseRecord("e", "n1", 5);
+    LeaseRecord renewal = new LeaseRecord("e", "n1", false, 5);
     List<LeaseAction> actions =
         leases.handle(
-            new LeaseEvent.Rejected(List.of(renewal), List.of(new LeaseRecord("e", "n2", 9))),
+            new LeaseEvent.Rejected(
+                List.of(renewal), List.of(new LeaseRecord("e", "n2", false, 9))),
             2_600);
     assertThat(actions).contains(new LeaseAction.Lost("e", "taken_by_n2"));
     assertThat(leases.mayCommand("e", 2_601)).isFalse();
@@ -116,7 +119,81 @@
   void releasesAllRowsWhenLeaving() {
     claimFresh();
     assertThat(leases.handle(new LeaseEvent.Leaving(), 100))
-        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "", 5))));
+        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", true, 5))));
     assertThat(leases.mayCommand("e", 101)).isFalse();
   }
+
+  private void readAsOwnedByOther(long rowVersion, long askedMs) {
+    leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
+    leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
+    LeaseRecord other = new LeaseRecord("e", "n2", false, rowVersion);
+    leases.handle(new LeaseEvent.RowsRead(List.of(other), askedMs), askedMs + 10);
+  }
+
+  private List<LeaseAction> heard(long rowVersion, long remainingMs, long nowMs) {
+    LeaseStanding standing = new LeaseStanding(rowVersion, remainingMs);
+    return leases.handle(new LeaseEvent.OwnerHeard("n2", Map.of("e", standing)), nowMs);
+  }
+
+  // Guards against a whole term without loads when the owner said how long its lease lasts.
+  @Test
+  void takesALeaseThatEndedByItsHoldersOwnWord() {
+    heard(7, 1_000, 0);
+    readAsOwnedByOther(7, 2_000);
+    assertThat(tick(1_000 + PAUSE_MS)).isEmpty();
+    assertThat(tick(1_000 + PAUSE_MS + 1_000))
+        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 7))));
+  }
+
+  // Guards against commands of two owners when the lease was renewed after its holder's last word.
+  @Test
+  void trustsNoWordAboutAnOlderVersionOfTheRow() {
+    heard(7, 1_000, 0);
+    readAsOwnedByOther(8, 2_000);
+    assertThat(tick(2_000 + OrderLeases.TERM_MS + PAUSE_MS)).isEmpty();
+  }
+
+  // Guards against engines without an owner while theirs lives but cannot reach the store.
+  @Test
+  void takesOverFromAnOwnerThatStillReportsAnEndedLease() {
+    readAsOwnedByOther(7, 0);
+    List<LeaseAction> actions = new ArrayList<>();
+    for (long nowMs = 250; nowMs < 5_000; nowMs += 250) {
+      actions.addAll(heard(7, 0, nowMs));
+    }
+    assertThat(actions)
+        .contains(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 7))));
+  }
+
+  // Guards against seconds without an owner while instances are restarted one after the other.
+  @Test
+  void takesAReleasedRowOfItsOwnBackAtOnce() {
+    leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
+    leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
+    LeaseRecord released = LeaseRecord.decode("e", "released n1", 7);
+    assertThat(leases.handle(new LeaseEvent.RowsRead(List.of(released), 0), 10))
+        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 7))));
+  }
+
+  // Guards against commands of a new owner right after those of one that released.
+  @Test
+  void waitsThePauseAfterTheReleaseOfAnother() {
+    leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
+    leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
+    LeaseRecord released = LeaseRecord.decode("e", "released n2", 7);
+    leases.handle(new LeaseEvent.RowsRead(List.of(released), 0), 10);
+    assertThat(tick(PAUSE_MS)).isEmpty();
+    assertThat(tick(PAUSE_MS + 1_000)).hasSize(1);
+  }
+
+  // Guards against owners that a cut domain separates from their engines.
+  @Test
+  void leavesAnEngineOfAnotherDomainToItsOwnInstancesFirst() {
+    Map<String, String> instances = Map.of("n1", "d1", "n2", "d2", "n3", "d2", "n4", "d2");
+    leases.handle(new LeaseEvent.InstancesChanged(instances), 0);
+    leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d2")), 0);
+    assertThat(leases.handle(new LeaseEvent.RowsRead(List.of(), 0), 10)).isEmpty();
+    assertThat(tick(500)).isEmpty();
+    assertThat(tick(700)).hasSize(1);
+  }
 }
--- a/node/src/main/java/org/apricotstand/control/PauseWatchdog.java
+++ b/node/src/main/java/org/apricotstand/control/PauseWatchdog.java
@@ -9,8 +9,8 @@
  */
 final class PauseWatchdog {
 
-  /** Longer than any task or garbage collection; a lease is counted for four times as long. */
-  static final long PAUSE_MS = 2_000;
+  /** Longer than any task or garbage collection, and shorter than the margins of leases. */
+  static final long PAUSE_MS = 1_100;
 
   private final LongSupplier monotonicClock;
   private final LongSupplier wallClock;
--- a/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
+++ b/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,6 +14,7 @@
 import org.apricotstand.order.LeaseAction;
 import org.apricotstand.order.LeaseEvent;
 import org.apricotstand.order.LeaseRecord;
+import org.apricotstand.order.LeaseStanding;
 import org.apricotstand.order.OrderLeases;
 import org.apricotstand.port.CommitResult;
 import org.apricotstand.port.EngineControl;
@@ -77,7 +77,9 @@
   void enginesChanged(Map<TargetEntry, EngineSpec> live) {
     known.clear();
     live.forEach((target, spec) -> known.put(target.id(), new Engine(target, spec)));
-    handle(new LeaseEvent.EnginesChanged(new HashSet<>(known.keySet())));
+    Map<String, String> domains = new HashMap<>();
+    known.forEach((id, engine) -> domains.put(id, engine.target.domain()));
+    handle(new LeaseEvent.EnginesChanged(domains));
     for (String id : Set.copyOf(owned.keySet())) {
       Engine engine = known.get(id);
       if (engine != null
@@ -88,12 +90,12 @@
     }
   }
 
-  void instancesChanged(Set<String> live) {
-    handle(new LeaseEvent.InstancesChanged(live));
+  void instancesChanged(Map<String, String> domains) {
+    handle(new LeaseEvent.InstancesChanged(domains));
   }
 
-  void ownerHeard(String holder, List<String> engineIds) {
-    handle(new LeaseEvent.OwnerHeard(holder, Set.copyOf(engineIds)));
+  void ownerHeard(String holder, Map<String, LeaseStanding> held) {
+    handle(new LeaseEvent.OwnerHeard(holder, held));
   }
 
   void paused() {
@@ -101,12 +103,17 @@
     handle(new LeaseEvent.Paused());
   }
 
-  void leaving() {
+  /** Gives up all engines. */
+  void release() {
     handle(new LeaseEvent.Leaving());
   }
 
-  Set<String> ownedNow() {
-    return leases.owned(ControlThread.nowMs());
+  boolean isReleased() {
+    return leases.isReleased();
+  }
+
+  Map<String, LeaseStanding> standings() {
+    return leases.standings(ControlThread.nowMs());
   }
 
   /** Returns the instance that commands an engine; null when none is known to. */
@@ -194,7 +201,7 @@
                 row ->
                     new RowWrite(
                         row.engine(),
-                        row.holder().getBytes(StandardCharsets.UTF_8),
+                        row.content().getBytes(StandardCharsets.UTF_8),
                         row.rowVersion()))
             .toList();
     store
@@ -219,7 +226,7 @@
     return rows.stream()
         .map(
             row ->
-                new LeaseRecord(
+                LeaseRecord.decode(
                     row.key(), new String(row.value(), StandardCharsets.UTF_8), row.version()))
         .toList();
   }
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -16,6 +16,7 @@
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.order.LeaseStanding;
 import org.apricotstand.peer.PeerListener;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.PeerNetwork;
@@ -69,6 +70,7 @@
   private List<TargetEntry> targets = List.of();
   private boolean publishing;
   private boolean leaving;
+  private volatile boolean released = true;
   private Set<String> lastCommandable = Set.of();
   private volatile FleetView view = FleetView.EMPTY;
 
@@ -133,16 +135,28 @@
     control.executeEvery(REPORT_MS, this::report);
   }
 
-  /** Gives up all engines; called when the instance shuts down. */
+  /**
+   * Tells the others that the instance shuts down. It commands its engines until {@link #release},
+   * since another instance may not command them for seconds.
+   */
   public void leave() {
     control.execute(
         () -> {
           leaving = true;
-          owner.leaving();
           report();
         });
   }
 
+  /** Gives up all engines; called when the process is about to end. */
+  public void release() {
+    control.execute(owner::release);
+  }
+
+  /** Returns whether no engine is owned any longer. */
+  public boolean isReleased() {
+    return released;
+  }
+
   @Override
   public void onPlan(RoutingPlan read) {
     if (plan != null && read.version() <= plan.version()) {
@@ -327,7 +341,13 @@
     Map<String, Set<String>> inUse = new HashMap<>();
     report.inUse().forEach((engine, adapters) -> inUse.put(engine, Set.copyOf(adapters)));
     popularity.uses(from.value(), inUse);
-    owner.ownerHeard(from.value(), report.owned());
+    Map<String, LeaseStanding> leases = new HashMap<>();
+    report
+        .leases()
+        .forEach(
+            (engine, lease) ->
+                leases.put(engine, new LeaseStanding(lease.rowVersion(), lease.remainingMs())));
+    owner.ownerHeard(from.value(), leases);
     if (before == null || before.leaving != report.leaving()) {
       instancesChanged();
     }
@@ -335,17 +355,20 @@
   }
 
   private void instancesChanged() {
-    Set<String> live =
-        heard.entrySet().stream()
-            .filter(entry -> !entry.getValue().leaving)
-            .map(Map.Entry::getKey)
-            .collect(Collectors.toCollection(HashSet::new));
-    live.add(settings.name());
-    owner.instancesChanged(live);
+    Map<String, String> domains = new HashMap<>();
+    heard.forEach(
+        (name, peer) -> {
+          if (!peer.leaving) {
+            domains.put(name, directory.domainOf(new InstanceId(name)));
+          }
+        });
+    domains.put(settings.name(), settings.domain());
+    owner.instancesChanged(domains);
   }
 
   private void tick() {
     owner.tick();
+    released = owner.isReleased();
     long nowMs = ControlThread.nowMs();
     if (roster.keepsLapsed() && roster.current(nowMs).size() < targets.size()) {
       targetsChanged();
@@ -397,11 +420,21 @@
     Map<String, Integer> counts = new TreeMap<>();
     arrivals.forEach((key, count) -> counts.put(key.toString(), count));
     PeerMessage message =
-        new PeerMessage.LoadReport(
-            started, waiting, inUse, counts, List.copyOf(owner.ownedNow()), leaving);
+        new PeerMessage.LoadReport(started, waiting, inUse, counts, ownLeases(), leaving);
     directory.others().stream().filter(this::isDue).forEach(peer -> peers.send(peer, message));
   }
 
+  private Map<String, PeerMessage.Lease> ownLeases() {
+    Map<String, PeerMessage.Lease> leases = new TreeMap<>();
+    owner
+        .standings()
+        .forEach(
+            (engine, standing) ->
+                leases.put(
+                    engine, new PeerMessage.Lease(standing.rowVersion(), standing.remainingMs())));
+    return leases;
+  }
+
   private boolean isDue(InstanceId peer) {
     if (isHeard(peer)) {
       return true;
--- a/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
+++ b/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
@@ -28,7 +28,7 @@
   private final FrontSettings settings;
   private final RowStore store;
   private final ControlThread control;
-  private final Map<InstanceId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+  private final Map<InstanceId, InstanceRecord> records = new ConcurrentHashMap<>();
 
   /** Creates an empty directory. */
   public InstanceDirectory(FrontSettings settings, RowStore store, ControlThread control) {
@@ -82,8 +82,8 @@
     }
     try {
       InstanceRecord record = InstanceRecord.decode(row.key(), row.value());
-      InetSocketAddress before = addresses.put(new InstanceId(row.key()), record.address());
-      if (!record.address().equals(before)) {
+      InstanceRecord before = records.put(new InstanceId(row.key()), record);
+      if (!record.equals(before)) {
         LOG.info("instance_found", "instance", row.key(), "address", record.address());
       }
     } catch (IllegalArgumentException e) {
@@ -93,11 +93,18 @@
 
   /** Returns the address of an instance; null when unknown. */
   public InetSocketAddress addressOf(InstanceId instance) {
-    return addresses.get(instance);
+    InstanceRecord record = records.get(instance);
+    return record == null ? null : record.address();
+  }
+
+  /** Returns the failure domain of an instance; an empty text when unknown. */
+  public String domainOf(InstanceId instance) {
+    InstanceRecord record = records.get(instance);
+    return record == null ? "" : record.domain();
   }
 
   /** Returns all known instances but this one. */
   public Set<InstanceId> others() {
-    return addresses.keySet();
+    return records.keySet();
   }
 }
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -202,7 +202,7 @@
    * @param waiting requests whose answer has not begun, by target id
    * @param inUse adapters in use, by engine id
    * @param arrivals requests by adapter since the last report
-   * @param owned engines that the sender may command
+   * @param leases all leases of engines that the sender holds, by engine id
    * @param leaving whether the sender shuts down
    */
   record LoadReport(
@@ -210,7 +210,7 @@
       Map<String, Integer> waiting,
       Map<String, List<String>> inUse,
       Map<String, Integer> arrivals,
-      List<String> owned,
+      Map<String, Lease> leases,
       boolean leaving)
       implements PeerMessage {}
 
@@ -228,6 +228,14 @@
   /** Tells the owner of an engine that the engine does not hold what the owner said. */
   record AdapterMissing(String engine, String adapter) implements PeerMessage {}
 
+  /**
+   * Lease of an engine in a {@link LoadReport}.
+   *
+   * @param rowVersion version of its row when it was last renewed
+   * @param remainingMs time until it ends unless it is renewed
+   */
+  record Lease(long rowVersion, long remainingMs) {}
+
   /**
    * Says what an engine holds, as its owner knows.
    *
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -39,6 +39,7 @@
   private static final long ROTATION_MS = 3_000;
   private static final long LAST_LONG_REQUEST_MS = 2_700;
   private static final long EXIT_MARGIN_MS = 400;
+  private static final long RELEASE_MS = 300;
   private static final long POLL_MS = 50;
 
   private final Kernel kernel = new Kernel();
@@ -125,11 +126,16 @@
     draining = true;
     fleet.leave();
     callers.drain();
-    long endMs = startMs + settings.graceMs() - EXIT_MARGIN_MS;
+    long endMs = startMs + settings.graceMs() - EXIT_MARGIN_MS - RELEASE_MS;
     router.drain(startMs + LAST_LONG_REQUEST_MS, endMs);
     while (ControlThread.nowMs() < endMs && !isDrained(startMs)) {
       sleep();
     }
+    fleet.release();
+    long releasedMs = ControlThread.nowMs() + RELEASE_MS;
+    while (ControlThread.nowMs() < releasedMs && !fleet.isReleased()) {
+      sleep();
+    }
     LOG.info(
         "instance_stopped", "active", callers.active(), "took_ms", ControlThread.nowMs() - startMs);
   }
