--- a/node/src/main/java/org/apricotstand/observe/LogFormat.java
+++ b/node/src/main/java/org/apricotstand/observe/LogFormat.java
@@ -12,6 +12,7 @@
 
   /** Installs the format on the handlers of the root logger and sets the level. */
   public static void install(Level level) {
+    ShutdownLogManager.use();
     Logger root = Logger.getLogger("");
     root.setLevel(Level.INFO);
     Logger.getLogger("org.apricotstand").setLevel(level);
