Repeat unanswered orders at once under the same sequence

Ruled out: a second execution. An order is carried out only at the sequence that it expects, so the engine refuses whichever of the two copies comes second.

--- a/core/src/main/java/org/apricotstand/residency/EngineSlots.java
+++ b/core/src/main/java/org/apricotstand/residency/EngineSlots.java
@@ -50,6 +50,9 @@
   /** Checks that conflict this often in a row show that the sequence is not what it seemed. */
   private static final int MAX_CONFLICTING_CHECKS = 3;
 
+  /** Commands without an answer in a row after which the engine is asked for a report. */
+  static final int MAX_UNANSWERED = 4;
+
   /** Requests that wait for an adapter hear of its arrival and are sent within this time. */
   static final long MIN_STAY_MS = 700;
 
@@ -80,6 +83,7 @@
   private EngineCommand outstanding;
   private boolean outstandingIsCheck;
   private int conflictingChecks;
+  private int unansweredInRow;
   private boolean reportAsked;
   private long notBeforeMs;
   private boolean changed;
@@ -250,6 +254,9 @@
   private void answered(CommandResult result, long nowMs) {
     EngineCommand command = outstanding;
     outstanding = null;
+    if (result != CommandResult.UNANSWERED) {
+      unansweredInRow = 0;
+    }
     switch (result) {
       case ACCEPTED -> accepted(command, nowMs);
       case HOLDS -> holds(command, nowMs);
@@ -260,7 +267,19 @@
       }
       case REFUSED -> forget(nowMs + REFUSAL_PAUSE_MS);
       // Unanswered: it may have been carried out, or may still be.
-      default -> forget(nowMs + REPORT_LAG_MS);
+      default -> unanswered(nowMs);
+    }
+  }
+
+  /**
+   * Keeps the sequence, so that the command is sent again: whichever of the two the engine carries
+   * out first changes its sequence, and the other one is then refused however late it comes.
+   */
+  private void unanswered(long nowMs) {
+    unansweredInRow++;
+    if (unansweredInRow >= MAX_UNANSWERED) {
+      unansweredInRow = 0;
+      forget(nowMs + REPORT_LAG_MS);
     }
   }
 
