Wait for the stream itself in the tests of cut links

FaultyLinksTest#streamThatTheEngineLinkCutsGoesOnWhereItBroke failed once beside load: the wait for 1,000 bytes counted all answers of a kept connection. A run that printed them saw 967 and 908 bytes on kept connections before the stream was sent, so that a few more polls let the cut come before the answer's head, where 502 is right. The wait now counts from before the stream; the bound is the same.

--- a/cli/src/test/java/org/apricotstand/it/FaultyLinksTest.java
+++ b/cli/src/test/java/org/apricotstand/it/FaultyLinksTest.java
@@ -7,11 +7,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.apricotstand.standin.fault.Direction;
 import org.apricotstand.standin.fault.Fault;
 import org.apricotstand.standin.fault.FaultProxy;
+import org.apricotstand.standin.fault.ProxyConnection;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
@@ -60,8 +63,9 @@
 
   @Test
   void streamThatTheEngineLinkCutsIsNotClosedAsWhole() {
+    Map<ProxyConnection, Long> before = passedBytes();
     CompletableFuture<Answer> open = longStream("entry-1", 200);
-    awaitStarted(1_000);
+    awaitStarted(before, 1_000);
     cluster.proxy(Link.toTarget("engine-1")).cut();
     Answer answer = open.join();
     assertWithMessage(answer.toString())
@@ -73,8 +77,9 @@
   @Test
   void streamThatTheEngineLinkCutsGoesOnWhereItBroke() {
     int tokens = 200;
+    Map<ProxyConnection, Long> before = passedBytes();
     CompletableFuture<Answer> open = longStream("entry-2", tokens);
-    awaitStarted(1_000);
+    awaitStarted(before, 1_000);
     cluster.proxy(Link.toTarget("engine-1")).cut();
     Answer answer = open.join();
     assertWithMessage(answer.toString()).that(answer.status()).isEqualTo(200);
@@ -89,8 +94,9 @@
 
   @Test
   void streamThatThePeerLinkCutsIsNotClosedAsWhole() {
+    Map<ProxyConnection, Long> before = passedBytes();
     CompletableFuture<Answer> open = longStream("entry-2", 200);
-    awaitStarted(1_000);
+    awaitStarted(before, 1_000);
     cluster.proxy(Link.peer("entry-2", "entry-1")).cut();
     Answer answer = open.join();
     assertWithMessage(answer.toString())
@@ -135,14 +141,24 @@
         .postAsync(cluster.callerAddress(entry), "/v1/completions", body, Map.of());
   }
 
-  /** Waits until the engine's answer passed more bytes than any warm-up answer has. */
-  private static void awaitStarted(long bytes) {
-    FaultProxy engine = cluster.proxy(Link.toTarget("engine-1"));
+  /** Returns the bytes that each connection to the engine passed to its caller so far. */
+  private static Map<ProxyConnection, Long> passedBytes() {
+    return cluster.proxy(Link.toTarget("engine-1")).connections().stream()
+        .collect(
+            Collectors.toMap(Function.identity(), one -> one.passedBytes(Direction.TO_CALLER)));
+  }
+
+  /**
+   * Waits until a connection passed that many bytes more than before. Kept connections carry other
+   * answers as well, and have passed nearly as many bytes when the stream is sent.
+   */
+  private static void awaitStarted(Map<ProxyConnection, Long> before, long bytes) {
     Await.until(
         "the stream passes the engine's proxy",
         () ->
-            engine.connections().stream()
-                .anyMatch(one -> one.passedBytes(Direction.TO_CALLER) > bytes));
+            passedBytes().entrySet().stream()
+                .anyMatch(
+                    entry -> entry.getValue() - before.getOrDefault(entry.getKey(), 0L) > bytes));
   }
 
   private static Answer order(String entry, String identity) {
