--- a/core/src/main/java/org/apricotstand/residency/EngineSlots.java
+++ b/core/src/main/java/org/apricotstand/residency/EngineSlots.java
@@ -21,8 +21,8 @@
  *
  * <p>An engine that drops or replaces an adapter in use carries out nothing else until the last run
  * on it ends. Reports of use lag, so an adapter is first retired: it is no longer published as
- * resident, and is dropped only if nobody reported to use it some time later. A few are retired in
- * advance, so that loads need not wait; one that is wanted again is back at once.
+ * resident, and is dropped only if nobody has reported to use it when all uses must be known. A few
+ * are retired in advance, so that loads need not wait; one that is wanted again is back at once.
  *
  * <pre>{@code
  * List<SlotAction> actions = slots.handle(new SlotEvent.Wanted(key, 0, deadlineMs), nowMs);
@@ -56,9 +56,6 @@
   /** Requests that wait for an adapter hear of its arrival and are sent within this time. */
   static final long MIN_STAY_MS = 700;
 
-  /** Reports of use arrive within this time after an adapter was retired. */
-  static final long RETIRE_MS = 400;
-
   /** One in so many places is kept free or retired. */
   private static final int PLACES_PER_READY_PLACE = 4;
 
@@ -91,7 +88,14 @@
 
   private record Arrival(long version, long checkAtMs) {}
 
-  private record Demand(long version, long deadlineMs) {}
+  private record Demand(long version, long deadlineMs, long onTimeUntilMs) {
+    Demand plus(Demand other) {
+      return new Demand(
+          Math.max(version, other.version),
+          Math.max(deadlineMs, other.deadlineMs),
+          Math.max(onTimeUntilMs, other.onTimeUntilMs));
+    }
+  }
 
   /**
    * Creates the slots of an engine about which nothing is known.
@@ -198,7 +202,7 @@
   /** Returns whether nobody has been able to use the adapter unnoticed any more. */
   private boolean isRetired(AdapterKey key, long nowMs) {
     Long sinceMs = retiredMs.get(key);
-    return sinceMs != null && nowMs - sinceMs >= RETIRE_MS;
+    return sinceMs != null && nowMs - sinceMs >= use.reportLagMs();
   }
 
   private void demand(SlotEvent.Wanted want, long nowMs) {
@@ -213,13 +217,8 @@
     if (held != null) {
       retiredMs.putIfAbsent(want.key(), nowMs);
     }
-    wanted.merge(
-        want.key(),
-        new Demand(want.version(), want.deadlineMs()),
-        (known, added) ->
-            new Demand(
-                Math.max(known.version, added.version),
-                Math.max(known.deadlineMs, added.deadlineMs)));
+    Demand demand = new Demand(want.version(), want.deadlineMs(), want.onTimeUntilMs());
+    wanted.merge(want.key(), demand, Demand::plus);
   }
 
   private void reported(EngineReport report, long nowMs) {
@@ -406,10 +405,21 @@
         .filter(entry -> resident.containsKey(entry.getKey().modelKey()))
         .filter(entry -> !arriving.containsKey(entry.getKey()))
         .filter(entry -> unknownUntilMs.getOrDefault(entry.getKey(), 0L) <= nowMs)
+        .sorted(Comparator.comparing(Map.Entry::getValue, byUrgency(nowMs)))
         .flatMap(entry -> loadOrMakeRoom(entry.getKey(), entry.getValue(), nowMs).stream())
         .findFirst();
   }
 
+  /**
+   * Puts requests that can still be answered in time first, the most urgent of them before the
+   * others. In an overload all would be late in the order of their arrival; so only those are late
+   * that have to be, and they are loaded when nothing else is urgent.
+   */
+  private static Comparator<Demand> byUrgency(long nowMs) {
+    return Comparator.comparing((Demand demand) -> demand.onTimeUntilMs < nowMs)
+        .thenComparingLong(demand -> demand.onTimeUntilMs);
+  }
+
   private Optional<SlotAction> loadOrMakeRoom(AdapterKey key, Demand demand, long nowMs) {
     if (resident.containsKey(key)) {
       // A replacement waits for the runs on the old version and blocks all other commands.
--- a/core/src/main/java/org/apricotstand/residency/SlotEvent.java
+++ b/core/src/main/java/org/apricotstand/residency/SlotEvent.java
@@ -8,8 +8,10 @@
    *
    * @param version least version that serves them
    * @param deadlineMs when the last of them gives up
+   * @param onTimeUntilMs when a load has to begin so that the last of them is answered in time
    */
-  record Wanted(AdapterKey key, long version, long deadlineMs) implements SlotEvent {}
+  record Wanted(AdapterKey key, long version, long deadlineMs, long onTimeUntilMs)
+      implements SlotEvent {}
 
   /** The engine answered the command of the given number; older ones are ignored. */
   record Answered(CommandResult result, long number) implements SlotEvent {}
--- a/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
+++ b/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
@@ -128,8 +128,8 @@
     return all;
   }
 
-  void want(String engine, AdapterKey key, long version, long deadlineMs) {
-    feed(engine, new SlotEvent.Wanted(key, version, deadlineMs));
+  void want(String engine, SlotEvent.Wanted wanted) {
+    feed(engine, wanted);
   }
 
   /** An engine refused a request for an adapter that it should hold: what is known is wrong. */
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -30,6 +30,7 @@
 import org.apricotstand.request.FleetRequests;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
+import org.apricotstand.residency.SlotEvent;
 import org.apricotstand.residency.WarmCopies;
 import org.apricotstand.route.EngineSpec;
 import org.apricotstand.route.RoutingPlan;
@@ -41,7 +42,15 @@
 
   private static final EventLog LOG = EventLog.of(FleetService.class);
   private static final long TICK_MS = 20;
-  private static final long REPORT_MS = 250;
+  private static final long MIN_REPORT_MS = 150;
+  private static final long MAX_REPORT_MS = 500;
+
+  /** Bounds the messages of all instances together as their number grows. */
+  private static final long REPORT_MS_PER_INSTANCE = 20;
+
+  /** Time for a message to arrive and to be read at a busy instance. */
+  private static final long MESSAGE_MS = 100;
+
   private static final long SILENCE_MS = 1_500;
   private static final long RECONNECT_MS = 1_000;
 
@@ -102,7 +111,11 @@
             engines,
             settings,
             metrics,
-            engine -> popularity.at(engine, key -> versions.getOrDefault(key, 0L)),
+            engine ->
+                popularity.at(
+                    engine,
+                    key -> versions.getOrDefault(key, 0L),
+                    () -> reportPeriodMs() + MESSAGE_MS),
             this::ownEngineChanged);
   }
 
@@ -132,7 +145,7 @@
           directory.start();
         });
     control.executeEvery(TICK_MS, this::tick);
-    control.executeEvery(REPORT_MS, this::report);
+    control.execute(this::reportRegularly);
   }
 
   /**
@@ -247,12 +260,18 @@
   }
 
   @Override
-  public void want(String engine, AdapterKey key, long version, long deadlineMs) {
+  public void want(String engine, SlotEvent.Wanted wanted) {
     control.execute(
         () -> {
-          long remainingMs = deadlineMs - ControlThread.nowMs();
+          long nowMs = ControlThread.nowMs();
           toOwner(
-              engine, new PeerMessage.AdapterWanted(engine, key.toString(), version, remainingMs));
+              engine,
+              new PeerMessage.AdapterWanted(
+                  engine,
+                  wanted.key().toString(),
+                  wanted.version(),
+                  wanted.deadlineMs() - nowMs,
+                  wanted.onTimeUntilMs() - nowMs));
         });
   }
 
@@ -297,12 +316,7 @@
   public void onMessage(InstanceId from, PeerMessage message) {
     switch (message) {
       case PeerMessage.LoadReport report -> reported(from, report);
-      case PeerMessage.AdapterWanted wanted ->
-          owner.want(
-              wanted.engine(),
-              AdapterKey.parse(wanted.adapter()),
-              wanted.version(),
-              ControlThread.nowMs() + wanted.remainingMs());
+      case PeerMessage.AdapterWanted wanted -> owner.want(wanted.engine(), demand(wanted));
       case PeerMessage.AdapterMissing missing ->
           owner.missing(missing.engine(), AdapterKey.parse(missing.adapter()));
       case PeerMessage.EngineHoldings holdings -> held(holdings);
@@ -312,6 +326,15 @@
     }
   }
 
+  private static SlotEvent.Wanted demand(PeerMessage.AdapterWanted wanted) {
+    long nowMs = ControlThread.nowMs();
+    return new SlotEvent.Wanted(
+        AdapterKey.parse(wanted.adapter()),
+        wanted.version(),
+        nowMs + wanted.remainingMs(),
+        nowMs + wanted.onTimeRemainingMs());
+  }
+
   private void held(PeerMessage.EngineHoldings holdings) {
     if (!incarnations.containsKey(holdings.engine())) {
       return;
@@ -402,6 +425,16 @@
         .collect(Collectors.toSet());
   }
 
+  private void reportRegularly() {
+    control.executeAt(ControlThread.nowMs() + reportPeriodMs(), this::reportRegularly);
+    report();
+  }
+
+  private long reportPeriodMs() {
+    long periodMs = REPORT_MS_PER_INSTANCE * (1 + heard.size());
+    return Math.clamp(periodMs, MIN_REPORT_MS, MAX_REPORT_MS);
+  }
+
   private void report() {
     Map<AdapterKey, Integer> arrivals = board.takeArrivals();
     popularity.arrived(arrivals);
--- a/node/src/main/java/org/apricotstand/fleet/Popularity.java
+++ b/node/src/main/java/org/apricotstand/fleet/Popularity.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import java.util.function.ToLongFunction;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.placement.DecayingCounts;
@@ -43,8 +44,9 @@
    * Returns the use as seen from one engine.
    *
    * @param versions declared version of each adapter
+   * @param reportLagMs time after which each use has been reported
    */
-  AdapterUse at(String engine, ToLongFunction<AdapterKey> versions) {
+  AdapterUse at(String engine, ToLongFunction<AdapterKey> versions, LongSupplier reportLagMs) {
     return new AdapterUse() {
       @Override
       public boolean isRunning(AdapterKey key) {
@@ -53,6 +55,11 @@
             .anyMatch(adapters -> adapters.getOrDefault(engine, Set.of()).contains(name));
       }
 
+      @Override
+      public long reportLagMs() {
+        return reportLagMs.getAsLong();
+      }
+
       @Override
       public long declaredVersion(AdapterKey key) {
         return versions.applyAsLong(key);
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -221,8 +221,11 @@
    * @param adapter {@code MODEL/ADAPTER}
    * @param version least version that serves
    * @param remainingMs time until the requests for it give up
+   * @param onTimeRemainingMs time until a load has to begin so that one of them is answered in
+   *     time; negative when it is over
    */
-  record AdapterWanted(String engine, String adapter, long version, long remainingMs)
+  record AdapterWanted(
+      String engine, String adapter, long version, long remainingMs, long onTimeRemainingMs)
       implements PeerMessage {}
 
   /** Tells the owner of an engine that the engine does not hold what the owner said. */
--- a/node/src/main/java/org/apricotstand/request/FleetRequests.java
+++ b/node/src/main/java/org/apricotstand/request/FleetRequests.java
@@ -1,16 +1,13 @@
 package org.apricotstand.request;
 
 import org.apricotstand.residency.AdapterKey;
+import org.apricotstand.residency.SlotEvent;
 
 /** What the course of a request asks of the rest of the fleet; calls return at once. */
 public interface FleetRequests {
 
-  /**
-   * Asks the owner of an engine to load an adapter.
-   *
-   * @param deadlineMs when the request gives up, monotonic
-   */
-  void want(String engine, AdapterKey key, long version, long deadlineMs);
+  /** Asks the owner of an engine to load an adapter for which a request waits. */
+  void want(String engine, SlotEvent.Wanted wanted);
 
   /** Tells the owner that its engine refused a request for an adapter that it should hold. */
   void missing(String engine, AdapterKey key);
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -23,6 +23,7 @@
 import org.apricotstand.front.Reply;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.residency.AdapterKey;
+import org.apricotstand.residency.SlotEvent;
 import org.apricotstand.route.RequestKind;
 import org.apricotstand.route.Route;
 import org.apricotstand.upstream.AnswerListener;
@@ -43,6 +44,10 @@
   private static final int MAX_CONNECT_FAILURES = 4;
   private static final long ANSWER_MARGIN_MS = 20;
   private static final long REPEAT_DEMAND_MS = 400;
+
+  /** Usual time from the beginning of a load until the first byte of an answer. */
+  private static final long LOAD_AND_READ_MS = 450;
+
   private static final long LOAD_PATIENCE_MS = 2_000;
 
   /** A refusal that is sent this long before the caller leaves still reaches it. */
@@ -199,7 +204,9 @@
       wantedAtMs = nowMs;
       // Asked again while the request waits, so that nothing is loaded for callers that left.
       long untilMs = Math.min(deadlineMs, nowMs + 2 * REPEAT_DEMAND_MS);
-      router.fleet().want(engine, adapter, router.view().versionOf(adapter), untilMs);
+      long onTimeUntilMs = request.arrivedMs() + route.targetLatencyMs() - LOAD_AND_READ_MS;
+      long version = router.view().versionOf(adapter);
+      router.fleet().want(engine, new SlotEvent.Wanted(adapter, version, untilMs, onTimeUntilMs));
     }
   }
 
