Choose the log manager before any class initializes the usual one

Calling the class that extends the manager initialized the usual one first, and the test of the class alone could not see that. The test now runs a process that logs in its shutdown; it failed before.

--- a/node/src/main/java/org/apricotstand/observe/LogFormat.java
+++ b/node/src/main/java/org/apricotstand/observe/LogFormat.java
@@ -10,9 +10,15 @@
 /** Formats each log record as one line of key=value pairs, starting with time and level. */
 public final class LogFormat extends Formatter {
 
-  /** Installs the format on the handlers of the root logger and sets the level. */
+  private static final String MANAGER_PROPERTY = "java.util.logging.manager";
+
+  /**
+   * Installs the format on the handlers of the root logger and sets the level. Has to run before
+   * any logger is created; handlers otherwise end as soon as the process is told to stop.
+   */
   public static void install(Level level) {
-    ShutdownLogManager.use();
+    // The class must not be initialized here: that would choose the usual manager first.
+    System.setProperty(MANAGER_PROPERTY, ShutdownLogManager.class.getName());
     Logger root = Logger.getLogger("");
     root.setLevel(Level.INFO);
     Logger.getLogger("org.apricotstand").setLevel(level);
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/fleet/InstanceRecordTest.java
@@ -0,0 +1,23 @@
+package org.apricotstand.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+class InstanceRecordTest {
+
+  @Test
+  void readsWhatItWrites() {
+    InstanceRecord record = new InstanceRecord("n1", "d1", "10.0.0.1", 7_380);
+    assertThat(InstanceRecord.decode("n1", record.encode())).isEqualTo(record);
+  }
+
+  // Guards against a row of another writer that stops the search for instances.
+  @Test
+  void rejectsARowThatIsNoRecord() {
+    byte[] odd = "{}".getBytes(StandardCharsets.UTF_8);
+    assertThrows(IllegalArgumentException.class, () -> InstanceRecord.decode("n1", odd));
+  }
+}
--- a/node/src/test/java/org/apricotstand/observe/ShutdownLogManagerTest.java
+++ b/node/src/test/java/org/apricotstand/observe/ShutdownLogManagerTest.java
@@ -2,22 +2,27 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.util.logging.ConsoleHandler;
-import java.util.logging.Handler;
-import java.util.logging.Logger;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 
 class ShutdownLogManagerTest {
 
-  /** Guards against a drain of which nothing is logged. */
+  // Guards against a drain of which nothing is logged.
   @Test
-  void keepsHandlersWhenTheProcessIsToldToStop() {
-    ShutdownLogManager manager = new ShutdownLogManager();
-    Logger logger = Logger.getLogger("shutdown-log-manager-test");
-    Handler handler = new ConsoleHandler();
-    logger.addHandler(handler);
-    manager.addLogger(logger);
-    manager.reset();
-    assertThat(logger.getHandlers()).asList().containsExactly(handler);
+  void logsUntilTheProcessEnds() throws IOException, InterruptedException {
+    Process process =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                DrainingProcess.class.getName())
+            .redirectErrorStream(true)
+            .start();
+    String log = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    process.waitFor();
+    assertThat(log).contains("event=started");
+    assertThat(log).contains("event=stopped");
   }
 }
