Send the standing of a lease as it is between instances

PeerMessage.Lease had the same two fields as LeaseStanding, and FleetService copied one into the other in both directions. The bytes sent are the same. The method owned of OrderLeases, which nobody calls, goes with it.

--- a/core/src/main/java/org/apricotstand/order/OrderLeases.java
+++ b/core/src/main/java/org/apricotstand/order/OrderLeases.java
@@ -9,7 +9,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.stream.Collectors;
 import org.apricotstand.placement.Rendezvous;
 
@@ -104,13 +103,6 @@
     return held.get(engine).fencingNumber;
   }
 
-  /** Returns the engines that this instance may command now. */
-  public Set<String> owned(long nowMs) {
-    return held.keySet().stream()
-        .filter(engine -> mayCommand(engine, nowMs))
-        .collect(Collectors.toCollection(TreeSet::new));
-  }
-
   /** Returns all leases of this instance, also those that could not be renewed in time. */
   public Map<String, LeaseStanding> standings(long nowMs) {
     Map<String, LeaseStanding> standings = new TreeMap<>();
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -16,7 +16,6 @@
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
-import org.apricotstand.order.LeaseStanding;
 import org.apricotstand.peer.PeerListener;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.PeerNetwork;
@@ -365,13 +364,7 @@
     Map<String, Set<String>> inUse = new HashMap<>();
     report.inUse().forEach((engine, adapters) -> inUse.put(engine, Set.copyOf(adapters)));
     popularity.uses(from.value(), inUse);
-    Map<String, LeaseStanding> leases = new HashMap<>();
-    report
-        .leases()
-        .forEach(
-            (engine, lease) ->
-                leases.put(engine, new LeaseStanding(lease.rowVersion(), lease.remainingMs())));
-    owner.ownerHeard(from.value(), leases);
+    owner.ownerHeard(from.value(), report.leases());
     if (before == null || before.leaving != report.leaving()) {
       instancesChanged();
     }
@@ -454,21 +447,10 @@
     Map<String, Integer> counts = new TreeMap<>();
     arrivals.forEach((key, count) -> counts.put(key.toString(), count));
     PeerMessage message =
-        new PeerMessage.LoadReport(started, waiting, inUse, counts, ownLeases(), leaving);
+        new PeerMessage.LoadReport(started, waiting, inUse, counts, owner.standings(), leaving);
     directory.others().stream().filter(this::isDue).forEach(peer -> peers.send(peer, message));
   }
 
-  private Map<String, PeerMessage.Lease> ownLeases() {
-    Map<String, PeerMessage.Lease> leases = new TreeMap<>();
-    owner
-        .standings()
-        .forEach(
-            (engine, standing) ->
-                leases.put(
-                    engine, new PeerMessage.Lease(standing.rowVersion(), standing.remainingMs())));
-    return leases;
-  }
-
   private boolean isDue(InstanceId peer) {
     if (isHeard(peer)) {
       return true;
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import java.util.Map;
+import org.apricotstand.order.LeaseStanding;
 
 /** A message between two instances. Every record is one message type. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
@@ -210,7 +211,7 @@
       Map<String, Integer> waiting,
       Map<String, List<String>> inUse,
       Map<String, Integer> arrivals,
-      Map<String, Lease> leases,
+      Map<String, LeaseStanding> leases,
       boolean leaving)
       implements PeerMessage {}
 
@@ -231,14 +232,6 @@
   /** Tells the owner of an engine that the engine does not hold what the owner said. */
   record AdapterMissing(String engine, String adapter) implements PeerMessage {}
 
-  /**
-   * Lease of an engine in a {@link LoadReport}.
-   *
-   * @param rowVersion version of its row when it was last renewed
-   * @param remainingMs time until it ends unless it is renewed
-   */
-  record Lease(long rowVersion, long remainingMs) {}
-
   /**
    * Says what an engine holds, as its owner knows.
    *
