Hash requests for both crash records in one place

RequestFingerprint hashed its parts as Fingerprint does, with another hash function. Both now use Fingerprint; the value means nothing outside of it.

--- a/core/src/main/java/org/apricotstand/suspect/Fingerprint.java
+++ b/core/src/main/java/org/apricotstand/suspect/Fingerprint.java
@@ -1,24 +1,25 @@
 package org.apricotstand.suspect;
 
+import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.apricotstand.model.AdapterVersion;
 
-/** What two sendings of the same model request have in common. */
+/** What two sendings of the same request have in common. */
 public final class Fingerprint {
 
   private Fingerprint() {}
 
   /** Returns the hash of adapter version, path and body. */
   public static String of(AdapterVersion adapterVersion, String path, byte[] body) {
-    return Hashing.sha256()
-        .newHasher()
-        .putString(adapterVersion.toString(), StandardCharsets.UTF_8)
-        .putByte((byte) 0)
-        .putString(path, StandardCharsets.UTF_8)
-        .putByte((byte) 0)
-        .putBytes(body)
-        .hash()
-        .toString();
+    return of(List.of(adapterVersion.toString(), path), body);
+  }
+
+  /** Returns the hash of all parts, in this order, and the body. */
+  public static String of(List<String> parts, byte[] body) {
+    Hasher hasher = Hashing.sha256().newHasher();
+    parts.forEach(part -> hasher.putString(part, StandardCharsets.UTF_8).putByte((byte) 0));
+    return hasher.putBytes(body).hash().toString();
   }
 }
--- a/node/src/main/java/org/apricotstand/request/RequestFingerprint.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFingerprint.java
@@ -1,8 +1,8 @@
 package org.apricotstand.request;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.apricotstand.front.CallerRequest;
+import org.apricotstand.suspect.Fingerprint;
 
 /** What all sendings of one request have in common, whatever their ids. */
 final class RequestFingerprint {
@@ -11,16 +11,7 @@
 
   /** Returns a hash of caller, method, path and body. */
   static String of(CallerRequest request) {
-    return Hashing.murmur3_128()
-        .newHasher()
-        .putString(request.caller(), StandardCharsets.UTF_8)
-        .putByte((byte) 0)
-        .putString(request.method().name(), StandardCharsets.UTF_8)
-        .putByte((byte) 0)
-        .putString(request.uri(), StandardCharsets.UTF_8)
-        .putByte((byte) 0)
-        .putBytes(request.body())
-        .hash()
-        .toString();
+    List<String> parts = List.of(request.caller(), request.method().name(), request.uri());
+    return Fingerprint.of(parts, request.body());
   }
 }
