--- a/node/src/main/java/org/apricotstand/control/ControlThread.java
+++ b/node/src/main/java/org/apricotstand/control/ControlThread.java
@@ -1,10 +1,12 @@
 package org.apricotstand.control;
 
+import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiConsumer;
 import java.util.function.LongConsumer;
 import org.apricotstand.kernel.Service;
 import org.apricotstand.observe.EventLog;
@@ -54,6 +56,14 @@
     }
   }
 
+  /**
+   * Hands the outcome of a call to this thread: its result, or the failure, of which the other one
+   * is null.
+   */
+  public <T> void whenComplete(CompletionStage<T> call, BiConsumer<T, Throwable> handler) {
+    call.whenComplete((result, failure) -> execute(() -> handler.accept(result, failure)));
+  }
+
   /** Runs a task at the given monotonic time. */
   public void executeAt(long dueMs, Runnable task) {
     try {
--- a/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
+++ b/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
@@ -178,19 +178,16 @@
 
   private void readRows() {
     long askedMs = ControlThread.nowMs();
-    store
-        .readAll(TABLE)
-        .whenComplete(
-            (rows, failure) ->
-                control.execute(
-                    () -> {
-                      if (failure == null) {
-                        handle(new LeaseEvent.RowsRead(records(rows), askedMs));
-                      } else {
-                        LOG.warn("leases_not_read", "error", failure.toString());
-                        handle(new LeaseEvent.CallFailed());
-                      }
-                    }));
+    control.whenComplete(store.readAll(TABLE), (rows, failure) -> rowsRead(rows, failure, askedMs));
+  }
+
+  private void rowsRead(List<Row> rows, Throwable failure, long askedMs) {
+    if (failure == null) {
+      handle(new LeaseEvent.RowsRead(records(rows), askedMs));
+    } else {
+      LOG.warn("leases_not_read", "error", failure.toString());
+      handle(new LeaseEvent.CallFailed());
+    }
   }
 
   private void writeRows(List<LeaseRecord> rows) {
--- a/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
+++ b/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
@@ -60,20 +60,17 @@
   }
 
   private void refresh() {
-    store
-        .readAll(TABLE)
-        .whenComplete(
-            (rows, failure) ->
-                control.execute(
-                    () -> {
-                      if (failure == null) {
-                        rows.forEach(this::note);
-                      } else {
-                        LOG.warn("instances_not_read", "error", failure.toString());
-                      }
-                      long pauseMs = failure == null ? REFRESH_MS : RETRY_MS;
-                      control.executeAt(ControlThread.nowMs() + pauseMs, this::refresh);
-                    }));
+    control.whenComplete(store.readAll(TABLE), this::refreshed);
+  }
+
+  private void refreshed(List<Row> rows, Throwable failure) {
+    if (failure == null) {
+      rows.forEach(this::note);
+    } else {
+      LOG.warn("instances_not_read", "error", failure.toString());
+    }
+    long pauseMs = failure == null ? REFRESH_MS : RETRY_MS;
+    control.executeAt(ControlThread.nowMs() + pauseMs, this::refresh);
   }
 
   private void note(Row row) {
