Say apart what was not run from what may have run; count arrivals at once

Callers of giveUp in RequestFlow named a cause for Retry-After on paths that never send one. Popularity added each arrival of a report by itself.

--- a/core/src/main/java/org/apricotstand/placement/DecayingCounts.java
+++ b/core/src/main/java/org/apricotstand/placement/DecayingCounts.java
@@ -37,9 +37,14 @@
 
   /** Counts one occurrence. */
   public void add(K key, long nowMs) {
+    add(key, 1, nowMs);
+  }
+
+  /** Counts several occurrences. */
+  public void add(K key, int occurrences, long nowMs) {
     sweep(nowMs);
-    increment(counts.computeIfAbsent(key, unseen -> new Count()), nowMs);
-    increment(total, nowMs);
+    increase(counts.computeIfAbsent(key, unseen -> new Count()), occurrences, nowMs);
+    increase(total, occurrences, nowMs);
   }
 
   /** Returns the decayed count of a key. */
@@ -58,8 +63,8 @@
     return counts.size();
   }
 
-  private void increment(Count count, long nowMs) {
-    count.value = decayed(count, nowMs) + 1;
+  private void increase(Count count, int occurrences, long nowMs) {
+    count.value = decayed(count, nowMs) + occurrences;
     count.atMs = nowMs;
   }
 
--- a/node/src/main/java/org/apricotstand/fleet/Popularity.java
+++ b/node/src/main/java/org/apricotstand/fleet/Popularity.java
@@ -22,12 +22,7 @@
   /** Notes the requests of an instance since its last report. */
   void arrived(Map<AdapterKey, Integer> arrivals) {
     long nowMs = ControlThread.nowMs();
-    arrivals.forEach(
-        (key, count) -> {
-          for (int i = 0; i < count; i++) {
-            counts.add(key, nowMs);
-          }
-        });
+    arrivals.forEach((key, count) -> counts.add(key, count, nowMs));
   }
 
   /** Sets the adapters that an instance uses, by engine. */
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -170,16 +170,23 @@
     giveUp(hasTargets ? "no_target_left" : "no_target", RetryAdvice.Cause.NO_OWNER);
   }
 
-  /** Ends the request truthfully: broken off, outcome unknown or not run. */
+  /** Ends the request truthfully: not run, if it was not, or else as {@link #breakOff} does. */
   private void giveUp(String code, RetryAdvice.Cause cause) {
+    if (answering || runs > 0) {
+      breakOff(code);
+    } else {
+      long leftMs = Math.max(0, callerDeadlineMs - ControlThread.nowMs());
+      fail(503, code, RetryAdvice.afterMs(cause, leftMs, router.draw()));
+    }
+  }
+
+  /** Ends a request that may have run: its answer is cut, or the outcome is unknown. */
+  private void breakOff(String code) {
     if (answering) {
       finish(code, 0);
       reply.abort();
-    } else if (runs > 0) {
-      fail(502, code, 0);
     } else {
-      long leftMs = Math.max(0, callerDeadlineMs - ControlThread.nowMs());
-      fail(503, code, RetryAdvice.afterMs(cause, leftMs, router.draw()));
+      fail(502, code, 0);
     }
   }
 
@@ -331,7 +338,7 @@
       excluded.add(broken.target.id());
       dispatch();
     } else {
-      giveUp(answering ? "broken_off" : "answer_lost", RetryAdvice.Cause.TARGETS_BUSY);
+      breakOff(answering ? "broken_off" : "answer_lost");
     }
   }
 
@@ -391,10 +398,12 @@
     if (current != null) {
       current.cancel();
     }
-    if (!answering && (current != null || runs > 0)) {
+    if (answering) {
+      breakOff("deadline");
+    } else if (current != null || runs > 0) {
       fail(504, "deadline", 0);
     } else {
-      giveUp(answering ? "deadline" : "adapter_not_loaded", RetryAdvice.Cause.LOADS_QUEUED);
+      giveUp("adapter_not_loaded", RetryAdvice.Cause.LOADS_QUEUED);
     }
   }
 
@@ -573,7 +582,7 @@
       if (repeatGranted || mayRunAgainAfter(runs)) {
         dispatch();
       } else {
-        giveUp("resume_failed", RetryAdvice.Cause.TARGETS_BUSY);
+        breakOff("resume_failed");
       }
     }
 
