--- a/core/src/main/java/org/apricotstand/enginelease/EngineLeases.java
+++ b/core/src/main/java/org/apricotstand/enginelease/EngineLeases.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.apricotstand.placement.Rendezvous;
 
@@ -36,7 +37,11 @@
   static final long COMMAND_MARGIN_MS = 600;
 
   private static final long RENEWAL_PERIOD_MS = 2_000;
-  private static final long REPORT_MAX_AGE_MS = 1_500;
+
+  /** Longer than members of a failed relay need until another one relays for them. */
+  private static final long REPORT_MAX_AGE_MS = 3_500;
+
+  private static final long NOT_REPORTED_MS = Long.MIN_VALUE / 2;
   private static final long READ_PERIOD_MS = 1_000;
   // Instances with a lower rank or more leases wait longer, so that ownership spreads.
   private static final long RANK_DELAY_MS = 200;
@@ -49,6 +54,10 @@
   private final Map<String, HeldLease> heldLeases = new HashMap<>();
   private final Map<String, ReportedLease> reportedLeases = new HashMap<>();
   private final Map<String, ObservedRow> observedRows = new HashMap<>();
+
+  /** Rank of this instance for each engine; computed once, because each tick needs it. */
+  private final Map<String, Integer> ownRanks = new HashMap<>();
+
   private Map<String, String> engineDomains = Map.of();
   private Map<String, String> instanceDomains = Map.of();
   private boolean callInProgress;
@@ -59,7 +68,12 @@
   private record HeldLease(long fencingNumber, long rowVersion, long renewalSentMs) {}
 
   private record ReportedLease(
-      String holder, long rowVersion, long expiresAtMs, long reportedAtMs) {}
+      String holder, long rowVersion, long expiresAtMs, long reportedAtMs) {
+
+    ReportedLease withReportTime(long newReportedAtMs) {
+      return new ReportedLease(holder, rowVersion, expiresAtMs, newReportedAtMs);
+    }
+  }
 
   private record ObservedRow(LeaseRecord row, long unchangedSinceMs) {}
 
@@ -81,8 +95,14 @@
       case LeaseEvent.EnginesChanged(Map<String, String> domains) -> applyEngines(domains, actions);
       case LeaseEvent.LeasesReported(String holder, Map<String, LeaseStatus> leases) ->
           applyReportedLeases(holder, leases, nowMs);
-      case LeaseEvent.InstancesChanged(Map<String, String> domains) ->
-          instanceDomains = Map.copyOf(domains);
+      case LeaseEvent.HoldersHeard(Set<String> holders) ->
+          setReportTime(lease -> holders.contains(lease.holder), nowMs);
+      case LeaseEvent.HolderSilent(String holder) ->
+          setReportTime(lease -> lease.holder.equals(holder), NOT_REPORTED_MS);
+      case LeaseEvent.InstancesChanged(Map<String, String> domains) -> {
+        instanceDomains = Map.copyOf(domains);
+        ownRanks.clear();
+      }
       case LeaseEvent.RowsRead(List<LeaseRecord> rows, long requestedAtMs) ->
           applyRowsRead(rows, requestedAtMs, nowMs);
       case LeaseEvent.WriteCommitted written -> applyCommittedWrite(written, actions);
@@ -145,6 +165,7 @@
 
   private void applyEngines(Map<String, String> domains, List<LeaseAction> actions) {
     engineDomains = Map.copyOf(domains);
+    ownRanks.clear();
     Set<String> live = domains.keySet();
     Set<String> gone = new HashSet<>(heldLeases.keySet());
     gone.removeAll(live);
@@ -196,6 +217,11 @@
     return new ReportedLease(holder, status.rowVersion(), expiresAtMs, nowMs);
   }
 
+  private void setReportTime(Predicate<ReportedLease> affected, long reportedAtMs) {
+    reportedLeases.replaceAll(
+        (engine, lease) -> affected.test(lease) ? lease.withReportTime(reportedAtMs) : lease);
+  }
+
   private boolean isOwnedByOther(String engine, long nowMs) {
     String owner = ownerOf(engine, nowMs);
     return owner != null && !owner.equals(self);
@@ -341,12 +367,17 @@
   }
 
   private long acquisitionDelayMs(String engine) {
+    return ownRanks.computeIfAbsent(engine, this::ownRank) * RANK_DELAY_MS
+        + heldLeases.size() * HELD_LEASE_DELAY_MS;
+  }
+
+  /** Returns the rank of this instance for an engine; those in the engine's domain come first. */
+  private int ownRank(String engine) {
     String domain = engineDomains.get(engine);
     List<String> ranked =
         Rendezvous.rank(engine, instanceDomains.keySet(), name -> name).stream()
             .sorted(Comparator.comparing(name -> !instanceDomains.get(name).equals(domain)))
             .toList();
-    return Math.max(0, ranked.indexOf(self)) * RANK_DELAY_MS
-        + heldLeases.size() * HELD_LEASE_DELAY_MS;
+    return Math.max(0, ranked.indexOf(self));
   }
 }
--- a/core/src/main/java/org/apricotstand/enginelease/LeaseEvent.java
+++ b/core/src/main/java/org/apricotstand/enginelease/LeaseEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Input of {@link EngineLeases}: an observation, or the result of a call. */
 public sealed interface LeaseEvent {
@@ -21,6 +22,20 @@
    */
   record LeasesReported(String holder, Map<String, LeaseStatus> leases) implements LeaseEvent {}
 
+  /**
+   * Instances were heard of, so that their last reports still hold.
+   *
+   * @param holders names of the instances
+   */
+  record HoldersHeard(Set<String> holders) implements LeaseEvent {}
+
+  /**
+   * An instance is not heard of any more. It may still command its engines until its leases expire.
+   *
+   * @param holder name of the instance
+   */
+  record HolderSilent(String holder) implements LeaseEvent {}
+
   /**
    * The set of live instances changed.
    *
--- a/core/src/test/java/org/apricotstand/enginelease/EngineLeasesTest.java
+++ b/core/src/test/java/org/apricotstand/enginelease/EngineLeasesTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class EngineLeasesTest {
@@ -200,4 +201,46 @@
     assertThat(tick(500)).isEmpty();
     assertThat(tick(700)).hasSize(1);
   }
+
+  private void learnThatOtherOwns(long nowMs) {
+    leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1", "n2", "d1")), nowMs);
+    leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), nowMs);
+    leases.handle(
+        new LeaseEvent.LeasesReported("n2", Map.of("e", new LeaseStatus(7, 60_000))), nowMs);
+  }
+
+  // Guards against an owner whose leases are sent only at changes and is forgotten in between.
+  @Test
+  void anOwnerThatIsHeardOfStaysKnown() {
+    learnThatOtherOwns(0);
+    leases.handle(new LeaseEvent.HoldersHeard(Set.of("n2")), 3_000);
+    assertThat(leases.ownerOf("e", 6_000)).isEqualTo("n2");
+    assertThat(leases.ownerOf("e", 7_000)).isNull();
+  }
+
+  // Guards against load requests that go to a dead owner, and against a takeover before the lease
+  // of an owner that is only cut off has expired.
+  @Test
+  void aSilentOwnerIsNotAskedAndKeepsItsLease() {
+    learnThatOtherOwns(0);
+    leases.handle(new LeaseEvent.HolderSilent("n2"), 100);
+    assertThat(leases.ownerOf("e", 100)).isNull();
+    LeaseRecord row = new LeaseRecord("e", "n2", false, 7);
+    leases.handle(new LeaseEvent.CallFailed(), 110);
+    leases.handle(new LeaseEvent.RowsRead(List.of(row), 120), 130);
+    long soonestMs = 120 + EngineLeases.LEASE_DURATION_MS + HANDOVER_PAUSE_MS;
+    assertThat(tick(soonestMs - 1)).isEmpty();
+  }
+
+  // Guards against ranks of a former fleet, by which several instances try to acquire at once.
+  @Test
+  void ranksItselfAnewWhenTheInstancesChange() {
+    leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
+    leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d2")), 0);
+    Map<String, String> nearer = Map.of("n1", "d1", "n2", "d2", "n3", "d2");
+    leases.handle(new LeaseEvent.InstancesChanged(nearer), 0);
+    assertThat(leases.handle(new LeaseEvent.RowsRead(List.of(), 0), 10)).isEmpty();
+    assertThat(tick(399)).isEmpty();
+    assertThat(tick(400)).isNotEmpty();
+  }
 }
--- a/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
+++ b/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
@@ -104,6 +104,23 @@
     handle(new LeaseEvent.LeasesReported(holder, leaseStatuses));
   }
 
+  void onHoldersHeard(Set<String> holders) {
+    handle(new LeaseEvent.HoldersHeard(holders));
+  }
+
+  void onHolderSilent(String holder) {
+    handle(new LeaseEvent.HolderSilent(holder));
+  }
+
+  boolean ownsEngines() {
+    return !ownedEngines.isEmpty();
+  }
+
+  /** Returns the fencing token of an engine that this instance owns. */
+  long fencingNumber(String engine) {
+    return leases.fencingNumber(engine);
+  }
+
   /** Suspends all leases until their next renewal, because the process may have been paused. */
   void suspendLeases() {
     LOG.warn("leases_suspended", "reason", "pause");
@@ -128,13 +145,6 @@
     return leases.ownerOf(engine, ControlThread.nowMs());
   }
 
-  /** Returns what each owned engine holds. */
-  Map<String, Residency> residencies() {
-    Map<String, Residency> all = new HashMap<>();
-    ownedEngines.forEach((id, engine) -> all.put(id, engine.slots.residency()));
-    return all;
-  }
-
   void requestLoad(String engine, SlotEvent.LoadRequested request) {
     handleSlotEvent(engine, request);
   }
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -0,0 +1,630 @@
+package org.apricotstand.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import org.apricotstand.dispatch.TargetLoad;
+import org.apricotstand.enginelease.LeaseStatus;
+import org.apricotstand.model.InstanceId;
+import org.apricotstand.observe.EventLog;
+import org.apricotstand.overlay.EntryVersion;
+import org.apricotstand.overlay.LinkRole;
+import org.apricotstand.overlay.Overlay;
+import org.apricotstand.overlay.OverlayInstance;
+import org.apricotstand.overlay.ReadDuty;
+import org.apricotstand.overlay.ReplicatedEntries;
+import org.apricotstand.peer.FleetState;
+import org.apricotstand.peer.PeerLinks;
+import org.apricotstand.peer.PeerMessage;
+import org.apricotstand.peer.StateEntry;
+import org.apricotstand.port.Row;
+import org.apricotstand.port.RowChange;
+import org.apricotstand.port.TableSharing;
+
+/**
+ * Exchanges the state of the fleet with the neighbors that the {@link Overlay} chooses: reports of
+ * load to the relay, sums of the reports and published entries between relays and to members. Not
+ * thread-safe; used on the control thread only.
+ */
+final class FleetExchange implements TableSharing {
+
+  private static final EventLog LOG = EventLog.of(FleetExchange.class);
+  private static final long MIN_REPORT_PERIOD_MS = 150;
+  private static final long MAX_REPORT_PERIOD_MS = 500;
+
+  /** Lengthens the report period with the number of instances, to bound the total of messages. */
+  private static final long REPORT_PERIOD_PER_INSTANCE_MS = 20;
+
+  /** Minimum time between two updates with urgent entries; bounds the messages of a relay. */
+  private static final long URGENT_PERIOD_MS = 40;
+
+  /** Time until an update has been received and processed by a busy instance. */
+  private static final long MESSAGE_DELAY_MS = 100;
+
+  /** Gap between two ticks from which this instance counts as having been delayed itself. */
+  private static final long OWN_DELAY_MS = 250;
+
+  /** Period of publishing unchanged members again, for those that dropped this relay meanwhile. */
+  private static final long MEMBERS_PERIOD_MS = 2_000;
+
+  private static final long IDLE_LINK_MS = 10_000;
+  private static final int REMEMBERED_REPORTS = 32;
+
+  private final LongSupplier clock;
+  private final OverlayInstance self;
+  private final long incarnation;
+  private final PeerLinks peers;
+  private final LocalLoadTracker localLoad;
+  private final FleetExchangeListener listener;
+  private final Function<String, String> ownerOf;
+  private final Overlay overlay;
+  private final ReplicatedEntries<StateEntry> entries;
+  private final MemberReports members = new MemberReports();
+  private final RelayedState relayed = new RelayedState();
+  private final LinkWatch linkWatch = new LinkWatch();
+  private final Deque<PeerMessage.MemberReport> ownReports = new ArrayDeque<>();
+  private final Map<String, Long> useSilentFromMs = new HashMap<>();
+  private final Set<String> useRecipients = new HashSet<>();
+  private final Map<String, TableSharing.Listener> tableListeners = new HashMap<>();
+  private final Map<String, ReadDuty> readDuties = new HashMap<>();
+  private final double readStaggerFraction;
+  private final Set<String> leavingInstances = new HashSet<>();
+  private Set<String> liveInstances = Set.of();
+  private FleetState.InstanceStatus publishedStatus;
+  private List<String> publishedMembers = List.of();
+  private long sequence;
+  private long includedReport;
+  private long nextReportMs;
+  private long nextUrgentMs;
+  private long nextIdleCheckMs;
+  private long nextMembersMs;
+  private long lastTickMs;
+
+  /**
+   * Creates the exchange of an instance without neighbors.
+   *
+   * @param clock monotonic time in milliseconds
+   * @param ownerOf returns the owner of an engine, or null when none is known
+   */
+  FleetExchange(
+      LongSupplier clock,
+      OverlayInstance self,
+      long incarnation,
+      PeerLinks peers,
+      LocalLoadTracker localLoad,
+      Function<String, String> ownerOf,
+      FleetExchangeListener listener) {
+    this.clock = clock;
+    this.self = self;
+    this.lastTickMs = clock.getAsLong();
+    this.incarnation = incarnation;
+    this.peers = peers;
+    this.localLoad = localLoad;
+    this.ownerOf = ownerOf;
+    this.listener = listener;
+    this.overlay = new Overlay(self);
+    this.readStaggerFraction = new Random(incarnation ^ self.name().hashCode()).nextDouble();
+    this.entries = new ReplicatedEntries<>(self.domain());
+  }
+
+  /** Sets the other registered instances. */
+  void setInstances(List<OverlayInstance> others) {
+    overlay.setInstances(others);
+  }
+
+  /** Returns the other instances that are alive. */
+  Set<String> liveInstances() {
+    return liveInstances;
+  }
+
+  boolean isLeaving(String instance) {
+    return leavingInstances.contains(instance);
+  }
+
+  /** Returns the requests of the other instances at each target, as last published. */
+  Map<String, TargetLoad> peerLoads() {
+    Map<String, TargetLoad> loads = relayed.loads();
+    ownReports.stream()
+        .filter(report -> report.sequence() == includedReport)
+        .forEach(report -> subtract(loads, report));
+    return loads;
+  }
+
+  private static void subtract(Map<String, TargetLoad> loads, PeerMessage.MemberReport report) {
+    Map<String, TargetLoad> own = new HashMap<>();
+    RelayedState.add(own, report.started(), report.waiting());
+    own.forEach(
+        (id, load) ->
+            loads.computeIfPresent(
+                id,
+                (target, total) ->
+                    new TargetLoad(
+                        Math.max(0, total.started() - load.started()),
+                        Math.max(0, total.waiting() - load.waiting()))));
+  }
+
+  /** Returns the time after which each use of an adapter has reached the owner of its engine. */
+  long usageReportLagMs() {
+    // One period until the own report, one until the relay passes the sums on.
+    return 2 * reportPeriodMs() + MESSAGE_DELAY_MS;
+  }
+
+  private long reportPeriodMs() {
+    long periodMs = REPORT_PERIOD_PER_INSTANCE_MS * (1 + liveInstances.size());
+    return Math.clamp(periodMs, MIN_REPORT_PERIOD_MS, MAX_REPORT_PERIOD_MS);
+  }
+
+  /** Publishes what an engine of this instance holds. */
+  void publishHoldings(FleetState.EngineHoldings holdings, long fencingNumber) {
+    publish("holdings/" + holdings.engine(), fencingNumber, holdings);
+    sendUrgent(clock.getAsLong());
+  }
+
+  /** Returns what the owner of an engine published last; null when nothing is known. */
+  FleetState.EngineHoldings holdingsOf(String engine) {
+    ReplicatedEntries.Entry<StateEntry> entry = entries.get("holdings/" + engine);
+    return entry == null ? null : (FleetState.EngineHoldings) entry.value().state();
+  }
+
+  /** Forgets the holdings of engines that are not listed. */
+  void retainEngines(Set<String> engines) {
+    entries.keys().stream()
+        .filter(key -> key.startsWith("holdings/"))
+        .filter(key -> !engines.contains(key.substring("holdings/".length())))
+        .forEach(entries::remove);
+  }
+
+  void publishCrash(FleetState.TargetCrash crash) {
+    publish("crash/" + crash.fingerprint() + "/" + crash.target(), incarnation, crash);
+    sendUrgent(clock.getAsLong());
+  }
+
+  private void publish(String key, long epoch, FleetState state) {
+    sequence++;
+    StateEntry entry = new StateEntry(key, epoch, sequence, self.domain(), state);
+    entries.put(toStored(entry), ReplicatedEntries.OWN);
+  }
+
+  private static ReplicatedEntries.Entry<StateEntry> toStored(StateEntry entry) {
+    return new ReplicatedEntries.Entry<>(
+        entry.key(),
+        new EntryVersion(entry.epoch(), entry.sequence()),
+        entry.domain(),
+        isUrgent(entry.state()),
+        entry);
+  }
+
+  private static boolean isUrgent(FleetState state) {
+    return switch (state) {
+      // Requests wait for an adapter, and crashing requests come again at once.
+      case FleetState.EngineHoldings holdings -> true;
+      case FleetState.TargetCrash crash -> true;
+      case FleetState.TableRow row -> true;
+      case FleetState.InstanceStatus status -> status.leaving();
+      case FleetState.RelayedInstances instances -> false;
+      case FleetState.RelayedLoad load -> false;
+    };
+  }
+
+  /** Sends a message to the owner of an engine, directly. */
+  void sendToOwner(String owner, PeerMessage message) {
+    linkWatch.recordSent(owner, clock.getAsLong());
+    peers.send(new InstanceId(owner), message);
+  }
+
+  /** Runs what is due; to be called many times a second. */
+  void tick(boolean leaving, Map<String, LeaseStatus> leases) {
+    long nowMs = clock.getAsLong();
+    excuseOwnDelay(nowMs);
+    overlay.setLeaving(self.name(), leaving);
+    List<String> silentPeers = new ArrayList<>(overlay.update(nowMs));
+    silentPeers.addAll(linkWatch.takeSilent(nowMs));
+    silentPeers.forEach(
+        peer -> {
+          LOG.info("peer_silent", "peer", peer);
+          peers.disconnect(new InstanceId(peer));
+        });
+    entries.setNeighbors(overlay.neighbors());
+    publishStatus(new FleetState.InstanceStatus(self.name(), leaving, leases));
+    removeSilent(nowMs);
+    if (nowMs >= nextReportMs) {
+      nextReportMs = nowMs + reportPeriodMs();
+      report(nowMs);
+    } else {
+      sendUrgent(nowMs);
+    }
+    closeIdleLinks(nowMs);
+  }
+
+  private void excuseOwnDelay(long nowMs) {
+    long gapMs = nowMs - lastTickMs;
+    lastTickMs = nowMs;
+    if (gapMs > OWN_DELAY_MS) {
+      members.extend(gapMs);
+      relayed.extend(gapMs);
+      linkWatch.extend(gapMs);
+      useSilentFromMs.replaceAll((relay, atMs) -> atMs + gapMs);
+    }
+  }
+
+  private void publishStatus(FleetState.InstanceStatus status) {
+    boolean changed =
+        publishedStatus == null
+            || publishedStatus.leaving() != status.leaving()
+            || !leaseVersions(publishedStatus).equals(leaseVersions(status));
+    if (changed) {
+      publishedStatus = status;
+      publish("instance/" + self.name(), incarnation, status);
+    }
+  }
+
+  /** Returns the version of each lease; negative once it has expired without a renewal. */
+  private static Map<String, Long> leaseVersions(FleetState.InstanceStatus status) {
+    Map<String, Long> versions = new HashMap<>();
+    status
+        .leases()
+        .forEach(
+            (engine, lease) ->
+                versions.put(
+                    engine, lease.remainingMs() > 0 ? lease.rowVersion() : -lease.rowVersion()));
+    return versions;
+  }
+
+  private void removeSilent(long nowMs) {
+    members.removeSilent(nowMs);
+    relayed.silentRelays(nowMs).forEach(this::removeRelay);
+    useSilentFromMs.entrySet().stream()
+        .filter(entry -> nowMs >= entry.getValue())
+        .map(Map.Entry::getKey)
+        .toList()
+        .forEach(
+            relay -> {
+              useSilentFromMs.remove(relay);
+              listener.onUseSilent(relay);
+            });
+  }
+
+  private void removeRelay(String relay) {
+    relayed.remove(relay);
+    entries.remove("load/" + relay);
+    entries.remove("relayed/" + relay);
+    LOG.info("relay_silent", "relay", relay);
+    updateLiveInstances();
+    listener.onLoadsChanged();
+  }
+
+  private void report(long nowMs) {
+    PeerMessage.MemberReport own = takeOwnReport();
+    overlay
+        .relay()
+        .ifPresentOrElse(
+            relay -> {
+              members.remove(self.name());
+              peers.send(new InstanceId(relay), own);
+            },
+            () -> {
+              members.put(self.name(), own, nowMs);
+              includedReport = own.sequence();
+            });
+    publishMembers(nowMs);
+    sendUpdates(overlay.neighbors().keySet());
+    members.sequences().forEach(this::confirmReport);
+    sendAdaptersInUse();
+  }
+
+  private PeerMessage.MemberReport takeOwnReport() {
+    Map<String, Integer> started = new TreeMap<>();
+    Map<String, Integer> waiting = new TreeMap<>();
+    localLoad
+        .loadsByTarget()
+        .forEach(
+            (id, load) -> {
+              started.put(id, load.started());
+              waiting.put(id, load.waiting());
+            });
+    Map<String, Integer> arrivals = new TreeMap<>();
+    localLoad.takeArrivals().forEach((key, count) -> arrivals.put(key.toString(), count));
+    sequence++;
+    PeerMessage.MemberReport report =
+        new PeerMessage.MemberReport(
+            sequence, started, waiting, MemberReports.toLists(localLoad.adaptersInUse()), arrivals);
+    ownReports.addLast(report);
+    if (ownReports.size() > REMEMBERED_REPORTS) {
+      ownReports.removeFirst();
+    }
+    return report;
+  }
+
+  /** Publishes the sums of the reports of all members, if this instance relays for any. */
+  private void publishMembers(long nowMs) {
+    if (members.isEmpty()) {
+      publishedMembers = List.of();
+      return;
+    }
+    List<String> instances = members.instances();
+    if (!instances.equals(publishedMembers) || nowMs >= nextMembersMs) {
+      publishedMembers = instances;
+      nextMembersMs = nowMs + MEMBERS_PERIOD_MS;
+      FleetState.RelayedInstances state = new FleetState.RelayedInstances(self.name(), instances);
+      publish("relayed/" + self.name(), incarnation, state);
+      relayed.put(state);
+      updateLiveInstances();
+    }
+    FleetState.RelayedLoad load =
+        new FleetState.RelayedLoad(
+            self.name(),
+            members.sum(PeerMessage.MemberReport::started),
+            members.sum(PeerMessage.MemberReport::waiting),
+            members.takeArrivals());
+    publish("load/" + self.name(), incarnation, load);
+    applyLoad(load, nowMs);
+  }
+
+  private void confirmReport(String member, long reportSequence) {
+    if (!member.equals(self.name())) {
+      peers.send(new InstanceId(member), new PeerMessage.ReportIncluded(reportSequence));
+    }
+  }
+
+  private void sendUrgent(long nowMs) {
+    Set<String> waiting = neighborsWithUrgent();
+    if (!waiting.isEmpty() && nowMs >= nextUrgentMs) {
+      nextUrgentMs = nowMs + URGENT_PERIOD_MS;
+      sendUpdates(waiting);
+    }
+  }
+
+  private Set<String> neighborsWithUrgent() {
+    Set<String> waiting = new HashSet<>(overlay.neighbors().keySet());
+    waiting.removeIf(neighbor -> !entries.hasUrgent(neighbor));
+    return waiting;
+  }
+
+  /** Sends to each neighbor the entries that it lacks; equal updates are encoded once. */
+  private void sendUpdates(Set<String> neighbors) {
+    Map<UpdateId, PeerMessage.StateUpdate> updates = new HashMap<>();
+    Map<UpdateId, List<InstanceId>> receivers = new HashMap<>();
+    for (String neighbor : neighbors) {
+      List<StateEntry> missing =
+          entries.take(neighbor).stream().map(ReplicatedEntries.Entry::value).toList();
+      boolean requested = overlay.isUplink(neighbor);
+      UpdateId id = new UpdateId(requested, missing.stream().map(EntryId::of).toList());
+      updates.putIfAbsent(id, new PeerMessage.StateUpdate(requested, missing));
+      receivers.computeIfAbsent(id, key -> new ArrayList<>()).add(new InstanceId(neighbor));
+    }
+    updates.forEach((id, update) -> peers.sendToAll(receivers.get(id), update));
+  }
+
+  /** Identifies an update by the versions of its entries, without comparing their content. */
+  private record UpdateId(boolean requested, List<EntryId> entries) {}
+
+  private record EntryId(String key, long epoch, long sequence) {
+
+    static EntryId of(StateEntry entry) {
+      return new EntryId(entry.key(), entry.epoch(), entry.sequence());
+    }
+  }
+
+  /** Tells the owner of each engine which adapters are in use there. */
+  private void sendAdaptersInUse() {
+    Map<String, Map<String, Set<String>>> byOwner = new HashMap<>();
+    useRecipients.forEach(owner -> byOwner.put(owner, new TreeMap<>()));
+    members
+        .adaptersInUse()
+        .forEach(
+            (engine, adapters) -> {
+              String owner = ownerOf.apply(engine);
+              if (owner != null) {
+                byOwner.computeIfAbsent(owner, name -> new TreeMap<>()).put(engine, adapters);
+              }
+            });
+    useRecipients.clear();
+    byOwner.forEach(
+        (owner, inUse) -> {
+          if (!inUse.isEmpty()) {
+            useRecipients.add(owner);
+          }
+          Map<String, List<String>> lists = MemberReports.toLists(inUse);
+          if (owner.equals(self.name())) {
+            listener.onAdaptersInUse(owner, lists);
+          } else {
+            sendToOwner(owner, new PeerMessage.AdaptersInUse(lists));
+          }
+        });
+  }
+
+  private void closeIdleLinks(long nowMs) {
+    if (nowMs >= nextIdleCheckMs) {
+      nextIdleCheckMs = nowMs + IDLE_LINK_MS / 10;
+      Set<InstanceId> kept = new HashSet<>();
+      overlay.neighbors().keySet().forEach(name -> kept.add(new InstanceId(name)));
+      peers.closeIdleLinks(kept, IDLE_LINK_MS);
+    }
+  }
+
+  /** Called when a link to a peer opened; what was sent on a former link may be lost. */
+  void onLinked(String peer) {
+    entries.resendAll(peer);
+  }
+
+  void onLinkClosed(String peer) {
+    overlay.recordLinkFailure(peer, clock.getAsLong());
+  }
+
+  /** Handles a message of a peer if it belongs to the exchange; returns whether it did. */
+  boolean handle(String from, PeerMessage message) {
+    long nowMs = clock.getAsLong();
+    linkWatch.recordHeard(from);
+    overlay.recordHeard(from, nowMs);
+    switch (message) {
+      case PeerMessage.StateUpdate update -> applyUpdate(from, update, nowMs);
+      case PeerMessage.MemberReport report -> {
+        overlay.recordRequested(from, true, nowMs);
+        members.put(from, report, nowMs);
+      }
+      case PeerMessage.ReportIncluded included -> includedReport = included.sequence();
+      case PeerMessage.AdaptersInUse use -> {
+        answerIfNeeded(from, nowMs);
+        useSilentFromMs.put(from, nowMs + Overlay.SILENCE_TIMEOUT_MS);
+        listener.onAdaptersInUse(from, use.inUse());
+      }
+      case PeerMessage.TableRead read -> applyTableRead(read);
+      case PeerMessage.TableRegained(String table) -> applyTableRegained(table);
+      case PeerMessage.Heartbeat heartbeat -> {}
+      default -> {
+        answerIfNeeded(from, nowMs);
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private void answerIfNeeded(String peer, long nowMs) {
+    if (linkWatch.needsHeartbeat(peer, nowMs)) {
+      peers.send(new InstanceId(peer), new PeerMessage.Heartbeat(false, 0, 0));
+    }
+  }
+
+  private void applyUpdate(String from, PeerMessage.StateUpdate update, long nowMs) {
+    if (update.requested()) {
+      overlay.recordRequested(from, false, nowMs);
+    }
+    for (StateEntry entry : update.entries()) {
+      if (entries.put(toStored(entry), from)) {
+        apply(entry.state(), nowMs);
+      }
+    }
+    sendUrgent(nowMs);
+  }
+
+  private void apply(FleetState state, long nowMs) {
+    switch (state) {
+      case FleetState.InstanceStatus status -> applyStatus(status);
+      case FleetState.RelayedInstances instances -> {
+        relayed.put(instances);
+        updateLiveInstances();
+      }
+      case FleetState.RelayedLoad load -> applyLoad(load, nowMs);
+      case FleetState.EngineHoldings holdings -> listener.onHoldings(holdings);
+      case FleetState.TargetCrash crash -> listener.onCrash(crash);
+      case FleetState.TableRow row -> applyRow(row);
+    }
+  }
+
+  private void applyRow(FleetState.TableRow row) {
+    TableSharing.Listener tableListener = tableListeners.get(row.table());
+    if (tableListener != null) {
+      Row content = new Row(row.rowKey(), row.value(), row.version());
+      tableListener.onShared(List.of(new RowChange(content, row.removed())));
+    }
+  }
+
+  @Override
+  public void subscribe(String table, TableSharing.Listener tableListener) {
+    tableListeners.put(table, tableListener);
+    readDuties.put(table, new ReadDuty(readStaggerFraction));
+  }
+
+  @Override
+  public boolean mustRead(String table) {
+    return readDuties.get(table).mustRead(overlay.relay().isPresent(), clock.getAsLong());
+  }
+
+  @Override
+  public void share(String table, List<RowChange> rows, long fromVersion, long version) {
+    if (overlay.isMesh()) {
+      return;
+    }
+    rows.forEach(change -> shareRow(table, change));
+    sendUpdates(neighborsWithUrgent());
+    sendToMembers(new PeerMessage.TableRead(table, fromVersion, version));
+  }
+
+  @Override
+  public void shareRecovery(String table) {
+    sendToMembers(new PeerMessage.TableRegained(table));
+  }
+
+  private void sendToMembers(PeerMessage message) {
+    List<InstanceId> receivers =
+        overlay.neighbors().entrySet().stream()
+            .filter(neighbor -> neighbor.getValue().role() == LinkRole.MEMBER)
+            .map(neighbor -> new InstanceId(neighbor.getKey()))
+            .toList();
+    peers.sendToAll(receivers, message);
+  }
+
+  private void shareRow(String table, RowChange change) {
+    Row row = change.row();
+    FleetState.TableRow state =
+        new FleetState.TableRow(table, row.key(), row.value(), row.version(), change.removed());
+    // The version of the row orders the entry, whoever read it.
+    StateEntry entry =
+        new StateEntry("row/" + table + "/" + row.key(), row.version(), 0, self.domain(), state);
+    entries.put(toStored(entry), ReplicatedEntries.OWN);
+  }
+
+  private void applyTableRead(PeerMessage.TableRead read) {
+    TableSharing.Listener tableListener = tableListeners.get(read.table());
+    if (tableListener != null && tableListener.onSharedUpTo(read.fromVersion(), read.version())) {
+      readDuties.get(read.table()).recordTold(clock.getAsLong());
+    }
+  }
+
+  private void applyTableRegained(String table) {
+    TableSharing.Listener tableListener = tableListeners.get(table);
+    if (tableListener != null) {
+      tableListener.onSharedRecovery();
+    }
+  }
+
+  private void applyStatus(FleetState.InstanceStatus status) {
+    overlay.setLeaving(status.instance(), status.leaving());
+    boolean changed =
+        status.leaving()
+            ? leavingInstances.add(status.instance())
+            : leavingInstances.remove(status.instance());
+    if (changed) {
+      listener.onInstancesChanged();
+    }
+    listener.onLeasesPublished(status.instance(), status.leases());
+  }
+
+  private void applyLoad(FleetState.RelayedLoad load, long nowMs) {
+    relayed.put(load, nowMs);
+    updateLiveInstances();
+    listener.onInstancesHeard(Set.copyOf(relayed.instancesOf(load.relay())));
+    listener.onArrivals(load.arrivals());
+    listener.onLoadsChanged();
+  }
+
+  private void updateLiveInstances() {
+    Set<String> live = relayed.liveInstances();
+    live.remove(self.name());
+    if (live.equals(liveInstances)) {
+      return;
+    }
+    Set<String> silent = new HashSet<>(liveInstances);
+    silent.removeAll(live);
+    liveInstances = Set.copyOf(live);
+    overlay.setLive(liveInstances);
+    silent.forEach(
+        instance -> {
+          LOG.info("instance_silent", "instance", instance);
+          entries.remove("instance/" + instance);
+          leavingInstances.remove(instance);
+          overlay.setLeaving(instance, false);
+          listener.onInstanceSilent(instance);
+        });
+    listener.onInstancesChanged();
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchangeListener.java
@@ -0,0 +1,41 @@
+package org.apricotstand.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apricotstand.enginelease.LeaseStatus;
+import org.apricotstand.peer.FleetState;
+
+/** Receives what the other instances say. All methods are called on the control thread. */
+interface FleetExchangeListener {
+
+  /** Called when an instance published its leases. */
+  void onLeasesPublished(String instance, Map<String, LeaseStatus> leases);
+
+  /** Called several times a second with instances that are alive. */
+  void onInstancesHeard(Set<String> instances);
+
+  /** Called when the set of instances that are alive, or of those that are leaving, changed. */
+  void onInstancesChanged();
+
+  /** Called when an instance is not heard of any more. */
+  void onInstanceSilent(String instance);
+
+  /** Called when an owner published what an engine holds. */
+  void onHoldings(FleetState.EngineHoldings holdings);
+
+  /** Called when an instance published the crash of a target. */
+  void onCrash(FleetState.TargetCrash crash);
+
+  /** Called with the requests that all instances behind a relay received, by adapter. */
+  void onArrivals(Map<String, Integer> arrivals);
+
+  /** Called when the loads of targets changed. */
+  void onLoadsChanged();
+
+  /** Called with the adapters in use at the engines of this instance, as one relay reports them. */
+  void onAdaptersInUse(String relay, Map<String, List<String>> inUse);
+
+  /** Called when a relay that reported adapters in use turned silent. */
+  void onUseSilent(String relay);
+}
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -10,12 +10,14 @@
 import java.util.stream.Collectors;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
-import org.apricotstand.dispatch.TargetLoad;
 import org.apricotstand.dispatch.TargetRegistry;
+import org.apricotstand.enginelease.LeaseStatus;
 import org.apricotstand.kernel.Service;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.overlay.OverlayInstance;
+import org.apricotstand.peer.FleetState;
 import org.apricotstand.peer.PeerListener;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.PeerNetwork;
@@ -41,21 +43,25 @@
  * of the engines.
  */
 public final class FleetService
-    implements Service, ConfigurationListener, TargetListener, PeerListener, FleetNotifier {
+    implements Service,
+        ConfigurationListener,
+        TargetListener,
+        PeerListener,
+        FleetNotifier,
+        FleetExchangeListener {
 
   private static final EventLog LOG = EventLog.of(FleetService.class);
-  private static final long TICK_MS = 20;
-  private static final long MIN_REPORT_PERIOD_MS = 150;
-  private static final long MAX_REPORT_PERIOD_MS = 500;
 
-  /** Lengthens the report period with the number of instances, to bound the total of messages. */
-  private static final long REPORT_PERIOD_PER_INSTANCE_MS = 20;
+  /** Period of the tick while this instance owns engines, whose loads should not wait. */
+  private static final long OWNER_TICK_MS = 20;
 
-  /** Time until a report has been received and processed by a busy instance. */
-  private static final long MESSAGE_DELAY_MS = 100;
+  private static final long TICK_MS = 50;
 
-  private static final long PEER_TIMEOUT_MS = 1_500;
-  private static final long RECONNECT_PERIOD_MS = 1_000;
+  /**
+   * Time after the start in which registered instances count as alive before they are heard of, so
+   * that instances that start together rank themselves alike for the leases of engines.
+   */
+  private static final long START_MS = 5_000;
 
   /** Number of adapters of which an engine keeps copies. */
   private static final int WARM_COPIES_PER_ENGINE = 100;
@@ -66,7 +72,7 @@
   private final TargetSource targetSource;
   private final PeerNetwork peers;
   private final InstanceDirectory directory;
-  private final LocalLoadTracker localLoad;
+  private final FleetExchange exchange;
   private final EngineOwner engineOwner;
   private final TargetRegistry targetRegistry = new TargetRegistry();
   private final AdapterUsageTracker usageTracker = new AdapterUsageTracker();
@@ -74,20 +80,18 @@
   private final Map<String, Residency> residencies = new HashMap<>();
   private final Map<String, WarmCopies> warmCopies = new HashMap<>();
   private final Map<String, String> incarnations = new HashMap<>();
-  private final Map<String, PeerState> livePeers = new HashMap<>();
-  private final Map<String, Long> lastReconnectMs = new HashMap<>();
   private Runnable viewListener = () -> {};
   private BiConsumer<String, String> crashListener = (fingerprint, incarnation) -> {};
   private RoutingPlan plan;
   private List<TargetEntry> targets = List.of();
   private boolean publishScheduled;
   private boolean leaving;
+  private boolean starting = true;
+  private long startEndMs;
   private volatile boolean released = true;
   private Set<String> publishedEnginesWithOwner = Set.of();
   private volatile FleetView view = FleetView.EMPTY;
 
-  private record PeerState(Map<String, TargetLoad> loads, boolean leaving, long reportedAtMs) {}
-
   /** Creates the service; its view is empty until it is started. */
   public FleetService(
       ControlThread control,
@@ -99,14 +103,23 @@
       PeerNetwork peers,
       InstanceDirectory directory,
       LocalLoadTracker localLoad,
-      Metrics metrics) {
+      Metrics metrics,
+      long incarnation) {
     this.control = control;
     this.settings = settings;
     this.configuration = configuration;
     this.targetSource = targetSource;
     this.peers = peers;
     this.directory = directory;
-    this.localLoad = localLoad;
+    this.exchange =
+        new FleetExchange(
+            ControlThread::nowMs,
+            new OverlayInstance(settings.name(), settings.domain(), settings.relayCapacity()),
+            incarnation,
+            peers,
+            localLoad,
+            this::ownerOf,
+            this);
     this.engineOwner =
         new EngineOwner(
             control,
@@ -118,7 +131,7 @@
                 usageTracker.usageAt(
                     engine,
                     key -> declaredVersions.getOrDefault(key, 0L),
-                    () -> reportPeriodMs() + MESSAGE_DELAY_MS),
+                    exchange::usageReportLagMs),
             this::publishOwnedEngine);
   }
 
@@ -144,14 +157,24 @@
   public void start() {
     peers.addListener(this);
     control.setPauseListener(pauseMs -> engineOwner.suspendLeases());
+    startEndMs = ControlThread.nowMs() + START_MS;
+    directory.setListener(this::onInstancesRegistered);
     control.execute(
         () -> {
-          configuration.subscribe(this);
-          targetSource.subscribe(this);
+          configuration.subscribe(this, exchange);
+          targetSource.subscribe(this, exchange);
           directory.start();
         });
-    control.executeEvery(TICK_MS, this::tick);
-    control.execute(this::reportRegularly);
+    control.execute(this::tickRegularly);
+  }
+
+  private void onInstancesRegistered(List<OverlayInstance> instances) {
+    exchange.setInstances(instances);
+    updateInstances();
+  }
+
+  private String ownerOf(String engine) {
+    return engineOwner.ownerOf(engine);
   }
 
   /**
@@ -160,11 +183,7 @@
    * after that.
    */
   public void announceLeaving() {
-    control.execute(
-        () -> {
-          leaving = true;
-          sendReports();
-        });
+    control.execute(() -> leaving = true);
   }
 
   /** Starts to release the leases of all engines; called when the process is about to end. */
@@ -223,7 +242,11 @@
       if (restarted || engineOwner.ownerOf(target.id()) == null) {
         residencies.put(target.id(), Residency.of(target.resident()));
       }
+      if (before == null && exchange.holdingsOf(target.id()) != null) {
+        onHoldings(exchange.holdingsOf(target.id()));
+      }
     }
+    exchange.retainEngines(listedIds);
     residencies.keySet().retainAll(listedIds);
     warmCopies.keySet().retainAll(listedIds);
     incarnations.keySet().retainAll(listedIds);
@@ -247,25 +270,15 @@
 
   private void publishOwnedEngine(String engine, Residency residency) {
     setResidency(engine, residency.resident(), residency.loading(), residency.queuedLoads());
-    broadcast(holdingsMessage(engine, residency));
+    exchange.publishHoldings(holdingsOf(engine, residency), engineOwner.fencingNumber(engine));
     schedulePublish();
   }
 
-  private void broadcast(PeerMessage message) {
-    directory.otherInstances().stream()
-        .filter(this::isLive)
-        .forEach(peer -> peers.send(peer, message));
-  }
-
-  private static PeerMessage holdingsMessage(String engine, Residency residency) {
+  private static FleetState.EngineHoldings holdingsOf(String engine, Residency residency) {
     Map<String, Long> resident = new TreeMap<>();
     residency.resident().forEach((key, version) -> resident.put(key.toString(), version));
     List<String> loading = residency.loading().stream().map(AdapterKey::toString).toList();
-    return new PeerMessage.EngineHoldings(engine, resident, loading, residency.queuedLoads());
-  }
-
-  private boolean isLive(InstanceId peer) {
-    return livePeers.containsKey(peer.value());
+    return new FleetState.EngineHoldings(engine, resident, loading, residency.queuedLoads());
   }
 
   @Override
@@ -300,40 +313,38 @@
     if (settings.name().equals(owner)) {
       onMessage(instance, message);
     } else {
-      peers.send(instance, message);
+      exchange.sendToOwner(owner, message);
     }
   }
 
   @Override
   public void reportCrash(String fingerprint, String incarnation) {
-    PeerMessage message = new PeerMessage.CrashNoted(fingerprint, incarnation);
-    control.execute(() -> broadcast(message));
+    FleetState.TargetCrash crash = new FleetState.TargetCrash(fingerprint, incarnation);
+    control.execute(() -> exchange.publishCrash(crash));
   }
 
   @Override
   public void onHello(InstanceId peer, PeerMessage.Hello hello) {
     LOG.info("peer_linked", "peer", peer, "incarnation", hello.incarnation());
-    engineOwner
-        .residencies()
-        .forEach((engine, residency) -> peers.send(peer, holdingsMessage(engine, residency)));
+    exchange.onLinked(peer.value());
   }
 
   @Override
   public void onLinkClosed(InstanceId peer) {
     LOG.info("peer_lost", "peer", peer);
+    exchange.onLinkClosed(peer.value());
   }
 
   @Override
   public void onMessage(InstanceId from, PeerMessage message) {
+    if (!settings.name().equals(from.value()) && exchange.handle(from.value(), message)) {
+      return;
+    }
     switch (message) {
-      case PeerMessage.LoadReport report -> applyLoadReport(from, report);
       case PeerMessage.AdapterWanted wanted ->
           engineOwner.requestLoad(wanted.engine(), toLoadRequest(wanted));
       case PeerMessage.AdapterMissing missing ->
           engineOwner.onAdapterMissing(missing.engine(), AdapterKey.parse(missing.adapter()));
-      case PeerMessage.EngineHoldings holdings -> applyHoldings(holdings);
-      case PeerMessage.CrashNoted(String fingerprint, String incarnation) ->
-          crashListener.accept(fingerprint, incarnation);
       default -> LOG.debug("peer_message_unused", "peer", from, "type", message.getClass());
     }
   }
@@ -347,7 +358,8 @@
         nowMs + wanted.onTimeRemainingMs());
   }
 
-  private void applyHoldings(PeerMessage.EngineHoldings holdings) {
+  @Override
+  public void onHoldings(FleetState.EngineHoldings holdings) {
     if (!incarnations.containsKey(holdings.engine())) {
       return;
     }
@@ -367,61 +379,88 @@
     residencies.put(engine, new Residency(resident, loading, copies.adapters(), queuedLoads));
   }
 
-  private void applyLoadReport(InstanceId from, PeerMessage.LoadReport report) {
-    Map<String, TargetLoad> loads = new HashMap<>();
-    report.started().forEach((id, count) -> loads.put(id, new TargetLoad(count, 0)));
-    report.waiting().forEach((id, n) -> loads.merge(id, new TargetLoad(0, n), TargetLoad::plus));
-    PeerState before =
-        livePeers.put(from.value(), new PeerState(loads, report.leaving(), ControlThread.nowMs()));
-    Map<AdapterKey, Integer> arrivals = new HashMap<>();
-    report.arrivals().forEach((key, count) -> arrivals.put(AdapterKey.parse(key), count));
-    usageTracker.addArrivals(arrivals);
-    Map<String, Set<String>> inUse = new HashMap<>();
-    report.inUse().forEach((engine, adapters) -> inUse.put(engine, Set.copyOf(adapters)));
-    usageTracker.setAdaptersInUse(from.value(), inUse);
-    engineOwner.onLeasesReported(from.value(), report.leases());
-    if (before == null || before.leaving != report.leaving()) {
-      updateInstances();
-    }
+  @Override
+  public void onLeasesPublished(String instance, Map<String, LeaseStatus> leases) {
+    engineOwner.onLeasesReported(instance, leases);
+  }
+
+  @Override
+  public void onInstancesHeard(Set<String> instances) {
+    engineOwner.onHoldersHeard(instances);
+  }
+
+  @Override
+  public void onInstanceSilent(String instance) {
+    engineOwner.onHolderSilent(instance);
+  }
+
+  @Override
+  public void onCrash(FleetState.TargetCrash crash) {
+    crashListener.accept(crash.fingerprint(), crash.target());
+  }
+
+  @Override
+  public void onArrivals(Map<String, Integer> arrivals) {
+    Map<AdapterKey, Integer> counts = new HashMap<>();
+    arrivals.forEach((key, count) -> counts.put(AdapterKey.parse(key), count));
+    usageTracker.addArrivals(counts);
+  }
+
+  @Override
+  public void onAdaptersInUse(String relay, Map<String, List<String>> inUse) {
+    Map<String, Set<String>> sets = new HashMap<>();
+    inUse.forEach((engine, adapters) -> sets.put(engine, Set.copyOf(adapters)));
+    usageTracker.setAdaptersInUse(relay, sets);
+  }
+
+  @Override
+  public void onUseSilent(String relay) {
+    usageTracker.removeInstance(relay);
+  }
+
+  @Override
+  public void onLoadsChanged() {
+    schedulePublish();
+  }
+
+  @Override
+  public void onInstancesChanged() {
+    updateInstances();
     schedulePublish();
   }
 
   private void updateInstances() {
     Map<String, String> domains = new HashMap<>();
-    livePeers.forEach(
-        (name, peer) -> {
-          if (!peer.leaving) {
-            domains.put(name, directory.domainOf(new InstanceId(name)));
-          }
-        });
+    Set<String> candidates = new HashSet<>(exchange.liveInstances());
+    if (starting) {
+      directory.otherInstances().forEach(instance -> candidates.add(instance.value()));
+    }
+    candidates.removeIf(exchange::isLeaving);
+    candidates.forEach(name -> domains.put(name, directory.domainOf(new InstanceId(name))));
     domains.put(settings.name(), settings.domain());
     engineOwner.onInstancesChanged(domains);
   }
 
+  private void tickRegularly() {
+    long periodMs = engineOwner.ownsEngines() ? OWNER_TICK_MS : TICK_MS;
+    control.executeAt(ControlThread.nowMs() + periodMs, this::tickRegularly);
+    tick();
+  }
+
   private void tick() {
     engineOwner.tick();
     released = engineOwner.isReleased();
+    exchange.tick(leaving, engineOwner.leaseStatuses());
     long nowMs = ControlThread.nowMs();
+    if (starting && nowMs >= startEndMs) {
+      starting = false;
+      updateInstances();
+    }
     if (targetRegistry.hasExpiredTargets()
         && targetRegistry.current(nowMs).size() < targets.size()) {
       updateTargets();
     }
-    List<String> silentPeers =
-        livePeers.entrySet().stream()
-            .filter(entry -> nowMs - entry.getValue().reportedAtMs > PEER_TIMEOUT_MS)
-            .map(Map.Entry::getKey)
-            .toList();
-    silentPeers.forEach(
-        peer -> {
-          LOG.info("peer_silent", "peer", peer);
-          livePeers.remove(peer);
-          usageTracker.removeInstance(peer);
-          peers.disconnect(new InstanceId(peer));
-        });
-    if (!silentPeers.isEmpty()) {
-      updateInstances();
-    }
-    if (!silentPeers.isEmpty() || !enginesWithOwner().equals(publishedEnginesWithOwner)) {
+    if (!enginesWithOwner().equals(publishedEnginesWithOwner)) {
       schedulePublish();
     }
   }
@@ -434,55 +473,6 @@
         .collect(Collectors.toSet());
   }
 
-  private void reportRegularly() {
-    control.executeAt(ControlThread.nowMs() + reportPeriodMs(), this::reportRegularly);
-    sendReports();
-  }
-
-  private long reportPeriodMs() {
-    long periodMs = REPORT_PERIOD_PER_INSTANCE_MS * (1 + livePeers.size());
-    return Math.clamp(periodMs, MIN_REPORT_PERIOD_MS, MAX_REPORT_PERIOD_MS);
-  }
-
-  private void sendReports() {
-    Map<AdapterKey, Integer> arrivals = localLoad.takeArrivals();
-    usageTracker.addArrivals(arrivals);
-    Map<String, Set<String>> adaptersInUse = localLoad.adaptersInUse();
-    usageTracker.setAdaptersInUse(settings.name(), adaptersInUse);
-    Map<String, Integer> started = new TreeMap<>();
-    Map<String, Integer> waiting = new TreeMap<>();
-    localLoad
-        .loadsByTarget()
-        .forEach(
-            (id, load) -> {
-              started.put(id, load.started());
-              waiting.put(id, load.waiting());
-            });
-    Map<String, List<String>> inUse = new TreeMap<>();
-    adaptersInUse.forEach((engine, adapters) -> inUse.put(engine, List.copyOf(adapters)));
-    Map<String, Integer> arrivalCounts = new TreeMap<>();
-    arrivals.forEach((key, count) -> arrivalCounts.put(key.toString(), count));
-    PeerMessage message =
-        new PeerMessage.LoadReport(
-            started, waiting, inUse, arrivalCounts, engineOwner.leaseStatuses(), leaving);
-    directory.otherInstances().stream()
-        .filter(this::isReportDue)
-        .forEach(peer -> peers.send(peer, message));
-  }
-
-  private boolean isReportDue(InstanceId peer) {
-    if (isLive(peer)) {
-      return true;
-    }
-    long nowMs = ControlThread.nowMs();
-    if (nowMs - lastReconnectMs.getOrDefault(peer.value(), Long.MIN_VALUE / 2)
-        < RECONNECT_PERIOD_MS) {
-      return false;
-    }
-    lastReconnectMs.put(peer.value(), nowMs);
-    return true;
-  }
-
   private void schedulePublish() {
     if (!publishScheduled) {
       publishScheduled = true;
@@ -492,11 +482,6 @@
 
   private void publish() {
     publishScheduled = false;
-    Map<String, TargetLoad> peerLoads = new HashMap<>();
-    livePeers
-        .values()
-        .forEach(
-            peer -> peer.loads.forEach((id, load) -> peerLoads.merge(id, load, TargetLoad::plus)));
     publishedEnginesWithOwner = enginesWithOwner();
     view =
         new FleetView(
@@ -507,8 +492,8 @@
             Map.copyOf(residencies),
             publishedEnginesWithOwner,
             Map.copyOf(declaredVersions),
-            peerLoads,
-            1 + livePeers.size());
+            exchange.peerLoads(),
+            1 + exchange.liveInstances().size());
     viewListener.run();
   }
 }
--- a/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
+++ b/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
@@ -5,9 +5,11 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.EventLog;
+import org.apricotstand.overlay.OverlayInstance;
 import org.apricotstand.port.CommitResult;
 import org.apricotstand.port.Row;
 import org.apricotstand.port.RowStore;
@@ -24,12 +26,23 @@
   private static final EventLog LOG = EventLog.of(InstanceDirectory.class);
   private static final String TABLE = "instances";
   private static final long RETRY_DELAY_MS = 300;
-  private static final long REFRESH_PERIOD_MS = 10_000;
+
+  /** First pause between two reads; instances that start together register one after the other. */
+  private static final long MIN_REFRESH_PERIOD_MS = 300;
+
+  /** Number of first reads after which a list that still changes is used all the same. */
+  private static final int MAX_SETTLING_READS = 4;
+
+  private static final long MAX_REFRESH_PERIOD_MS = 10_000;
 
   private final ServingSettings settings;
   private final RowStore store;
   private final ControlThread control;
   private final Map<InstanceId, InstanceRecord> records = new ConcurrentHashMap<>();
+  private Consumer<List<OverlayInstance>> listener = instances -> {};
+  private long refreshPeriodMs = MIN_REFRESH_PERIOD_MS;
+  private int reads;
+  private boolean settled;
 
   /** Creates an empty directory. */
   public InstanceDirectory(ServingSettings settings, RowStore store, ControlThread control) {
@@ -38,6 +51,11 @@
     this.control = control;
   }
 
+  /** Sets the listener that gets all other instances after each read, on the control thread. */
+  public void setListener(Consumer<List<OverlayInstance>> newListener) {
+    listener = newListener;
+  }
+
   /** Registers this instance and starts to look for others; called on the control thread. */
   public void start() {
     InstanceRecord own =
@@ -45,7 +63,8 @@
             settings.name(),
             settings.domain(),
             settings.peerAddress().getAddress().getHostAddress(),
-            settings.peerAddress().getPort());
+            settings.peerAddress().getPort(),
+            settings.relayCapacity());
     store
         .commit(TABLE, List.of(new RowWrite(settings.name(), own.encode(), RowWrite.ANY_VERSION)))
         .thenAccept(result -> control.execute(() -> handleRegistration(result)));
@@ -67,13 +86,26 @@
   private void handleRows(List<Row> rows, Throwable failure) {
     if (failure == null) {
       rows.forEach(this::updateRecord);
+      listener.accept(records.values().stream().map(InstanceRecord::toOverlayInstance).toList());
     } else {
       LOG.warn("instances_not_read", "error", failure.toString());
     }
-    long delayMs = failure == null ? REFRESH_PERIOD_MS : RETRY_DELAY_MS;
+    long delayMs = failure == null ? refreshPeriodMs : RETRY_DELAY_MS;
+    refreshPeriodMs = Math.min(MAX_REFRESH_PERIOD_MS, 2 * refreshPeriodMs);
     control.executeAt(ControlThread.nowMs() + delayMs, this::refresh);
   }
 
+  /**
+   * Passes the instances on once a read has found no new one. Instances that start together would
+   * else build links for a fleet of the few that registered first.
+   */
+  private void announceWhenSettled(boolean unchanged) {
+    settled = settled || (unchanged && reads > 1) || reads >= MAX_SETTLING_READS;
+    if (settled) {
+      listener.accept(records.values().stream().map(InstanceRecord::toOverlayInstance).toList());
+    }
+  }
+
   private void updateRecord(Row row) {
     if (row.key().equals(settings.name())) {
       return;
@@ -81,8 +113,8 @@
     try {
       InstanceRecord record = InstanceRecord.decode(row.key(), row.value());
       InstanceRecord before = records.put(new InstanceId(row.key()), record);
-      if (!record.equals(before)) {
-        LOG.info("instance_found", "instance", row.key(), "address", record.address());
+      if (before != null && !record.equals(before)) {
+        LOG.info("instance_moved", "instance", row.key(), "address", record.address());
       }
     } catch (IllegalArgumentException e) {
       LOG.warn("instance_row_unreadable", "instance", row.key(), "error", e.getMessage());
--- a/node/src/main/java/org/apricotstand/fleet/InstanceRecord.java
+++ b/node/src/main/java/org/apricotstand/fleet/InstanceRecord.java
@@ -4,6 +4,7 @@
 
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import org.apricotstand.overlay.OverlayInstance;
 
 /**
  * Row of the table service with the address of an instance.
@@ -12,26 +13,34 @@
  * @param domain failure domain
  * @param host IP address of its peer interface
  * @param port port of its peer interface
+ * @param relayCapacity declared capacity to relay messages between instances
  */
-record InstanceRecord(String name, String domain, String host, int port) {
+record InstanceRecord(String name, String domain, String host, int port, int relayCapacity) {
 
   private static final String SEPARATOR = " ";
 
-  /** Encodes the content of the row as {@code DOMAIN HOST PORT}. */
+  /** Encodes the content of the row as {@code DOMAIN HOST PORT CAPACITY}. */
   byte[] encode() {
-    return String.join(SEPARATOR, domain, host, Integer.toString(port))
+    return String.join(
+            SEPARATOR, domain, host, Integer.toString(port), Integer.toString(relayCapacity))
         .getBytes(StandardCharsets.UTF_8);
   }
 
   /**
-   * Decodes the content of a row.
+   * Decodes the content of a row. Earlier versions wrote no capacity.
    *
-   * @throws IllegalArgumentException if the content does not have the form {@code DOMAIN HOST PORT}
+   * @throws IllegalArgumentException if the content does not have the form {@code DOMAIN HOST PORT
+   *     CAPACITY}
    */
   static InstanceRecord decode(String name, byte[] content) {
     String[] parts = new String(content, StandardCharsets.UTF_8).split(SEPARATOR);
-    checkArgument(parts.length == 3, "expected DOMAIN HOST PORT");
-    return new InstanceRecord(name, parts[0], parts[1], Integer.parseInt(parts[2]));
+    checkArgument(parts.length == 3 || parts.length == 4, "expected DOMAIN HOST PORT CAPACITY");
+    int relayCapacity = parts.length == 4 ? Integer.parseInt(parts[3]) : 0;
+    return new InstanceRecord(name, parts[0], parts[1], Integer.parseInt(parts[2]), relayCapacity);
+  }
+
+  OverlayInstance toOverlayInstance() {
+    return new OverlayInstance(name, domain, relayCapacity);
   }
 
   InetSocketAddress address() {
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/fleet/MemberReports.java
@@ -0,0 +1,104 @@
+package org.apricotstand.fleet;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.function.Function;
+import org.apricotstand.overlay.Overlay;
+import org.apricotstand.peer.PeerMessage;
+
+/**
+ * The newest report of each instance for which this one relays, and their sums. Reports of silent
+ * instances are dropped. Not thread-safe; used on the control thread only.
+ */
+final class MemberReports {
+
+  private final Map<String, Member> members = new TreeMap<>();
+  private final Map<String, Integer> arrivals = new HashMap<>();
+
+  private record Member(PeerMessage.MemberReport report, long silentFromMs) {}
+
+  /** Replaces the report of an instance; its arrivals are added to those not yet taken. */
+  void put(String instance, PeerMessage.MemberReport report, long nowMs) {
+    members.put(instance, new Member(report, nowMs + Overlay.SILENCE_TIMEOUT_MS));
+    report.arrivals().forEach((adapter, count) -> arrivals.merge(adapter, count, Integer::sum));
+  }
+
+  void remove(String instance) {
+    members.remove(instance);
+  }
+
+  /** Drops the reports of instances that turned silent. */
+  void removeSilent(long nowMs) {
+    members.values().removeIf(member -> nowMs >= member.silentFromMs);
+  }
+
+  /** Gives all members a longer time, because this instance was delayed itself. */
+  void extend(long delayMs) {
+    members.replaceAll((name, member) -> new Member(member.report, member.silentFromMs + delayMs));
+  }
+
+  boolean isEmpty() {
+    return members.isEmpty();
+  }
+
+  /** Returns the names of the members, sorted. */
+  List<String> instances() {
+    return List.copyOf(members.keySet());
+  }
+
+  /** Returns the number of the newest report of each member. */
+  Map<String, Long> sequences() {
+    Map<String, Long> sequences = new HashMap<>();
+    members.forEach((name, member) -> sequences.put(name, member.report.sequence()));
+    return sequences;
+  }
+
+  /** Returns the sum of one kind of count over all members, by target id. */
+  Map<String, Integer> sum(Function<PeerMessage.MemberReport, Map<String, Integer>> counts) {
+    Map<String, Integer> sums = new TreeMap<>();
+    members
+        .values()
+        .forEach(
+            member ->
+                counts
+                    .apply(member.report)
+                    .forEach((id, count) -> sums.merge(id, count, Integer::sum)));
+    sums.values().removeIf(count -> count == 0);
+    return sums;
+  }
+
+  /** Returns the adapters that requests of any member use, by engine id. */
+  Map<String, Set<String>> adaptersInUse() {
+    Map<String, Set<String>> inUse = new TreeMap<>();
+    members.values().stream()
+        .map(member -> member.report.inUse())
+        .map(Map::entrySet)
+        .flatMap(Collection::stream)
+        .forEach(
+            entry ->
+                inUse
+                    .computeIfAbsent(entry.getKey(), engine -> new TreeSet<>())
+                    .addAll(entry.getValue()));
+    return inUse;
+  }
+
+  /** Removes and returns the arrivals that were reported since the last call, by adapter. */
+  Map<String, Integer> takeArrivals() {
+    Map<String, Integer> taken = new TreeMap<>(arrivals);
+    arrivals.clear();
+    return taken;
+  }
+
+  /** Returns the sets as lists, as messages carry them. */
+  static Map<String, List<String>> toLists(Map<String, Set<String>> sets) {
+    Map<String, List<String>> lists = new TreeMap<>();
+    sets.forEach((key, values) -> lists.put(key, new ArrayList<>(values)));
+    return lists;
+  }
+}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/peer/FleetState.java
@@ -0,0 +1,89 @@
+package org.apricotstand.peer;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.List;
+import java.util.Map;
+import org.apricotstand.enginelease.LeaseStatus;
+
+/**
+ * Content of an entry of the fleet's state. The type names in the annotation and the names of the
+ * components are part of the protocol.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "t")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = FleetState.InstanceStatus.class, name = "instance"),
+  @JsonSubTypes.Type(value = FleetState.RelayedInstances.class, name = "relayed"),
+  @JsonSubTypes.Type(value = FleetState.RelayedLoad.class, name = "load"),
+  @JsonSubTypes.Type(value = FleetState.EngineHoldings.class, name = "holdings"),
+  @JsonSubTypes.Type(value = FleetState.TargetCrash.class, name = "crash"),
+  @JsonSubTypes.Type(value = FleetState.TableRow.class, name = "row")
+})
+public sealed interface FleetState {
+
+  /**
+   * What an instance says of itself; changes with its leases.
+   *
+   * @param leaving whether it is shutting down
+   * @param leases all engine leases that it holds, by engine id
+   */
+  record InstanceStatus(String instance, boolean leaving, Map<String, LeaseStatus> leases)
+      implements FleetState {}
+
+  /**
+   * The instances that a relay hears from, which are therefore alive.
+   *
+   * @param relay name of the relay
+   * @param instances names of these instances, including the relay
+   */
+  record RelayedInstances(String relay, List<String> instances) implements FleetState {}
+
+  /**
+   * The requests of all instances that report to a relay. Each new version shows that the relay is
+   * alive.
+   *
+   * @param relay name of the relay
+   * @param started number of requests whose answer has begun, by target id
+   * @param waiting number of requests whose answer has not begun, by target id
+   * @param arrivals number of requests since the last version, by adapter
+   */
+  record RelayedLoad(
+      String relay,
+      Map<String, Integer> started,
+      Map<String, Integer> waiting,
+      Map<String, Integer> arrivals)
+      implements FleetState {}
+
+  /**
+   * The adapters of an engine, as known to its owner.
+   *
+   * @param engine id of the engine
+   * @param resident versions of the resident adapters, by {@code MODEL/ADAPTER}
+   * @param arriving models and adapters whose load is in progress
+   * @param queuedLoads number of adapters that requests wait for and whose load has not begun
+   */
+  record EngineHoldings(
+      String engine, Map<String, Long> resident, List<String> arriving, int queuedLoads)
+      implements FleetState {}
+
+  /**
+   * A target crashed while it ran a request.
+   *
+   * @param fingerprint hash that is equal for all attempts of the request, and each time that its
+   *     caller sends it
+   * @param target incarnation of the target that crashed
+   */
+  record TargetCrash(String fingerprint, String target) implements FleetState {}
+
+  /**
+   * A row that an instance read from the store.
+   *
+   * @param table table of the row
+   * @param rowKey key within the table
+   * @param value content; empty if the row was removed
+   * @param version version of the row
+   * @param removed whether the row no longer exists
+   */
+  record TableRow(String table, String rowKey, byte[] value, long version, boolean removed)
+      implements FleetState {}
+}
--- a/node/src/main/java/org/apricotstand/peer/PeerCodec.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerCodec.java
@@ -1,5 +1,6 @@
 package org.apricotstand.peer;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -17,10 +18,15 @@
   @Override
   protected void encode(ChannelHandlerContext context, PeerMessage message, List<Object> out)
       throws IOException {
-    byte[] bytes = MAPPER.writerFor(PeerMessage.class).writeValueAsBytes(message);
+    byte[] bytes = toBytes(message);
     out.add(context.alloc().buffer(bytes.length).writeBytes(bytes));
   }
 
+  /** Encodes a message that goes to several peers; channels accept the bytes in its place. */
+  static byte[] toBytes(PeerMessage message) throws JsonProcessingException {
+    return MAPPER.writerFor(PeerMessage.class).writeValueAsBytes(message);
+  }
+
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf frame, List<Object> out)
       throws IOException {
--- a/node/src/main/java/org/apricotstand/peer/PeerLink.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerLink.java
@@ -1,5 +1,6 @@
 package org.apricotstand.peer;
 
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -12,7 +13,7 @@
   private static final int MAX_PENDING_MESSAGES = 1_024;
 
   private final InstanceId peer;
-  private final Queue<PeerMessage> pendingMessages = new ArrayDeque<>();
+  private final Queue<Object> pendingMessages = new ArrayDeque<>();
   private Channel channel;
   private boolean closed;
   private volatile long lastUsedMs = ControlThread.nowMs();
@@ -44,10 +45,20 @@
    * Sends a message, or queues it while the connection opens. The message is dropped when {@value
    * #MAX_PENDING_MESSAGES} messages are queued or the link was closed before it opened.
    */
-  synchronized void send(PeerMessage message) {
+  void send(PeerMessage message) {
     if (!(message instanceof PeerMessage.Heartbeat)) {
       recordUse();
     }
+    write(message);
+  }
+
+  /** Sends a message that is already encoded, under the same conditions. */
+  void sendEncoded(byte[] message) {
+    recordUse();
+    write(Unpooled.wrappedBuffer(message));
+  }
+
+  private synchronized void write(Object message) {
     if (channel != null) {
       channel.writeAndFlush(message);
     } else if (!closed && pendingMessages.size() < MAX_PENDING_MESSAGES) {
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import java.util.Map;
-import org.apricotstand.enginelease.LeaseStatus;
 
 /**
  * A message between two instances. Each record is one message type; the type names in the
@@ -34,16 +33,19 @@
   @JsonSubTypes.Type(value = PeerMessage.SuspectNoted.class, name = "suspect_noted"),
   @JsonSubTypes.Type(value = PeerMessage.ClaimWaited.class, name = "claim_waited"),
   @JsonSubTypes.Type(value = PeerMessage.ClaimAnswered.class, name = "claim_answered"),
-  @JsonSubTypes.Type(value = PeerMessage.LoadReport.class, name = "load_report"),
+  @JsonSubTypes.Type(value = PeerMessage.MemberReport.class, name = "member_report"),
+  @JsonSubTypes.Type(value = PeerMessage.ReportIncluded.class, name = "report_included"),
+  @JsonSubTypes.Type(value = PeerMessage.StateUpdate.class, name = "state_update"),
+  @JsonSubTypes.Type(value = PeerMessage.AdaptersInUse.class, name = "adapters_in_use"),
+  @JsonSubTypes.Type(value = PeerMessage.TableRead.class, name = "table_read"),
+  @JsonSubTypes.Type(value = PeerMessage.TableRegained.class, name = "table_regained"),
   @JsonSubTypes.Type(value = PeerMessage.AdapterWanted.class, name = "adapter_wanted"),
-  @JsonSubTypes.Type(value = PeerMessage.AdapterMissing.class, name = "adapter_missing"),
-  @JsonSubTypes.Type(value = PeerMessage.EngineHoldings.class, name = "engine_holdings"),
-  @JsonSubTypes.Type(value = PeerMessage.CrashNoted.class, name = "crash_noted")
+  @JsonSubTypes.Type(value = PeerMessage.AdapterMissing.class, name = "adapter_missing")
 })
 public sealed interface PeerMessage {
 
   /** Version of the protocol; connections of instances with another version are refused. */
-  int PROTOCOL_VERSION = 1;
+  int PROTOCOL_VERSION = 2;
 
   /** Identifies the sender; the first message on each connection, in both directions. */
   record Hello(int protocolVersion, String instance, long incarnation, String domain)
@@ -205,25 +207,59 @@
       implements PeerMessage {}
 
   /**
-   * Reports the requests of the sender at targets and its leases of engines; sent several times a
+   * Reports the requests of the sender to the instance that relays for it; sent several times a
    * second.
    *
+   * @param sequence number of this report
    * @param started number of requests whose answer has begun, by target id
    * @param waiting number of requests whose answer has not begun, by target id
    * @param inUse adapters in use, by engine id
    * @param arrivals number of requests since the last report, by adapter
-   * @param leases all engine leases that the sender holds, by engine id
-   * @param leaving whether the sender is shutting down
    */
-  record LoadReport(
+  record MemberReport(
+      long sequence,
       Map<String, Integer> started,
       Map<String, Integer> waiting,
       Map<String, List<String>> inUse,
-      Map<String, Integer> arrivals,
-      Map<String, LeaseStatus> leases,
-      boolean leaving)
+      Map<String, Integer> arrivals)
       implements PeerMessage {}
 
+  /**
+   * Tells a member which of its reports the load published last by its relay includes.
+   *
+   * @param sequence number of the member's report
+   */
+  record ReportIncluded(long sequence) implements PeerMessage {}
+
+  /**
+   * Passes on entries of the fleet's state. Sent several times a second, also without entries, to
+   * show that the sender is alive.
+   *
+   * @param requested whether the sender keeps this link and wants to get entries on it
+   * @param entries entries that the receiver may not have yet
+   */
+  record StateUpdate(boolean requested, List<StateEntry> entries) implements PeerMessage {}
+
+  /**
+   * Reports to the owner of engines which adapters are in use there by the requests that the sender
+   * relays for.
+   *
+   * @param inUse all adapters in use, by engine id; replaces the last message of the sender
+   */
+  record AdaptersInUse(Map<String, List<String>> inUse) implements PeerMessage {}
+
+  /**
+   * Tells a member that its relay has read a table; the rows that changed were sent before.
+   *
+   * @param table table that was read
+   * @param fromVersion version since which the relay has passed on all changes
+   * @param version newest version of the table
+   */
+  record TableRead(String table, long fromVersion, long version) implements PeerMessage {}
+
+  /** Tells a member that its relay can read a table again after an outage of the store. */
+  record TableRegained(String table) implements PeerMessage {}
+
   /**
    * Asks the owner of an engine to load an adapter.
    *
@@ -240,25 +276,4 @@
 
   /** Tells the owner of an engine that an adapter that it reported as resident is not loaded. */
   record AdapterMissing(String engine, String adapter) implements PeerMessage {}
-
-  /**
-   * Reports the adapters of an engine, as known to its owner.
-   *
-   * @param engine id of the engine
-   * @param resident versions of the resident adapters, by {@code MODEL/ADAPTER}
-   * @param arriving models and adapters whose load is in progress
-   * @param queuedLoads number of adapters that requests wait for and whose load has not begun
-   */
-  record EngineHoldings(
-      String engine, Map<String, Long> resident, List<String> arriving, int queuedLoads)
-      implements PeerMessage {}
-
-  /**
-   * Reports that a target crashed while it ran a request.
-   *
-   * @param fingerprint hash that is equal for all attempts of the request, and each time that its
-   *     caller sends it
-   * @param target incarnation of the target that crashed
-   */
-  record CrashNoted(String fingerprint, String target) implements PeerMessage {}
 }
--- a/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
@@ -1,5 +1,6 @@
 package org.apricotstand.peer;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -14,8 +15,10 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -34,7 +37,7 @@
  * boolean queued = peers.send(peer, new PeerMessage.RouteCancel(id, 1));
  * }</pre>
  */
-public final class PeerNetwork implements Service, PeerSender {
+public final class PeerNetwork implements Service, PeerLinks {
 
   /** Maximum length of a frame; a connection that sends a longer one is closed. */
   static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
@@ -116,6 +119,27 @@
     return true;
   }
 
+  @Override
+  public void sendToAll(Collection<InstanceId> receivers, PeerMessage message) {
+    if (receivers.size() == 1) {
+      receivers.forEach(peer -> send(peer, message));
+      return;
+    }
+    byte[] encoded = encode(message);
+    receivers.stream()
+        .map(peer -> links.computeIfAbsent(peer, this::openLink))
+        .filter(Objects::nonNull)
+        .forEach(link -> link.sendEncoded(encoded));
+  }
+
+  private static byte[] encode(PeerMessage message) {
+    try {
+      return PeerCodec.toBytes(message);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("message cannot be encoded: " + message, e);
+    }
+  }
+
   /** Returns the peers with an open link, sorted. */
   public List<InstanceId> connectedPeers() {
     return links.entrySet().stream()
@@ -131,7 +155,7 @@
     return link != null && link.isWritable();
   }
 
-  /** Closes the link to a peer, for example if the peer no longer answers on it. */
+  @Override
   public void disconnect(InstanceId peer) {
     PeerLink link = links.get(peer);
     if (link != null) {
@@ -139,9 +163,7 @@
     }
   }
 
-  /**
-   * Closes the links that have carried only heartbeats for a time, except those to the given peers.
-   */
+  @Override
   public void closeIdleLinks(Set<InstanceId> peersToKeep, long minIdleMs) {
     long nowMs = ControlThread.nowMs();
     links.entrySet().stream()
--- a/node/src/main/java/org/apricotstand/port/ServingSettings.java
+++ b/node/src/main/java/org/apricotstand/port/ServingSettings.java
@@ -17,6 +17,7 @@
  * @param retryAllowance retries in each window that all instances together may send in addition to
  *     the ratio
  * @param retryWindowMs length of the window over which requests and retries are counted
+ * @param relayCapacity declared capacity of the machine to relay messages between instances
  */
 public record ServingSettings(
     String name,
@@ -29,4 +30,5 @@
     long handoverPauseMs,
     double retryRatio,
     double retryAllowance,
-    long retryWindowMs) {}
+    long retryWindowMs,
+    int relayCapacity) {}
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/port/TableSharing.java
@@ -0,0 +1,46 @@
+package org.apricotstand.port;
+
+import java.util.List;
+
+/**
+ * Shares what one instance reads from a table with others, so that the number of reads does not
+ * grow with the number of instances. All methods are called on the control thread.
+ */
+public interface TableSharing {
+
+  /** Receives what other instances read. */
+  interface Listener {
+
+    /** Called with rows that changed. They may come late, twice or out of order. */
+    void onShared(List<RowChange> rows);
+
+    /**
+     * Called when all changes after one version and up to another have been passed on.
+     *
+     * @return whether this instance knows all changes up to the first version, so that it needs not
+     *     read itself
+     */
+    boolean onSharedUpTo(long fromVersion, long version);
+
+    /** Called when another instance can read the table again after an outage. */
+    void onSharedRecovery();
+  }
+
+  /** Sets the listener for a table. */
+  void subscribe(String table, Listener listener);
+
+  /** Returns whether this instance has to read the table itself now. */
+  boolean mustRead(String table);
+
+  /**
+   * Passes on what this instance read.
+   *
+   * @param rows rows that changed since the last read
+   * @param fromVersion version since which this instance has passed on all changes that it knows
+   * @param version newest version of the table
+   */
+  void share(String table, List<RowChange> rows, long fromVersion, long version);
+
+  /** Passes on that this instance can read the table again after an outage. */
+  void shareRecovery(String table);
+}
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -76,7 +76,8 @@
             peers,
             directory,
             loadTracker,
-            metrics);
+            metrics,
+            incarnation);
     Random random = new Random(incarnation ^ settings.name().hashCode());
     router =
         new RequestRouter(
--- a/node/src/test/java/org/apricotstand/fleet/InstanceRecordTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/InstanceRecordTest.java
@@ -11,10 +11,18 @@
   // Guards against instances that cannot read the addresses of each other.
   @Test
   void decodesWhatItEncodes() {
-    InstanceRecord record = new InstanceRecord("n1", "d1", "10.0.0.1", 7_380);
+    InstanceRecord record = new InstanceRecord("n1", "d1", "10.0.0.1", 7_380, 36);
     assertThat(InstanceRecord.decode("n1", record.encode())).isEqualTo(record);
   }
 
+  // Guards against an instance of an earlier version that the others cannot reach.
+  @Test
+  void decodesARowWithoutACapacity() {
+    byte[] content = "d1 10.0.0.1 7380".getBytes(StandardCharsets.UTF_8);
+    assertThat(InstanceRecord.decode("n1", content))
+        .isEqualTo(new InstanceRecord("n1", "d1", "10.0.0.1", 7_380, 0));
+  }
+
   // Guards against a row in another format that stops the discovery of instances.
   @Test
   void rejectsARowThatIsNotARecord() {
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -96,7 +96,7 @@
     InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     ServingSettings settings =
         new ServingSettings(
-            "n", "d", anyPort, anyPort, anyPort, anyPort, 8_000, 3_000, 0.2, 50, 10_000);
+            "n", "d", anyPort, anyPort, anyPort, anyPort, 8_000, 3_000, 0.2, 50, 10_000, 100);
     EventLoop loop = group.next();
     Metrics metrics = new Metrics();
     router =
