Cut off answers of targets that never end

Cause: a plain answer was kept in memory until its end, an event of a resumable stream too, and interim answers or answers to other requests were skipped without a bound: a target that sends bytes without end could fill the memory of an instance.

Change: two limits in bytes, checked when the settings are read (answerLimits). Beyond them the connection is closed and the request ends as any other whose answer was lost: 502 where it may have run, retried where the route allows it, and not run only if the target had said so in its head.

Measured: six tests over a real socket. With the limits out of reach two of them fail (a body and interim answers without end); the others pass either way and guard heads, events, answers to other requests and rejections.

--- a/node/src/main/java/org/apricotstand/port/ServingSettings.java
+++ b/node/src/main/java/org/apricotstand/port/ServingSettings.java
@@ -18,6 +18,7 @@
  *     the ratio
  * @param retryWindowMs length of the window over which requests and retries are counted
  * @param relayCapacity declared capacity of the machine to relay messages between instances
+ * @param answerLimits bounds of what is read of an answer without passing it on
  */
 public record ServingSettings(
     String name,
@@ -31,4 +32,5 @@
     double retryRatio,
     double retryAllowance,
     long retryWindowMs,
-    int relayCapacity) {}
+    int relayCapacity,
+    AnswerLimits answerLimits) {}
--- a/node/src/main/java/org/apricotstand/request/EventSplitter.java
+++ b/node/src/main/java/org/apricotstand/request/EventSplitter.java
@@ -41,6 +41,11 @@
     return taken;
   }
 
+  /** Returns the number of bytes that wait for the end of their event. */
+  int incompleteBytes() {
+    return incomplete.length;
+  }
+
   /** Returns the id of the last whole event that had one; null if there was none. */
   String lastEventId() {
     return lastEventId;
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -22,6 +22,7 @@
 import org.apricotstand.front.HopByHopHeaders;
 import org.apricotstand.front.Reply;
 import org.apricotstand.observe.EventLog;
+import org.apricotstand.port.AnswerLimits;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.SlotEvent;
 import org.apricotstand.route.RequestKind;
@@ -466,6 +467,7 @@
     private TargetConnection connection;
     private HttpResponse head;
     private boolean discardAnswer;
+    private int discardedBytes;
     private boolean retryGranted;
     private boolean firstByteReceived;
     private boolean closed;
@@ -501,9 +503,7 @@
     public void onHead(HttpResponse answer) {
       head = answer;
       if (isUnsignedSuccess()) {
-        TargetConnection brokenConnection = connection;
-        onFailure(new SendFailure.Malformed("success without signature"));
-        brokenConnection.cancel();
+        giveUp("success without signature");
         return;
       }
       retryGranted = !isNotExecuted() && isFailure() && tryTakeRetry(runs + 1);
@@ -519,6 +519,13 @@
       }
     }
 
+    /** Closes the connection of an answer that cannot be passed on; the request may have run. */
+    private void giveUp(String reason) {
+      TargetConnection brokenConnection = connection;
+      onFailure(new SendFailure.Malformed(reason));
+      brokenConnection.cancel();
+    }
+
     private boolean isUnsignedSuccess() {
       return head.status().code() / 100 == 2
           && !head.headers().contains(router.headerNames().signature());
@@ -545,20 +552,29 @@
         router.loadTracker().recordFirstByte(target.id());
       }
       if (discardAnswer) {
-        return;
-      }
-      if (!isStreamed()) {
+        discardedBytes += part.readableBytes();
+      } else if (!isStreamed()) {
         bufferedBody.writeBytes(ByteBufUtil.getBytes(part));
       } else if (eventSplitter != null) {
         sendBody(eventSplitter.feed(ByteBufUtil.getBytes(part)));
       } else {
         reply.writePart(part);
       }
-      if (answerStarted && !reply.isWritable()) {
+      if (exceedsLimits()) {
+        giveUp("answer without end");
+      } else if (answerStarted && !reply.isWritable()) {
         connection.setReading(false);
       }
     }
 
+    private boolean exceedsLimits() {
+      AnswerLimits limits = router.answerLimits();
+      int incompleteBytes = eventSplitter == null ? 0 : eventSplitter.incompleteBytes();
+      return discardedBytes > limits.maxSkippedBytes()
+          || bufferedBody.size() > limits.maxHeldBytes()
+          || incompleteBytes > limits.maxHeldBytes();
+    }
+
     private void sendBody(byte[] bytes) {
       if (bytes.length > 0) {
         ByteBuf part = Unpooled.wrappedBuffer(bytes);
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -26,6 +26,7 @@
 import org.apricotstand.limit.WindowedRetryBudget;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.port.AnswerLimits;
 import org.apricotstand.port.HeaderNames;
 import org.apricotstand.port.ServingSettings;
 import org.apricotstand.residency.AdapterKey;
@@ -86,7 +87,9 @@
     this.settings = settings;
     this.headerNames = headerNames;
     this.view = view;
-    this.connections = new TargetConnectionPool(loop, headerNames.requestId());
+    this.connections =
+        new TargetConnectionPool(
+            loop, headerNames.requestId(), settings.answerLimits().maxSkippedBytes());
     this.loadTracker = loadTracker;
     this.fleetNotifier = fleetNotifier;
     this.metrics = metrics;
@@ -280,6 +283,10 @@
     health.retain(liveTargets.stream().map(TargetEntry::id).collect(Collectors.toSet()));
   }
 
+  AnswerLimits answerLimits() {
+    return settings.answerLimits();
+  }
+
   EventLoop loop() {
     return loop;
   }
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -23,6 +23,9 @@
  */
 public final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
 
+  /** Counted for the head of a skipped answer, whose length is not known here. */
+  private static final int SKIPPED_HEAD_BYTES = 1_024;
+
   private final TargetConnectionPool pool;
   private final AnswerDecoder decoder;
   private Channel channel;
@@ -30,6 +33,7 @@
   private AnswerListener listener;
   private boolean headReceived;
   private boolean skippingAnswer;
+  private long skippedBytes;
   private boolean reusable;
   private boolean connectionFailed;
   private long idleSinceMs;
@@ -54,6 +58,7 @@
     listener = newListener;
     headReceived = false;
     skippingAnswer = false;
+    skippedBytes = 0;
     reusable = true;
     decoder.expect(newRequest.method());
     DefaultFullHttpRequest message =
@@ -117,6 +122,7 @@
     skippingAnswer = informational || belongsToOtherRequest;
     if (skippingAnswer) {
       pool.logDroppedAnswer(request, echoed, head.status().code());
+      recordSkipped(SKIPPED_HEAD_BYTES);
       return;
     }
     headReceived = true;
@@ -125,6 +131,14 @@
     listener.onHead(head);
   }
 
+  /** Gives up when a target sends other bytes than the answer without end. */
+  private void recordSkipped(int bytes) {
+    skippedBytes += bytes;
+    if (skippedBytes > pool.maxSkippedBytes()) {
+      fail(new SendFailure.Malformed("too many bytes before the answer"));
+    }
+  }
+
   private static boolean hasLength(HttpResponse head) {
     return head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
         || HttpUtil.isTransferEncodingChunked(head)
@@ -134,6 +148,7 @@
 
   private void readContent(HttpContent content) {
     if (skippingAnswer) {
+      recordSkipped(content.content().readableBytes());
       if (content instanceof LastHttpContent) {
         skippingAnswer = false;
       }
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
@@ -43,6 +43,7 @@
 
   private final EventLoop loop;
   private final String requestIdHeader;
+  private final int maxSkippedBytes;
   private final Map<String, Deque<TargetConnection>> idleByIncarnation = new HashMap<>();
   private final Map<TargetConnection, String> incarnations = new HashMap<>();
 
@@ -51,10 +52,12 @@
    *
    * @param loop event loop of the traffic thread
    * @param requestIdHeader header in which targets echo the id of a request
+   * @param maxSkippedBytes bytes that a target may send before the answer to a request
    */
-  public TargetConnectionPool(EventLoop loop, String requestIdHeader) {
+  public TargetConnectionPool(EventLoop loop, String requestIdHeader, int maxSkippedBytes) {
     this.loop = loop;
     this.requestIdHeader = requestIdHeader;
+    this.maxSkippedBytes = maxSkippedBytes;
   }
 
   /**
@@ -149,6 +152,10 @@
                 });
   }
 
+  int maxSkippedBytes() {
+    return maxSkippedBytes;
+  }
+
   String requestIdHeader() {
     return requestIdHeader;
   }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -30,6 +30,7 @@
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.front.CallerServer;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.port.AnswerLimits;
 import org.apricotstand.port.HeaderNames;
 import org.apricotstand.port.ServingSettings;
 import org.apricotstand.residency.AdapterKey;
@@ -63,6 +64,7 @@
           Set.of("x-expect-target", "x-reserved"));
   private static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
   private static final long TEST_TIMEOUT_MS = 20_000;
+  private static final AnswerLimits LIMITS = new AnswerLimits(65_536, 16_384);
 
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -96,7 +98,8 @@
     InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     ServingSettings settings =
         new ServingSettings(
-            "n", "d", anyPort, anyPort, anyPort, anyPort, 8_000, 3_000, 0.2, 50, 10_000, 100);
+            "n", "d", anyPort, anyPort, anyPort, anyPort, 8_000, 3_000, 0.2, 50, 10_000, 100,
+            LIMITS);
     EventLoop loop = group.next();
     Metrics metrics = new Metrics();
     router =
@@ -582,4 +585,70 @@
     assertThat(call("")).doesNotContain("0\r\n\r\n");
     assertThat(countHeads()).isEqualTo(2);
   }
+
+  /** Returns a script that sends a head and then bytes until the connection is closed. */
+  private static ScriptedTarget.Script endless(String head, String repeated) {
+    return (id, number, out) -> {
+      write(out, head);
+      while (true) {
+        write(out, repeated);
+      }
+    };
+  }
+
+  /** Asserts that an endless answer ends the request as soon as the limit is reached. */
+  private void assertEndsWith502(String head, String repeated) throws IOException {
+    serve(RequestKind.NON_IDEMPOTENT, 1, false, target("t1", endless(head, repeated)));
+    assertThat(call("")).startsWith("HTTP/1.1 502");
+  }
+
+  // Guards against a target that fills the memory of an instance with a body without end.
+  @Test
+  void aBodyWithoutEndIsCutOff() throws IOException {
+    assertEndsWith502("HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\n\r\n", "x".repeat(4_096));
+  }
+
+  // Guards against a head without end, which is no answer at any length.
+  @Test
+  void aHeadWithoutEndIsCutOff() throws IOException {
+    assertEndsWith502("HTTP/1.1 200 OK\r\n", "X-More: x\r\n");
+  }
+
+  // Guards against a target that keeps a connection busy with an answer to another request.
+  @Test
+  void anAnswerWithoutEndToAnotherRequestIsCutOff() throws IOException {
+    assertEndsWith502("HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Seal: s\r\n\r\n", "x".repeat(4_096));
+  }
+
+  // Guards against interim answers that never lead to a final one.
+  @Test
+  void interimAnswersWithoutEndAreCutOff() throws IOException {
+    assertEndsWith502("", "HTTP/1.1 102 Processing\r\n\r\n");
+  }
+
+  // Guards against an event of a resumable stream that is kept in memory and never ends.
+  @Test
+  void anEventWithoutEndIsCutOff() throws IOException {
+    String head = "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    serve(
+        RequestKind.STREAM,
+        1,
+        true,
+        target("t1", endless(head, "1000\r\n" + "x".repeat(4_096) + "\r\n")));
+    // The stream must end visibly, without its last chunk.
+    assertThat(call("")).doesNotContain("\r\n0\r\n\r\n");
+  }
+
+  // Guards against a rejection whose body never ends, after which the request waits in vain.
+  @Test
+  void aRejectionWithoutEndCountsAsNotRun() throws IOException {
+    String head = "HTTP/1.1 503 Full\r\nX-Id: q1\r\nX-Not-Executed: 1\r\n\r\n";
+    serve(
+        RequestKind.NON_IDEMPOTENT,
+        1,
+        false,
+        target("t1", endless(head, "x".repeat(4_096))),
+        target("t2", ANSWERS_DONE));
+    assertThat(call("")).endsWith("done");
+  }
 }
