Answer the requests before an unreadable one, then refuse it

Cause: a request that could not be read, or a 17th pipelined one, closed the connection while an earlier request was in progress; its answer was lost although it ran. Change: the refusal waits for the answers before it; beyond 16 queued requests nothing more is read. Interim answers of targets are not logged as answers to other requests.

--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -29,8 +29,8 @@
 
 /**
  * Reads the requests of one caller connection and answers them in order. While a request is in
- * progress, up to {@value #MAX_PIPELINED_REQUESTS} further ones are queued; beyond that the
- * connection is closed.
+ * progress, up to {@value #MAX_PIPELINED_REQUESTS} further ones are queued; beyond that nothing
+ * more is read and the connection is closed after their answers.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -42,10 +42,14 @@
   private Channel channel;
   private HttpRequest head;
   private boolean ignoringInput;
+  private Refusal pendingRefusal;
   private long firstByteMs;
   private CallReply reply;
   private long idleSinceMs = ControlThread.nowMs();
 
+  /** Refusal of an unreadable request, which waits for the answers to the requests before it. */
+  private record Refusal(int status, String code) {}
+
   private record PipelinedRequest(CallerRequest request, boolean keepAlive) {}
 
   CallerConnection(CallerServer server) {
@@ -130,7 +134,7 @@
     } else if (pipelinedRequests.size() < MAX_PIPELINED_REQUESTS) {
       pipelinedRequests.add(new PipelinedRequest(request, keepAlive));
     } else {
-      channel.close();
+      ignoringInput = true;
     }
   }
 
@@ -143,14 +147,13 @@
   }
 
   /**
-   * Refuses a request that cannot be read and closes the connection. While an earlier request is in
-   * progress the connection is closed without an answer, since answers must keep the order of the
-   * requests.
+   * Refuses a request that cannot be read and closes the connection, after the answers to the
+   * requests before it.
    */
   private void refuse(int status, String code) {
     ignoringInput = true;
     if (reply != null) {
-      channel.close();
+      pendingRefusal = new Refusal(status, code);
       return;
     }
     FullHttpResponse answer = FailureAnswer.of(status, code);
@@ -167,17 +170,23 @@
     reply = null;
     idleSinceMs = ControlThread.nowMs();
     server.onRequestEnded();
-    if (!keepAlive) {
-      ignoringInput = true;
-      channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-      return;
-    }
     PipelinedRequest next = pipelinedRequests.poll();
-    if (next != null) {
+    if (!keepAlive) {
+      closeAfterFlush();
+    } else if (next != null) {
       serve(next.request, next.keepAlive);
+    } else if (pendingRefusal != null) {
+      refuse(pendingRefusal.status, pendingRefusal.code);
+    } else if (ignoringInput) {
+      closeAfterFlush();
     }
   }
 
+  private void closeAfterFlush() {
+    ignoringInput = true;
+    channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+  }
+
   /**
    * Called when an answer cannot be completed. Resets the connection, so that the caller does not
    * take the part that was sent for the whole.
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -121,7 +121,9 @@
         request.id() != null && echoed != null && !echoed.equals(request.id());
     skippingAnswer = informational || belongsToOtherRequest;
     if (skippingAnswer) {
-      pool.logDroppedAnswer(request, echoed, head.status().code());
+      if (!informational) {
+        pool.logDroppedAnswer(request, echoed, head.status().code());
+      }
       recordSkipped(SKIPPED_HEAD_BYTES);
       return;
     }
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -0,0 +1,107 @@
+package org.apricotstand.front;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.apricotstand.observe.Metrics;
+import org.apricotstand.route.CallerLimits;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class CallerConnectionTest {
+
+  private static final String REQUEST = "GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n";
+  private static final long TEST_TIMEOUT_MS = 20_000;
+
+  private final MultiThreadIoEventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = group.next();
+  private final BlockingQueue<Reply> replies = new LinkedBlockingQueue<>();
+  private CallerServer server;
+
+  /** Leaves each request in progress until the test answers it. */
+  private static final class UnfinishedCall implements CallHandler.ActiveCall {
+    @Override
+    public void onCallerDisconnected() {}
+
+    @Override
+    public void onCallerWritable() {}
+  }
+
+  @BeforeEach
+  void start() {
+    CallHandler handler =
+        (request, reply) -> {
+          replies.add(reply);
+          return new UnfinishedCall();
+        };
+    CallerLimits limits = new CallerLimits(16_384, 65_536, 3_000, 15_000);
+    InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    server = new CallerServer(loop, anyPort, () -> limits, handler, new Metrics());
+    server.start();
+  }
+
+  @AfterEach
+  void stop() {
+    server.stop();
+    group.shutdownGracefully();
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket("127.0.0.1", server.address().getPort());
+    socket.setSoTimeout((int) TEST_TIMEOUT_MS);
+    return socket;
+  }
+
+  private static void send(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private void answerNext() throws InterruptedException {
+    Reply reply = replies.poll(TEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    loop.execute(() -> reply.fail(504, "test", 0));
+  }
+
+  private static String readAll(Socket socket) throws IOException {
+    return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+  }
+
+  // Guards against a caller that loses the answer to a request that runs, because the next request
+  // on its connection cannot be read.
+  @Test
+  void anUnreadableRequestIsRefusedAfterTheAnswersBeforeIt() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, REQUEST + REQUEST + "no request\r\n\r\n");
+      answerNext();
+      answerNext();
+      String received = readAll(socket);
+      assertThat(received.split("HTTP/1.1 504", -1)).hasLength(3);
+      assertThat(received).contains("HTTP/1.1 400");
+      assertThat(received.lastIndexOf("504 ")).isLessThan(received.indexOf("HTTP/1.1 400"));
+    }
+  }
+
+  // Guards against a caller that loses the answers to its first requests because it sends too many
+  // at once.
+  @Test
+  void tooManyRequestsAtOnceAreNotReadAndTheOthersAreAnswered() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, REQUEST.repeat(40));
+      for (int i = 0; i < 17; i++) {
+        answerNext();
+      }
+      assertThat(readAll(socket).split("HTTP/1.1 504", -1)).hasLength(18);
+    }
+  }
+}
