Send fewer updates in large fleets and tell requesters directly

Cause: at 95 instances a member got some 40 messages a second: each poll of a relay and each change of an engine was passed on to everybody at once, and each message woke three threads.

Change: rows of the store go to members with the read and to other relays with the regular report; other urgent entries at most every 200 ms instead of 40. An instance whose requests wait for a load is told by the owner directly. The relay reads the table of instances for its members too. Sharing of tables is a class of its own.

--- a/core/src/main/java/org/apricotstand/overlay/ReadDuty.java
+++ b/core/src/main/java/org/apricotstand/overlay/ReadDuty.java
@@ -12,8 +12,8 @@
  */
 public final class ReadDuty {
 
-  /** Time without news after which an instance reads itself; relays read more often. */
-  public static final long TOLD_TIMEOUT_MS = 1_500;
+  /** Delay that news of the relay may have before an instance reads itself. */
+  public static final long NEWS_DELAY_MS = 500;
 
   /** Range of the additional time, so that the members of a relay do not all read at once. */
   public static final long MAX_STAGGER_MS = 500;
@@ -24,10 +24,11 @@
   /**
    * Creates the duty of an instance that was told nothing yet.
    *
+   * @param readPeriodMs longest time between two reads of a relay
    * @param randomFraction random number from 0 to 1 that spreads the instances
    */
-  public ReadDuty(double randomFraction) {
-    this.timeoutMs = TOLD_TIMEOUT_MS + (long) (randomFraction * MAX_STAGGER_MS);
+  public ReadDuty(long readPeriodMs, double randomFraction) {
+    this.timeoutMs = readPeriodMs + NEWS_DELAY_MS + (long) (randomFraction * MAX_STAGGER_MS);
   }
 
   /** Records that the relay passed on all that it read up to now. */
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -10,8 +10,10 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 import org.apricotstand.dispatch.TargetLoad;
 import org.apricotstand.enginelease.LeaseStatus;
 import org.apricotstand.model.InstanceId;
@@ -20,22 +22,18 @@
 import org.apricotstand.overlay.LinkRole;
 import org.apricotstand.overlay.Overlay;
 import org.apricotstand.overlay.OverlayInstance;
-import org.apricotstand.overlay.ReadDuty;
 import org.apricotstand.overlay.ReplicatedEntries;
 import org.apricotstand.peer.FleetState;
 import org.apricotstand.peer.PeerLinks;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.StateEntry;
-import org.apricotstand.port.Row;
-import org.apricotstand.port.RowChange;
-import org.apricotstand.port.TableSharing;
 
 /**
  * Exchanges the state of the fleet with the neighbors that the {@link Overlay} chooses: reports of
  * load to the relay, sums of the reports and published entries between relays and to members. Not
  * thread-safe; used on the control thread only.
  */
-final class FleetExchange implements TableSharing {
+final class FleetExchange {
 
   private static final EventLog LOG = EventLog.of(FleetExchange.class);
   private static final long MIN_REPORT_PERIOD_MS = 150;
@@ -44,8 +42,17 @@
   /** Lengthens the report period with the number of instances, to bound the total of messages. */
   private static final long REPORT_PERIOD_PER_INSTANCE_MS = 20;
 
-  /** Minimum time between two updates with urgent entries; bounds the messages of a relay. */
-  private static final long URGENT_PERIOD_MS = 40;
+  /** Minimum time between two updates with urgent entries while all instances are linked. */
+  private static final long MESH_URGENT_PERIOD_MS = 40;
+
+  /**
+   * The same in larger fleets, where each update is passed on to everybody. Instances whose
+   * requests wait for an adapter are told directly.
+   */
+  private static final long URGENT_PERIOD_MS = 200;
+
+  /** Time for which an instance that asked for a load is told of the changes of the engine. */
+  private static final long INTEREST_MS = 1_000;
 
   /** Time until an update has been received and processed by a busy instance. */
   private static final long MESSAGE_DELAY_MS = 100;
@@ -74,9 +81,8 @@
   private final Deque<PeerMessage.MemberReport> ownReports = new ArrayDeque<>();
   private final Map<String, Long> useSilentFromMs = new HashMap<>();
   private final Set<String> useRecipients = new HashSet<>();
-  private final Map<String, TableSharing.Listener> tableListeners = new HashMap<>();
-  private final Map<String, ReadDuty> readDuties = new HashMap<>();
-  private final double readStaggerFraction;
+  private final Map<String, Map<String, Long>> interestUntilMs = new HashMap<>();
+  private final SharedTables tables;
   private final Set<String> leavingInstances = new HashSet<>();
   private Set<String> liveInstances = Set.of();
   private FleetState.InstanceStatus publishedStatus;
@@ -112,7 +118,8 @@
     this.ownerOf = ownerOf;
     this.listener = listener;
     this.overlay = new Overlay(self);
-    this.readStaggerFraction = new Random(incarnation ^ self.name().hashCode()).nextDouble();
+    double staggerFraction = new Random(incarnation ^ self.name().hashCode()).nextDouble();
+    this.tables = new SharedTables(clock, staggerFraction, new TableLinks());
     this.entries = new ReplicatedEntries<>(self.domain());
   }
 
@@ -165,10 +172,26 @@
 
   /** Publishes what an engine of this instance holds. */
   void publishHoldings(FleetState.EngineHoldings holdings, long fencingNumber) {
-    publish("holdings/" + holdings.engine(), fencingNumber, holdings);
+    String key = "holdings/" + holdings.engine();
+    publish(key, fencingNumber, holdings);
+    tellInterested(holdings.engine(), entries.get(key).value());
     sendUrgent(clock.getAsLong());
   }
 
+  /** Records that requests of an instance wait for a load at an engine of this instance. */
+  void recordInterest(String engine, String instance) {
+    interestUntilMs
+        .computeIfAbsent(engine, id -> new HashMap<>())
+        .put(instance, clock.getAsLong() + INTEREST_MS);
+  }
+
+  private void tellInterested(String engine, StateEntry entry) {
+    Map<String, Long> interested = interestUntilMs.getOrDefault(engine, new HashMap<>());
+    interested.values().removeIf(untilMs -> clock.getAsLong() > untilMs);
+    PeerMessage update = new PeerMessage.StateUpdate(false, List.of(entry));
+    peers.sendToAll(interested.keySet().stream().map(InstanceId::new).toList(), update);
+  }
+
   /** Returns what the owner of an engine published last; null when nothing is known. */
   FleetState.EngineHoldings holdingsOf(String engine) {
     ReplicatedEntries.Entry<StateEntry> entry = entries.get("holdings/" + engine);
@@ -181,6 +204,7 @@
         .filter(key -> key.startsWith("holdings/"))
         .filter(key -> !engines.contains(key.substring("holdings/".length())))
         .forEach(entries::remove);
+    interestUntilMs.keySet().retainAll(engines);
   }
 
   void publishCrash(FleetState.TargetCrash crash) {
@@ -208,7 +232,8 @@
       // Requests wait for an adapter, and crashing requests come again at once.
       case FleetState.EngineHoldings holdings -> true;
       case FleetState.TargetCrash crash -> true;
-      case FleetState.TableRow row -> true;
+      // Members are told at each read, and other relays read themselves.
+      case FleetState.TableRow row -> false;
       case FleetState.InstanceStatus status -> status.leaving();
       case FleetState.RelayedInstances instances -> false;
       case FleetState.RelayedLoad load -> false;
@@ -378,7 +403,7 @@
   private void sendUrgent(long nowMs) {
     Set<String> waiting = neighborsWithUrgent();
     if (!waiting.isEmpty() && nowMs >= nextUrgentMs) {
-      nextUrgentMs = nowMs + URGENT_PERIOD_MS;
+      nextUrgentMs = nowMs + (overlay.isMesh() ? MESH_URGENT_PERIOD_MS : URGENT_PERIOD_MS);
       sendUpdates(waiting);
     }
   }
@@ -477,8 +502,8 @@
         useSilentFromMs.put(from, nowMs + Overlay.SILENCE_TIMEOUT_MS);
         listener.onAdaptersInUse(from, use.inUse());
       }
-      case PeerMessage.TableRead read -> applyTableRead(read);
-      case PeerMessage.TableRegained(String table) -> applyTableRegained(table);
+      case PeerMessage.TableRead read -> tables.apply(read);
+      case PeerMessage.TableRegained regained -> tables.apply(regained);
       case PeerMessage.Heartbeat heartbeat -> {}
       default -> {
         answerIfNeeded(from, nowMs);
@@ -516,75 +541,56 @@
       case FleetState.RelayedLoad load -> applyLoad(load, nowMs);
       case FleetState.EngineHoldings holdings -> listener.onHoldings(holdings);
       case FleetState.TargetCrash crash -> listener.onCrash(crash);
-      case FleetState.TableRow row -> applyRow(row);
+      case FleetState.TableRow row -> tables.apply(row);
     }
   }
 
-  private void applyRow(FleetState.TableRow row) {
-    TableSharing.Listener tableListener = tableListeners.get(row.table());
-    if (tableListener != null) {
-      Row content = new Row(row.rowKey(), row.value(), row.version());
-      tableListener.onShared(List.of(new RowChange(content, row.removed())));
-    }
+  /** Returns the tables of the store that the instances read for each other. */
+  SharedTables tables() {
+    return tables;
   }
 
-  @Override
-  public void subscribe(String table, TableSharing.Listener tableListener) {
-    tableListeners.put(table, tableListener);
-    readDuties.put(table, new ReadDuty(readStaggerFraction));
-  }
+  /** Carries what {@link SharedTables} passes on. */
+  private final class TableLinks implements SharedTables.Links {
 
-  @Override
-  public boolean mustRead(String table) {
-    return readDuties.get(table).mustRead(overlay.relay().isPresent(), clock.getAsLong());
-  }
+    @Override
+    public boolean isMesh() {
+      return overlay.isMesh();
+    }
 
-  @Override
-  public void share(String table, List<RowChange> rows, long fromVersion, long version) {
-    if (overlay.isMesh()) {
-      return;
+    @Override
+    public boolean hasRelay() {
+      return overlay.relay().isPresent();
+    }
+
+    @Override
+    public void publish(List<FleetState.TableRow> rows) {
+      rows.forEach(FleetExchange.this::publishRow);
+      sendUpdates(memberNames());
     }
-    rows.forEach(change -> shareRow(table, change));
-    sendUpdates(neighborsWithUrgent());
-    sendToMembers(new PeerMessage.TableRead(table, fromVersion, version));
-  }
 
-  @Override
-  public void shareRecovery(String table) {
-    sendToMembers(new PeerMessage.TableRegained(table));
+    @Override
+    public void sendToMembers(PeerMessage message) {
+      FleetExchange.this.sendToMembers(message);
+    }
   }
 
   private void sendToMembers(PeerMessage message) {
-    List<InstanceId> receivers =
-        overlay.neighbors().entrySet().stream()
-            .filter(neighbor -> neighbor.getValue().role() == LinkRole.MEMBER)
-            .map(neighbor -> new InstanceId(neighbor.getKey()))
-            .toList();
-    peers.sendToAll(receivers, message);
-  }
-
-  private void shareRow(String table, RowChange change) {
-    Row row = change.row();
-    FleetState.TableRow state =
-        new FleetState.TableRow(table, row.key(), row.value(), row.version(), change.removed());
-    // The version of the row orders the entry, whoever read it.
-    StateEntry entry =
-        new StateEntry("row/" + table + "/" + row.key(), row.version(), 0, self.domain(), state);
-    entries.put(toStored(entry), ReplicatedEntries.OWN);
+    peers.sendToAll(memberNames().stream().map(InstanceId::new).toList(), message);
   }
 
-  private void applyTableRead(PeerMessage.TableRead read) {
-    TableSharing.Listener tableListener = tableListeners.get(read.table());
-    if (tableListener != null && tableListener.onSharedUpTo(read.fromVersion(), read.version())) {
-      readDuties.get(read.table()).recordTold(clock.getAsLong());
-    }
+  private Set<String> memberNames() {
+    return overlay.neighbors().entrySet().stream()
+        .filter(neighbor -> neighbor.getValue().role() == LinkRole.MEMBER)
+        .map(Map.Entry::getKey)
+        .collect(Collectors.toCollection(TreeSet::new));
   }
 
-  private void applyTableRegained(String table) {
-    TableSharing.Listener tableListener = tableListeners.get(table);
-    if (tableListener != null) {
-      tableListener.onSharedRecovery();
-    }
+  private void publishRow(FleetState.TableRow row) {
+    String key = "row/" + row.table() + "/" + row.rowKey();
+    // The version of the row orders the entry, whoever read it.
+    StateEntry entry = new StateEntry(key, row.version(), 0, self.domain(), row);
+    entries.put(toStored(entry), ReplicatedEntries.OWN);
   }
 
   private void applyStatus(FleetState.InstanceStatus status) {
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -161,9 +161,9 @@
     directory.setListener(this::onInstancesRegistered);
     control.execute(
         () -> {
-          configuration.subscribe(this, exchange);
-          targetSource.subscribe(this, exchange);
-          directory.start();
+          configuration.subscribe(this, exchange.tables());
+          targetSource.subscribe(this, exchange.tables());
+          directory.start(exchange.tables());
         });
     control.execute(this::tickRegularly);
   }
@@ -341,8 +341,12 @@
       return;
     }
     switch (message) {
-      case PeerMessage.AdapterWanted wanted ->
-          engineOwner.requestLoad(wanted.engine(), toLoadRequest(wanted));
+      case PeerMessage.AdapterWanted wanted -> {
+        if (!settings.name().equals(from.value())) {
+          exchange.recordInterest(wanted.engine(), from.value());
+        }
+        engineOwner.requestLoad(wanted.engine(), toLoadRequest(wanted));
+      }
       case PeerMessage.AdapterMissing missing ->
           engineOwner.onAdapterMissing(missing.engine(), AdapterKey.parse(missing.adapter()));
       default -> LOG.debug("peer_message_unused", "peer", from, "type", message.getClass());
--- a/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
+++ b/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
@@ -12,9 +12,11 @@
 import org.apricotstand.overlay.OverlayInstance;
 import org.apricotstand.port.CommitResult;
 import org.apricotstand.port.Row;
+import org.apricotstand.port.RowChange;
 import org.apricotstand.port.RowStore;
 import org.apricotstand.port.RowWrite;
 import org.apricotstand.port.ServingSettings;
+import org.apricotstand.port.TableSharing;
 
 /**
  * Finds the other instances through a table. At its start, each instance writes its own address to
@@ -30,6 +32,9 @@
   /** First pause between two reads; instances that start together register one after the other. */
   private static final long MIN_REFRESH_PERIOD_MS = 300;
 
+  /** Pause between two checks whether another instance reads the table for this one. */
+  private static final long SHARING_CHECK_MS = 500;
+
   /** Number of first reads after which a list that still changes is used all the same. */
   private static final int MAX_SETTLING_READS = 4;
 
@@ -41,6 +46,7 @@
   private final Map<InstanceId, InstanceRecord> records = new ConcurrentHashMap<>();
   private Consumer<List<OverlayInstance>> listener = instances -> {};
   private long refreshPeriodMs = MIN_REFRESH_PERIOD_MS;
+  private TableSharing sharing;
   private int reads;
   private boolean settled;
 
@@ -57,7 +63,31 @@
   }
 
   /** Registers this instance and starts to look for others; called on the control thread. */
-  public void start() {
+  public void start(TableSharing tableSharing) {
+    sharing = tableSharing;
+    sharing.subscribe(
+        TABLE,
+        MAX_REFRESH_PERIOD_MS,
+        new TableSharing.Listener() {
+          @Override
+          public void onShared(List<RowChange> rows) {
+            applyShared(rows);
+          }
+
+          @Override
+          public boolean onSharedUpTo(long fromVersion, long version) {
+            return settled;
+          }
+
+          @Override
+          public void onSharedRecovery() {
+            // The table keeps its rows through an outage.
+          }
+        });
+    register();
+  }
+
+  private void register() {
     InstanceRecord own =
         new InstanceRecord(
             settings.name(),
@@ -75,11 +105,15 @@
       refresh();
     } else {
       LOG.warn("instance_not_registered", "result", result);
-      control.executeAt(ControlThread.nowMs() + RETRY_DELAY_MS, this::start);
+      control.executeAt(ControlThread.nowMs() + RETRY_DELAY_MS, this::register);
     }
   }
 
   private void refresh() {
+    if (settled && !sharing.mustRead(TABLE)) {
+      control.executeAt(ControlThread.nowMs() + SHARING_CHECK_MS, this::refresh);
+      return;
+    }
     control.whenComplete(store.readAll(TABLE), this::handleRows);
   }
 
@@ -106,6 +140,25 @@
     }
   }
 
+  private void logNewInstances(int knownBefore) {
+    if (records.size() > knownBefore) {
+      LOG.info("instances_found", "count", records.size(), "new", records.size() - knownBefore);
+    }
+  }
+
+  /** Passes on a read, which was of the whole table, so that it tells all up to its version. */
+  private void share(List<Row> rows) {
+    long version = rows.stream().mapToLong(Row::version).max().orElse(0);
+    sharing.share(TABLE, rows.stream().map(row -> new RowChange(row, false)).toList(), 0, version);
+  }
+
+  private void applyShared(List<RowChange> changes) {
+    int knownBefore = records.size();
+    changes.stream().map(RowChange::row).forEach(this::updateRecord);
+    logNewInstances(knownBefore);
+    announceWhenSettled(false);
+  }
+
   private void updateRecord(Row row) {
     if (row.key().equals(settings.name())) {
       return;
--- a/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
@@ -121,7 +121,7 @@
 
   @Override
   public void sendToAll(Collection<InstanceId> receivers, PeerMessage message) {
-    if (receivers.size() == 1) {
+    if (receivers.size() <= 1) {
       receivers.forEach(peer -> send(peer, message));
       return;
     }
--- a/node/src/main/java/org/apricotstand/port/TableSharing.java
+++ b/node/src/main/java/org/apricotstand/port/TableSharing.java
@@ -26,8 +26,12 @@
     void onSharedRecovery();
   }
 
-  /** Sets the listener for a table. */
-  void subscribe(String table, Listener listener);
+  /**
+   * Sets the listener for a table.
+   *
+   * @param readPeriodMs longest time between two reads of an instance that reads the table
+   */
+  void subscribe(String table, long readPeriodMs, Listener listener);
 
   /** Returns whether this instance has to read the table itself now. */
   boolean mustRead(String table);
