Forget crashes and removed rows after a minute

Cause: entries on crashes of targets and on removed rows stayed for ever: they added up, and a restarted instance took crashes of long ago for new ones. Change: both are dropped 60 s after they were first seen.

--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -63,6 +63,12 @@
   /** Period of publishing unchanged members again, for those that dropped this relay meanwhile. */
   private static final long MEMBERS_PERIOD_MS = 2_000;
 
+  /**
+   * Time for which the crash of a target and the removal of a row are passed on. New instances need
+   * neither, and they would add up.
+   */
+  private static final long EVENT_LIFETIME_MS = 60_000;
+
   private static final long IDLE_LINK_MS = 10_000;
   private static final int REMEMBERED_REPORTS = 32;
 
@@ -80,6 +86,7 @@
   private final LinkWatch linkWatch = new LinkWatch();
   private final Deque<PeerMessage.MemberReport> ownReports = new ArrayDeque<>();
   private final Map<String, Long> useSilentFromMs = new HashMap<>();
+  private final Map<String, Long> eventUntilMs = new HashMap<>();
   private final Set<String> useRecipients = new HashSet<>();
   private final Map<String, Map<String, Long>> interestUntilMs = new HashMap<>();
   private final SharedTables tables;
@@ -214,8 +221,20 @@
 
   private void publish(String key, long epoch, FleetState state) {
     sequence++;
-    StateEntry entry = new StateEntry(key, epoch, sequence, self.domain(), state);
-    entries.put(toStored(entry), ReplicatedEntries.OWN);
+    put(new StateEntry(key, epoch, sequence, self.domain(), state), ReplicatedEntries.OWN);
+  }
+
+  private boolean put(StateEntry entry, String source) {
+    boolean isNew = entries.put(toStored(entry), source);
+    if (isNew && isEvent(entry.state())) {
+      eventUntilMs.put(entry.key(), clock.getAsLong() + EVENT_LIFETIME_MS);
+    }
+    return isNew;
+  }
+
+  private static boolean isEvent(FleetState state) {
+    return state instanceof FleetState.TargetCrash
+        || (state instanceof FleetState.TableRow row && row.removed());
   }
 
   private static ReplicatedEntries.Entry<StateEntry> toStored(StateEntry entry) {
@@ -307,6 +326,15 @@
   private void removeSilent(long nowMs) {
     members.removeSilent(nowMs);
     relayed.silentRelays(nowMs).forEach(this::removeRelay);
+    eventUntilMs.entrySet().stream()
+        .filter(entry -> nowMs >= entry.getValue())
+        .map(Map.Entry::getKey)
+        .toList()
+        .forEach(
+            key -> {
+              eventUntilMs.remove(key);
+              entries.remove(key);
+            });
     useSilentFromMs.entrySet().stream()
         .filter(entry -> nowMs >= entry.getValue())
         .map(Map.Entry::getKey)
@@ -524,7 +552,7 @@
       overlay.recordRequested(from, false, nowMs);
     }
     for (StateEntry entry : update.entries()) {
-      if (entries.put(toStored(entry), from)) {
+      if (put(entry, from)) {
         apply(entry.state(), nowMs);
       }
     }
@@ -589,8 +617,7 @@
   private void publishRow(FleetState.TableRow row) {
     String key = "row/" + row.table() + "/" + row.rowKey();
     // The version of the row orders the entry, whoever read it.
-    StateEntry entry = new StateEntry(key, row.version(), 0, self.domain(), row);
-    entries.put(toStored(entry), ReplicatedEntries.OWN);
+    put(new StateEntry(key, row.version(), 0, self.domain(), row), ReplicatedEntries.OWN);
   }
 
   private void applyStatus(FleetState.InstanceStatus status) {
--- a/node/src/test/java/org/apricotstand/fleet/FleetExchangeTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/FleetExchangeTest.java
@@ -113,6 +113,19 @@
         .forEach(instance -> assertThat(instance.crashes).hasSize(1));
   }
 
+  // Guards against crashes of long ago that a restarted instance takes for new ones.
+  @Test
+  void anOldCrashIsNotPassedOn() {
+    SimulatedFleet fleet = startedFleet(20, 2, 15);
+    fleet.get("n7").exchange.publishCrash(new FleetState.TargetCrash("f", "e#1"));
+    fleet.run(70_000);
+    SimulatedFleet.Instance restarted = fleet.get("n8");
+    restarted.crashes.clear();
+    fleet.restart(restarted);
+    fleet.run(5_000);
+    assertThat(restarted.crashes).isEmpty();
+  }
+
   // Guards against members that are taken for dead together with their relay.
   @Test
   void onlyTheRelayIsLostWhenARelayIsKilled() {
