Keep the own source of an entry that a member sends too

Cause: a row that this instance and a member both read was sent to all neighbors twice. Change: only entries that came by a detour change their source; a test for these. Measured: ReplicatedEntriesTest and FleetExchangeTest pass; not run on the bench.

--- a/core/src/main/java/org/apricotstand/overlay/ReplicatedEntries.java
+++ b/core/src/main/java/org/apricotstand/overlay/ReplicatedEntries.java
@@ -63,11 +63,10 @@
    */
   public boolean put(Entry<V> entry, String source) {
     StoredEntry<V> before = entries.get(entry.key());
-    int age = before == null ? -1 : before.entry.version().compareTo(entry.version());
-    if (age == 0) {
-      preferMember(before, source);
-    }
-    if (age >= 0) {
+    if (before != null && before.entry.version().compareTo(entry.version()) >= 0) {
+      if (before.entry.version().equals(entry.version())) {
+        preferMember(before, source);
+      }
       return false;
     }
     StoredEntry<V> stored = new StoredEntry<>(entry, source);
@@ -88,7 +87,7 @@
    * inside the domain is passed on to others.
    */
   private void preferMember(StoredEntry<V> stored, String source) {
-    if (isMember(source) && !isMember(stored.source)) {
+    if (isMember(source) && !isMember(stored.source) && !stored.source.equals(OWN)) {
       StoredEntry<V> preferred = new StoredEntry<>(stored.entry, source);
       entries.put(stored.entry.key(), preferred);
       addPendingForAll(preferred);
--- a/core/src/test/java/org/apricotstand/overlay/ReplicatedEntriesTest.java
+++ b/core/src/test/java/org/apricotstand/overlay/ReplicatedEntriesTest.java
@@ -147,6 +147,20 @@
     assertThat(take("r")).containsExactly("a1");
   }
 
+  // Guards against state of a member that stays here because it came by a detour first.
+  @Test
+  void anEntryOfAMemberThatCameByADetourIsPassedOn() {
+    entries.setNeighbors(
+        Map.of(
+            "m", peer(LinkRole.MEMBER, "d1"),
+            "far1", peer(LinkRole.REMOTE, "d2"),
+            "far2", peer(LinkRole.REMOTE, "d3")));
+    entries.put(entry("a", 1, "d1"), "far1");
+    assertThat(take("far2")).isEmpty();
+    entries.put(entry("a", 1, "d1"), "m");
+    assertThat(take("far2")).containsExactly("a1");
+  }
+
   // Guards against a failure when a link opens to an instance that is no neighbor.
   @Test
   void resendsNothingToAnInstanceThatIsNoNeighbor() {
