Correct the example of the relay election

Cause: it gave the result another type than the method returns, and named a domain by a word of the users' pages. Change: one line of a comment.

--- a/core/src/main/java/org/apricotstand/overlay/RelayElection.java
+++ b/core/src/main/java/org/apricotstand/overlay/RelayElection.java
@@ -17,7 +17,7 @@
  *
  * <pre>{@code
  * election.setInstances(registered);
- * Optional<String> relay = election.relayOf("zone-a", nowMs);
+ * String relay = election.relayOf("a", nowMs);
  * }</pre>
  */
 final class RelayElection {
