Log the prompt parts of lost attempts and whether an answer had begun

Cause looked for: engines crash one after the other, and the logs could not tell which feature the requests at each crash have in common. Change: attempt_lost has the fields begun and prompt (the parts that other requests may share, at most 16).

--- a/node/src/main/java/org/apricotstand/port/HeaderNames.java
+++ b/node/src/main/java/org/apricotstand/port/HeaderNames.java
@@ -14,6 +14,8 @@
  * @param notExecuted present when the target did not run the request
  * @param signature present in every answer made by a target; an answer without it came from
  *     elsewhere
+ * @param promptParts parts of the prompt, in order, as {@code ID:TOKENS} pairs; only the last one
+ *     belongs to the request alone
  * @param lastEventId id of the event after which an interrupted stream is resumed
  * @param reserved names in lower case of headers that callers may not set
  */
@@ -26,5 +28,6 @@
     String urgency,
     String notExecuted,
     String signature,
+    String promptParts,
     String lastEventId,
     Set<String> reserved) {}
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -27,6 +27,7 @@
 import org.apricotstand.residency.SlotEvent;
 import org.apricotstand.route.RequestKind;
 import org.apricotstand.route.Route;
+import org.apricotstand.suspect.PromptParts;
 import org.apricotstand.upstream.AnswerListener;
 import org.apricotstand.upstream.SendFailure;
 import org.apricotstand.upstream.TargetConnection;
@@ -348,7 +349,11 @@
         "detail",
         failure.detail(),
         "answering",
-        answerStarted);
+        answerStarted,
+        "begun",
+        attempt.firstByteReceived,
+        "prompt",
+        PromptParts.shared(request.headers().get(router.headerNames().promptParts())));
     if (failure instanceof SendFailure.NotSent) {
       connectFailures++;
       router.health().recordUnreachable(attempt.target.id(), nowMs);
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -60,6 +60,7 @@
           "x-urgency",
           "x-not-executed",
           "x-seal",
+          "x-prompt",
           "last-event-id",
           Set.of("x-expect-target", "x-reserved"));
   private static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
