Add a failing test for a prompt part that crashes targets in different requests

Three requests that share one prompt part and nothing else crash a target each; the fourth is still sent and must not be.

--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -65,6 +65,10 @@
           Set.of("x-expect-target", "x-reserved"));
   private static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
   private static final long TEST_TIMEOUT_MS = 20_000;
+
+  /** Time between crashes that have nothing in common but the request. */
+  private static final long CRASH_SPACING_MS = 300;
+
   private static final AnswerLimits LIMITS = new AnswerLimits(65_536, 16_384);
 
   private final MultiThreadIoEventLoopGroup group =
@@ -429,8 +433,12 @@
   }
 
   private void awaitFleetCall() {
+    awaitFleetCalls(1);
+  }
+
+  private void awaitFleetCalls(int count) {
     long endMs = System.nanoTime() / 1_000_000 + TEST_TIMEOUT_MS;
-    while (fleetCalls.isEmpty() && System.nanoTime() / 1_000_000 < endMs) {
+    while (fleetCalls.size() < count && System.nanoTime() / 1_000_000 < endMs) {
       Thread.onSpinWait();
     }
   }
@@ -520,6 +528,41 @@
     assertThat(call("")).contains("crashes_targets");
   }
 
+  // Guards against different requests that share only one part of their prompts and crash one
+  // target
+  // after the other, because each of them is blamed for one crash only.
+  @Test
+  void aPromptPartThatCrashedTargetsIsRefusedInOtherRequests() throws Exception {
+    for (int i = 1; i <= 3; i++) {
+      serve(RequestKind.STREAM, 1, false, target("t" + i, crashes));
+      assertThat(callWithPrompt("first:9,subject:9,harmful:9,own" + i + ":9"))
+          .startsWith("HTTP/1.1 502 ");
+      awaitFleetCalls(i);
+      Thread.sleep(CRASH_SPACING_MS);
+    }
+    serve(RequestKind.STREAM, 1, false, target("t4", ANSWERS_DONE));
+    assertThat(callWithPrompt("first:9,subject:9,harmful:9,own4:9")).contains("crashes_targets");
+    assertThat(targets.getLast().heads()).isEmpty();
+    assertThat(callWithPrompt("first:9,subject:9,own5:9")).endsWith("done");
+  }
+
+  /** Crashes the newest target: closes its listener and the connection of the request. */
+  private final ScriptedTarget.Script crashes =
+      (id, number, out) -> {
+        targets.getLast().close();
+        return false;
+      };
+
+  /** Sends a request with the given prompt parts and with a path that no other request has. */
+  private String callWithPrompt(String parts) throws IOException {
+    return sendRaw(
+        "POST /p/"
+            + parts.hashCode()
+            + " HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nConnection: close\r\nX-Prompt: "
+            + parts
+            + "\r\nContent-Length: 2\r\n\r\nhi");
+  }
+
   // Guards against passing on a success without signature, as a crashing target can send it.
   @Test
   void aSuccessWithoutSignatureIsNotPassedOn() throws IOException {
