Close the scripted servers of the tests before a caller is refused

Cause: closing a listener returns while another thread is still in accept(); until that thread returns from the system call, the kernel goes on accepting connections, so the call was connected and then reset. Change: close() of both scripted servers waits for that thread.

--- a/node/src/test/java/org/apricotstand/http/ScriptedServer.java
+++ b/node/src/test/java/org/apricotstand/http/ScriptedServer.java
@@ -12,13 +12,16 @@
 /** Server that reads one request per connection, sends fixed bytes and closes the connection. */
 final class ScriptedServer implements AutoCloseable {
 
+  private static final long CLOSE_TIMEOUT_MS = 5_000;
+
   private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
   private final AtomicInteger requestCount = new AtomicInteger();
   private final String answer;
+  private final Thread thread;
 
   ScriptedServer(String answer) throws IOException {
     this.answer = answer;
-    Thread thread = new Thread(this::serve, "scripted-server");
+    thread = new Thread(this::serve, "scripted-server");
     thread.setDaemon(true);
     thread.start();
   }
@@ -55,8 +58,17 @@
     }
   }
 
+  /**
+   * Closes the listener and waits for the thread that accepts on it: until that thread returns from
+   * the system call, the kernel goes on accepting connections.
+   */
   @Override
   public void close() throws IOException {
     listener.close();
+    try {
+      thread.join(CLOSE_TIMEOUT_MS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 }
--- a/node/src/test/java/org/apricotstand/request/ScriptedTarget.java
+++ b/node/src/test/java/org/apricotstand/request/ScriptedTarget.java
@@ -28,14 +28,17 @@
     boolean answer(String requestId, int number, OutputStream out) throws IOException;
   }
 
+  private static final long CLOSE_TIMEOUT_MS = 5_000;
+
   private final ServerSocket listener;
+  private final Thread acceptor;
   private final Script script;
   private final List<String> heads = new CopyOnWriteArrayList<>();
 
   ScriptedTarget(Script script) throws IOException {
     this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     this.script = script;
-    Thread.ofPlatform().daemon().start(this::accept);
+    this.acceptor = Thread.ofPlatform().daemon().start(this::accept);
   }
 
   int port() {
@@ -120,12 +123,19 @@
         .orElse(defaultValue);
   }
 
+  /**
+   * Closes the listener and waits for the thread that accepts on it: until that thread returns from
+   * the system call, the kernel goes on accepting connections.
+   */
   @Override
   public void close() {
     try {
       listener.close();
+      acceptor.join(CLOSE_TIMEOUT_MS);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 }
