Blame crashes on the traits that requests share, not only on whole requests

What callers saw: one prompt part crashes each engine that begins to answer it. Cause: a crash counted against the fingerprint of the whole request only, so requests that share nothing but one part never counted together. All requests in flight were blamed, also those that were being answered. Change: CrashSuspects judges traits (whole request, prompt part, adapter) by the requests that a crashed target had not begun to answer; an answer clears a trait on all instances; of several traits that explain the same crashes the one without an answer for the longest time is refused; targets that fail together count once for shared traits. Refused requests are not sent any more, also those that wait or were sent and have no answer. Refusals are passed to instances that start later and last twice as long after a relapse. CrashWatch probes a target once for all requests that it loses.

--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -63,12 +63,6 @@
   /** Period of publishing unchanged members again, for those that dropped this relay meanwhile. */
   private static final long MEMBERS_PERIOD_MS = 2_000;
 
-  /**
-   * Time for which the crash of a target and the removal of a row are passed on. New instances need
-   * neither, and they would add up.
-   */
-  private static final long EVENT_LIFETIME_MS = 60_000;
-
   private static final long IDLE_LINK_MS = 10_000;
   private static final int REMEMBERED_REPORTS = 32;
 
@@ -215,7 +209,31 @@
   }
 
   void publishCrash(FleetState.TargetCrash crash) {
-    publish("crash/" + crash.fingerprint() + "/" + crash.target(), incarnation, crash);
+    publishEvent("crash/" + crash.target(), crash);
+  }
+
+  void publishAnswer(FleetState.TraitAnswered answer) {
+    entries.remove(refusalKey(answer.trait()));
+    publishEvent("answered/" + answer.trait(), answer);
+  }
+
+  /**
+   * Publishes that a trait is refused, for instances that start later. All instances come to know
+   * it at the same time from the crashes themselves, so in a large fleet only relays publish it.
+   */
+  void publishRefusal(FleetState.TraitRefused refusal) {
+    if (overlay.isMesh() || overlay.relay().isEmpty()) {
+      publish(refusalKey(refusal.trait()), incarnation, refusal);
+    }
+  }
+
+  private static String refusalKey(String trait) {
+    return "refused/" + trait;
+  }
+
+  /** Publishes what happened here; each time under a key of its own, since all of it counts. */
+  private void publishEvent(String what, FleetState event) {
+    publish(what + "/" + self.name() + "/" + (sequence + 1), incarnation, event);
     sendUrgent(clock.getAsLong());
   }
 
@@ -226,39 +244,22 @@
 
   private boolean put(StateEntry entry, String source) {
     boolean isNew = entries.put(toStored(entry), source);
-    if (isNew && isEvent(entry.state())) {
-      eventUntilMs.put(entry.key(), clock.getAsLong() + EVENT_LIFETIME_MS);
+    if (isNew) {
+      StateLifetime.lifetimeMs(entry.state())
+          .ifPresent(lifetimeMs -> eventUntilMs.put(entry.key(), clock.getAsLong() + lifetimeMs));
     }
     return isNew;
   }
 
-  private static boolean isEvent(FleetState state) {
-    return state instanceof FleetState.TargetCrash
-        || (state instanceof FleetState.TableRow row && row.removed());
-  }
-
   private static ReplicatedEntries.Entry<StateEntry> toStored(StateEntry entry) {
     return new ReplicatedEntries.Entry<>(
         entry.key(),
         new EntryVersion(entry.epoch(), entry.sequence()),
         entry.domain(),
-        isUrgent(entry.state()),
+        StateLifetime.isUrgent(entry.state()),
         entry);
   }
 
-  private static boolean isUrgent(FleetState state) {
-    return switch (state) {
-      // Requests wait for an adapter, and crashing requests come again at once.
-      case FleetState.EngineHoldings holdings -> true;
-      case FleetState.TargetCrash crash -> true;
-      // Members are told at each read, and other relays read themselves.
-      case FleetState.TableRow row -> false;
-      case FleetState.InstanceStatus status -> status.leaving();
-      case FleetState.RelayedInstances instances -> false;
-      case FleetState.RelayedLoad load -> false;
-    };
-  }
-
   /** Sends a message to the owner of an engine, directly. */
   void sendToOwner(String owner, PeerMessage message) {
     linkWatch.recordSent(owner, clock.getAsLong());
@@ -569,6 +570,11 @@
       case FleetState.RelayedLoad load -> applyLoad(load, nowMs);
       case FleetState.EngineHoldings holdings -> listener.onHoldings(holdings);
       case FleetState.TargetCrash crash -> listener.onCrash(crash);
+      case FleetState.TraitAnswered answer -> {
+        entries.remove(refusalKey(answer.trait()));
+        listener.onAnswer(answer);
+      }
+      case FleetState.TraitRefused refusal -> listener.onRefusal(refusal);
       case FleetState.TableRow row -> tables.apply(row);
     }
   }
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchangeListener.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchangeListener.java
@@ -27,6 +27,12 @@
   /** Called when an instance published the crash of a target. */
   void onCrash(FleetState.TargetCrash crash);
 
+  /** Called when an instance published an answer that clears a suspected trait. */
+  void onAnswer(FleetState.TraitAnswered answer);
+
+  /** Called when an instance published that it refuses a trait. */
+  void onRefusal(FleetState.TraitRefused refusal);
+
   /** Called with the requests that all instances behind a relay received, by adapter. */
   void onArrivals(Map<String, Integer> arrivals);
 
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -2,11 +2,14 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import java.util.stream.Collectors;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
@@ -36,6 +39,7 @@
 import org.apricotstand.route.EngineSpec;
 import org.apricotstand.route.RoutingPlan;
 import org.apricotstand.route.ServiceSpec;
+import org.apricotstand.suspect.Trait;
 
 /**
  * Collects the state of targets, engines and peers on the control thread and publishes it as a
@@ -81,7 +85,9 @@
   private final Map<String, WarmCopies> warmCopies = new HashMap<>();
   private final Map<String, String> incarnations = new HashMap<>();
   private Runnable viewListener = () -> {};
-  private BiConsumer<String, String> crashListener = (fingerprint, incarnation) -> {};
+  private BiConsumer<String, Map<Trait, Integer>> crashListener = (target, requests) -> {};
+  private Consumer<Trait> answerListener = trait -> {};
+  private ObjLongConsumer<Trait> refusalListener = (trait, untilMs) -> {};
   private RoutingPlan plan;
   private List<TargetEntry> targets = List.of();
   private boolean publishScheduled;
@@ -141,13 +147,26 @@
   }
 
   /**
-   * Sets the listener for crashes that other instances report. It gets the fingerprint of the
-   * request and the incarnation of the target that crashed.
+   * Sets the listener for crashes that other instances report. It gets the incarnation of the
+   * target and the number of requests that it had not begun to answer, by trait.
    */
-  public void setCrashListener(BiConsumer<String, String> listener) {
+  public void setCrashListener(BiConsumer<String, Map<Trait, Integer>> listener) {
     crashListener = listener;
   }
 
+  /** Sets the listener for traits that other instances report as answered. */
+  public void setAnswerListener(Consumer<Trait> listener) {
+    answerListener = listener;
+  }
+
+  /**
+   * Sets the listener for traits that other instances refuse. It gets the monotonic time at which
+   * the refusal ends.
+   */
+  public void setRefusalListener(ObjLongConsumer<Trait> listener) {
+    refusalListener = listener;
+  }
+
   /** Returns the newest view. */
   public FleetView view() {
     return view;
@@ -318,11 +337,26 @@
   }
 
   @Override
-  public void reportCrash(String fingerprint, String incarnation) {
-    FleetState.TargetCrash crash = new FleetState.TargetCrash(fingerprint, incarnation);
+  public void reportCrash(String incarnation, Map<Trait, Integer> requestsByTrait) {
+    Map<String, Integer> encoded = new LinkedHashMap<>();
+    requestsByTrait.forEach((trait, requests) -> encoded.put(trait.encode(), requests));
+    FleetState.TargetCrash crash = new FleetState.TargetCrash(incarnation, encoded);
     control.execute(() -> exchange.publishCrash(crash));
   }
 
+  @Override
+  public void reportAnswer(Trait trait) {
+    FleetState.TraitAnswered answer = new FleetState.TraitAnswered(trait.encode());
+    control.execute(() -> exchange.publishAnswer(answer));
+  }
+
+  @Override
+  public void reportRefusal(Trait trait, long untilMs) {
+    long remainingMs = untilMs - ControlThread.nowMs();
+    FleetState.TraitRefused refusal = new FleetState.TraitRefused(trait.encode(), remainingMs);
+    control.execute(() -> exchange.publishRefusal(refusal));
+  }
+
   @Override
   public void onHello(InstanceId peer, PeerMessage.Hello hello) {
     LOG.info("peer_linked", "peer", peer, "incarnation", hello.incarnation());
@@ -400,7 +434,24 @@
 
   @Override
   public void onCrash(FleetState.TargetCrash crash) {
-    crashListener.accept(crash.fingerprint(), crash.target());
+    Map<Trait, Integer> requestsByTrait = new LinkedHashMap<>();
+    crash
+        .requestsByTrait()
+        .forEach(
+            (text, requests) ->
+                Trait.decode(text).ifPresent(trait -> requestsByTrait.put(trait, requests)));
+    crashListener.accept(crash.target(), requestsByTrait);
+  }
+
+  @Override
+  public void onAnswer(FleetState.TraitAnswered answer) {
+    Trait.decode(answer.trait()).ifPresent(answerListener);
+  }
+
+  @Override
+  public void onRefusal(FleetState.TraitRefused refusal) {
+    long untilMs = ControlThread.nowMs() + refusal.remainingMs();
+    Trait.decode(refusal.trait()).ifPresent(trait -> refusalListener.accept(trait, untilMs));
   }
 
   @Override
--- a/node/src/main/java/org/apricotstand/peer/FleetState.java
+++ b/node/src/main/java/org/apricotstand/peer/FleetState.java
@@ -17,6 +17,8 @@
   @JsonSubTypes.Type(value = FleetState.RelayedLoad.class, name = "load"),
   @JsonSubTypes.Type(value = FleetState.EngineHoldings.class, name = "holdings"),
   @JsonSubTypes.Type(value = FleetState.TargetCrash.class, name = "crash"),
+  @JsonSubTypes.Type(value = FleetState.TraitAnswered.class, name = "answered"),
+  @JsonSubTypes.Type(value = FleetState.TraitRefused.class, name = "refused"),
   @JsonSubTypes.Type(value = FleetState.TableRow.class, name = "row")
 })
 public sealed interface FleetState {
@@ -67,13 +69,28 @@
       implements FleetState {}
 
   /**
-   * A target crashed while it ran a request.
+   * A target crashed.
    *
-   * @param fingerprint hash that is equal for all attempts of the request, and each time that its
-   *     caller sends it
-   * @param target incarnation of the target that crashed
+   * @param target incarnation of the target
+   * @param requestsByTrait number of requests of the reporting instance that the target had not
+   *     begun to answer, by encoded trait
    */
-  record TargetCrash(String fingerprint, String target) implements FleetState {}
+  record TargetCrash(String target, Map<String, Integer> requestsByTrait) implements FleetState {}
+
+  /**
+   * A target answered a request with a trait that was suspected of crashing targets.
+   *
+   * @param trait encoded trait
+   */
+  record TraitAnswered(String trait) implements FleetState {}
+
+  /**
+   * Requests with a trait are refused, since they crash targets.
+   *
+   * @param trait encoded trait
+   * @param remainingMs time for which they were still refused when this was published
+   */
+  record TraitRefused(String trait, long remainingMs) implements FleetState {}
 
   /**
    * A row that an instance read from the store.
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/request/CrashWatch.java
@@ -0,0 +1,166 @@
+package org.apricotstand.request;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.dispatch.TargetHealth;
+import org.apricotstand.observe.EventLog;
+import org.apricotstand.suspect.CrashSuspects;
+import org.apricotstand.suspect.Trait;
+import org.apricotstand.upstream.TargetConnectionPool;
+
+/**
+ * Finds out whether a target that lost the connections of requests has crashed, and tells the fleet
+ * which traits the requests without an answer had. Belongs to the traffic thread.
+ *
+ * <pre>{@code
+ * watch.onAttemptLost(target, traits, answered);
+ * if (watch.findRefused(traits).isPresent()) { ... }
+ * }</pre>
+ */
+final class CrashWatch {
+
+  private static final EventLog LOG = EventLog.of(CrashWatch.class);
+
+  /** Delay between the loss of a connection and the probe of its target. */
+  private static final long CRASH_PROBE_DELAY_MS = 100;
+
+  private final EventLoop loop;
+  private final LongSupplier clock;
+  private final TargetConnectionPool connections;
+  private final TargetHealth health;
+  private final FleetNotifier fleetNotifier;
+  private final Runnable refusalListener;
+  private final CrashSuspects suspects = new CrashSuspects();
+
+  /** Unanswered requests that targets have lost since the last probe, by incarnation and trait. */
+  private final Map<String, Map<Trait, Integer>> lostByTarget = new HashMap<>();
+
+  /**
+   * Creates a watch that suspects nothing.
+   *
+   * @param clock monotonic time in milliseconds
+   * @param refusalListener called after more requests than before are refused
+   */
+  CrashWatch(
+      EventLoop loop,
+      LongSupplier clock,
+      TargetConnectionPool connections,
+      TargetHealth health,
+      FleetNotifier fleetNotifier,
+      Runnable refusalListener) {
+    this.loop = loop;
+    this.clock = clock;
+    this.connections = connections;
+    this.health = health;
+    this.fleetNotifier = fleetNotifier;
+    this.refusalListener = refusalListener;
+  }
+
+  /** Returns the trait for which a request is refused, if there is one. */
+  Optional<Trait> findRefused(RequestTraits traits) {
+    if (suspects.isEmpty()) {
+      return Optional.empty();
+    }
+    return suspects.findRefused(traits.all().toList(), clock.getAsLong());
+  }
+
+  /**
+   * Records that a target lost the connection of a request, and probes the target once for all
+   * requests that it loses at the same time. If it does not respond, it is taken as crashed, and
+   * all instances are told.
+   *
+   * @param answered whether the target had begun to answer, so that the request is no suspect
+   */
+  void onAttemptLost(TargetEntry target, RequestTraits traits, boolean answered) {
+    boolean isProbeDue = !lostByTarget.containsKey(target.incarnation());
+    Map<Trait, Integer> lost =
+        lostByTarget.computeIfAbsent(target.incarnation(), key -> new LinkedHashMap<>());
+    if (!answered) {
+      traits.all().forEach(trait -> lost.merge(trait, 1, Integer::sum));
+    }
+    if (isProbeDue) {
+      loop.schedule(() -> probe(target), CRASH_PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void probe(TargetEntry target) {
+    connections.probe(
+        target,
+        alive -> {
+          Map<Trait, Integer> lost = lostByTarget.remove(target.incarnation());
+          if (!alive) {
+            onCrash(target, lost);
+          }
+        });
+  }
+
+  private void onCrash(TargetEntry target, Map<Trait, Integer> requestsByTrait) {
+    LOG.info("crash_noted", "target", target.incarnation(), "suspects", requestsByTrait.size());
+    health.recordUnreachable(target.id(), clock.getAsLong());
+    if (!requestsByTrait.isEmpty()) {
+      recordCrash(target.incarnation(), requestsByTrait);
+      fleetNotifier.reportCrash(target.incarnation(), requestsByTrait);
+    }
+  }
+
+  /** Records a crash that this instance or another one has seen. */
+  void recordCrash(String incarnation, Map<Trait, Integer> requestsByTrait) {
+    long nowMs = clock.getAsLong();
+    Set<Trait> refused = suspects.recordCrash(incarnation, requestsByTrait, nowMs);
+    for (Trait trait : refused) {
+      long untilMs = suspects.refusedUntilMs(trait, nowMs).orElse(nowMs);
+      LOG.warn(
+          "trait_refused",
+          "trait",
+          trait.encode(),
+          "target",
+          incarnation,
+          "remaining_ms",
+          untilMs - nowMs);
+      fleetNotifier.reportRefusal(trait, untilMs);
+    }
+    if (!refused.isEmpty()) {
+      refusalListener.run();
+    }
+  }
+
+  /** Records that another instance refuses a trait. */
+  void recordRefusal(Trait trait, long untilMs) {
+    if (suspects.recordRefusal(trait, untilMs, clock.getAsLong())) {
+      LOG.info("trait_refusal_learnt", "trait", trait.encode());
+      refusalListener.run();
+    }
+  }
+
+  /**
+   * Records that a target answers a request, and tells the fleet if that clears a suspected trait.
+   */
+  void onAnswer(RequestTraits traits) {
+    traits.shared().forEach(this::clear);
+    if (!suspects.isEmpty()) {
+      clear(traits.wholeRequest());
+    }
+  }
+
+  private void clear(Trait trait) {
+    if (recordAnswer(trait)) {
+      fleetNotifier.reportAnswer(trait);
+    }
+  }
+
+  /** Records an answer that this instance or another one has seen; see {@link CrashSuspects}. */
+  boolean recordAnswer(Trait trait) {
+    boolean isNews = suspects.recordAnswer(trait, clock.getAsLong());
+    if (isNews) {
+      LOG.info("trait_cleared", "trait", trait.encode());
+    }
+    return isNews;
+  }
+}
--- a/node/src/main/java/org/apricotstand/request/FleetNotifier.java
+++ b/node/src/main/java/org/apricotstand/request/FleetNotifier.java
@@ -1,7 +1,9 @@
 package org.apricotstand.request;
 
+import java.util.Map;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.SlotEvent;
+import org.apricotstand.suspect.Trait;
 
 /** Sends messages of the request path to the rest of the fleet. All calls return immediately. */
 public interface FleetNotifier {
@@ -13,11 +15,20 @@
   void reportMissing(String engine, AdapterKey key);
 
   /**
-   * Tells all instances that a target crashed while it ran a request.
+   * Tells all instances that a target crashed.
    *
-   * @param fingerprint hash that is equal for all attempts of the request, and each time that its
-   *     caller sends it
    * @param incarnation identifier of the run of the target that crashed
+   * @param requestsByTrait number of requests that it had not begun to answer, by trait
    */
-  void reportCrash(String fingerprint, String incarnation);
+  void reportCrash(String incarnation, Map<Trait, Integer> requestsByTrait);
+
+  /** Tells all instances that a target has answered a request with this trait. */
+  void reportAnswer(Trait trait);
+
+  /**
+   * Tells all instances, also those that start later, that requests with a trait are refused.
+   *
+   * @param untilMs monotonic time at which the refusal ends
+   */
+  void reportRefusal(Trait trait, long untilMs);
 }
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -19,7 +19,6 @@
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.front.CallHandler;
 import org.apricotstand.front.CallerRequest;
-import org.apricotstand.front.HopByHopHeaders;
 import org.apricotstand.front.Reply;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.port.AnswerLimits;
@@ -27,7 +26,7 @@
 import org.apricotstand.residency.SlotEvent;
 import org.apricotstand.route.RequestKind;
 import org.apricotstand.route.Route;
-import org.apricotstand.suspect.PromptParts;
+import org.apricotstand.suspect.Trait;
 import org.apricotstand.upstream.AnswerListener;
 import org.apricotstand.upstream.SendFailure;
 import org.apricotstand.upstream.TargetConnection;
@@ -46,6 +45,12 @@
   /** Logged as the time of a step that the request did not reach. */
   private static final long NOT_REACHED = -1;
 
+  /** Code of requests that are refused because others like them crashed targets. */
+  static final String CRASHES_TARGETS = "crashes_targets";
+
+  /** Time after which a caller may send a request again that was refused for crashing targets. */
+  static final long CRASHING_REQUEST_RETRY_MS = 60_000;
+
   private static final int MAX_REJECTIONS = 4;
   private static final int MAX_CONNECT_FAILURES = 4;
 
@@ -69,10 +74,11 @@
   /** Fraction of the time left that a target gets to answer an idempotent request. */
   private static final double HEAD_TIMEOUT_FRACTION = 0.35;
 
-  /** Difference in the urgency header between routes of successive priorities. */
-  private static final int URGENCY_STEP = 2;
-
-  private static final int MAX_URGENCY = 9;
+  /**
+   * Time without a crash after the first byte of an answer, after which the request did not cause
+   * one.
+   */
+  private static final long CRASH_AFTER_FIRST_BYTE_MS = 250;
 
   private final RequestRouter router;
   private final CallerRequest request;
@@ -81,10 +87,12 @@
   private final String service;
   private final String requestId;
   private final AdapterKey adapter;
+  private final RequestTraits traits;
   private final long deadlineMs;
   private final long callerDeadlineMs;
   private final Set<String> excludedTargetIds = new HashSet<>();
   private final EventSplitter eventSplitter;
+  private final TargetRequestFactory targetRequests;
   private ScheduledFuture<?> deadlineTimer;
   private ScheduledFuture<?> refusalTimer;
   private String loadRequestedFrom;
@@ -112,10 +120,15 @@
     boolean isEngineService =
         router.view().plan().service(service).flatMap(spec -> spec.engine()).isPresent();
     this.adapter = isEngineService && model != null ? AdapterKey.parse(model) : null;
+    this.traits =
+        new RequestTraits(
+            request, adapter, request.headers().get(router.headerNames().promptParts()));
     this.callerDeadlineMs = request.arrivedMs() + callerTimeoutMs(request.headers());
     this.deadlineMs =
         Math.min(callerDeadlineMs, request.arrivedMs() + route.timeoutMs()) - ANSWER_MARGIN_MS;
     this.eventSplitter = route.resumable() ? new EventSplitter() : null;
+    this.targetRequests =
+        new TargetRequestFactory(request, router.headerNames(), route.priority(), callerDeadlineMs);
   }
 
   private long callerTimeoutMs(HttpHeaders headers) {
@@ -131,6 +144,10 @@
     return adapter;
   }
 
+  RequestTraits traits() {
+    return traits;
+  }
+
   boolean isExcluded(TargetEntry target) {
     return excludedTargetIds.contains(target.id());
   }
@@ -141,6 +158,7 @@
   }
 
   void start() {
+    router.activeFlows().add(this);
     long leftMs = Math.max(0, deadlineMs - ControlThread.nowMs());
     deadlineTimer = router.loop().schedule(this::onDeadline, leftMs, TimeUnit.MILLISECONDS);
     if (adapter != null) {
@@ -166,7 +184,31 @@
     }
   }
 
+  /** Ends the request if it may crash its target and the target has not begun to answer. */
+  void onTraitRefused() {
+    Attempt current = currentAttempt;
+    boolean isAnswered = current != null && current.answerConfirmed;
+    if (!ended && !isAnswered && router.crashWatch().findRefused(traits).isPresent()) {
+      refuseAsCrashing();
+    }
+  }
+
+  private void refuseAsCrashing() {
+    if (currentAttempt != null) {
+      currentAttempt.cancel();
+      abort(CRASHES_TARGETS);
+    } else if (answerStarted || runs > 0) {
+      abort(CRASHES_TARGETS);
+    } else {
+      fail(503, CRASHES_TARGETS, CRASHING_REQUEST_RETRY_MS);
+    }
+  }
+
   private void dispatch() {
+    if (router.crashWatch().findRefused(traits).isPresent()) {
+      refuseAsCrashing();
+      return;
+    }
     Optional<Candidate> chosen = router.choose(this);
     if (chosen.isEmpty()) {
       failWithoutTarget();
@@ -247,9 +289,9 @@
     currentAttempt = new Attempt(target);
     sentAfterMs = ageMs();
     lastTargetId = target.id();
-    TargetRequest targetRequest =
-        new TargetRequest(
-            requestId, request.method(), request.uri(), headersFor(target), request.body());
+    long version = adapter == null ? 0 : router.view().declaredVersion(adapter);
+    String lastEventId = eventSplitter == null ? null : eventSplitter.lastEventId();
+    TargetRequest targetRequest = targetRequests.create(target, version, lastEventId);
     router.loadTracker().recordSent(target.id(), adapter);
     Attempt current = currentAttempt;
     router.connections().send(target, targetRequest, current, current::onConnected);
@@ -279,30 +321,6 @@
         .anyMatch(other -> !other.id().equals(target.id()) && !isExcluded(other));
   }
 
-  private HttpHeaders headersFor(TargetEntry target) {
-    HttpHeaders headers = HopByHopHeaders.strip(request.headers(), router.headerNames().reserved());
-    long leftMs = Math.max(1, callerDeadlineMs - ControlThread.nowMs());
-    headers.set(router.headerNames().deadlineMs(), leftMs);
-    headers.set(router.headerNames().expectTarget(), target.id());
-    headers.set(
-        router.headerNames().urgency(), Math.min(MAX_URGENCY, 1 + URGENCY_STEP * route.priority()));
-    if (adapter != null && router.view().declaredVersion(adapter) > 0) {
-      headers.set(router.headerNames().expectVersion(), router.view().declaredVersion(adapter));
-    }
-    if (eventSplitter != null && eventSplitter.lastEventId() != null) {
-      headers.set(router.headerNames().lastEventId(), eventSplitter.lastEventId());
-    }
-    if (request.body().length > 0 || declaresBody()) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-    }
-    return headers;
-  }
-
-  private boolean declaresBody() {
-    return request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
-        || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-  }
-
   /** Takes a retry from the budget if the route allows another run after the given number. */
   private boolean tryTakeRetry(int runsSoFar) {
     boolean mayRunAgain = route.isIdempotent() || route.resumable();
@@ -352,8 +370,8 @@
         answerStarted,
         "begun",
         attempt.firstByteReceived,
-        "prompt",
-        PromptParts.shared(request.headers().get(router.headerNames().promptParts())));
+        "traits",
+        traits.shared().stream().map(Trait::encode).toList());
     if (failure instanceof SendFailure.NotSent) {
       connectFailures++;
       router.health().recordUnreachable(attempt.target.id(), nowMs);
@@ -368,7 +386,7 @@
     runs++;
     router.health().recordFailure(attempt.target.id(), nowMs);
     if (failure instanceof SendFailure.ConnectionLost) {
-      router.probeForCrash(request, attempt.target);
+      router.crashWatch().onAttemptLost(attempt.target, traits, attempt.answerConfirmed);
     }
     if (retryAlreadyGranted || tryTakeRetry(runs)) {
       if (eventSplitter != null) {
@@ -391,6 +409,7 @@
 
   private void finish(String code, int status) {
     ended = true;
+    router.activeFlows().remove(this);
     deadlineTimer.cancel(false);
     if (refusalTimer != null) {
       refusalTimer.cancel(false);
@@ -475,6 +494,8 @@
     private int discardedBytes;
     private boolean retryGranted;
     private boolean firstByteReceived;
+    private long confirmAnswerMs;
+    private boolean answerConfirmed;
     private boolean closed;
 
     Attempt(TargetEntry target) {
@@ -554,7 +575,10 @@
       if (!firstByteReceived) {
         firstByteReceived = true;
         firstByteAfterMs = ageMs();
+        confirmAnswerMs = ControlThread.nowMs() + CRASH_AFTER_FIRST_BYTE_MS;
         router.loadTracker().recordFirstByte(target.id());
+      } else if (ControlThread.nowMs() >= confirmAnswerMs) {
+        confirmAnswer();
       }
       if (discardAnswer) {
         discardedBytes += part.readableBytes();
@@ -572,6 +596,14 @@
       }
     }
 
+    /** Clears the traits of the request, since the target answers it and has not crashed. */
+    private void confirmAnswer() {
+      if (!answerConfirmed) {
+        answerConfirmed = true;
+        router.crashWatch().onAnswer(traits);
+      }
+    }
+
     private boolean exceedsLimits() {
       AnswerLimits limits = router.answerLimits();
       int incompleteBytes = eventSplitter == null ? 0 : eventSplitter.incompleteBytes();
@@ -604,6 +636,7 @@
         router.health().recordFailure(target.id(), nowMs);
       } else {
         router.health().recordSuccess(target.id(), nowMs);
+        confirmAnswer();
       }
       finish("answered", head.status().code());
       if (!isStreamed()) {
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -32,7 +32,7 @@
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
 import org.apricotstand.route.Route;
-import org.apricotstand.suspect.CrashCounts;
+import org.apricotstand.suspect.Trait;
 import org.apricotstand.upstream.TargetConnectionPool;
 
 /**
@@ -43,12 +43,8 @@
 
   private static final EventLog LOG = EventLog.of(RequestRouter.class);
 
-  /** Delay between the loss of a connection and the probe of its target. */
-  private static final long CRASH_PROBE_DELAY_MS = 100;
-
   private static final long CLEANUP_INTERVAL_MS = 500;
   private static final long NO_PLAN_RETRY_MS = 500;
-  private static final long CRASHING_REQUEST_RETRY_MS = 60_000;
   private static final long SHUTDOWN_RETRY_MS = 40;
 
   private final EventLoop loop;
@@ -60,9 +56,10 @@
   private final FleetNotifier fleetNotifier;
   private final Metrics metrics;
   private final Random random;
-  private final CrashCounts crashCounts = new CrashCounts();
+  private final CrashWatch crashWatch;
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
+  private final Set<RequestFlow> activeFlows = new LinkedHashSet<>();
   private final Set<RequestFlow> waitingFlows = new LinkedHashSet<>();
 
   /** Reported residency of each engine at the time when it lacked the adapter. */
@@ -94,6 +91,9 @@
     this.fleetNotifier = fleetNotifier;
     this.metrics = metrics;
     this.random = random;
+    this.crashWatch =
+        new CrashWatch(
+            loop, ControlThread::nowMs, connections, health, fleetNotifier, this::onTraitRefused);
     loop.scheduleWithFixedDelay(
         this::removeGoneTargets, CLEANUP_INTERVAL_MS, CLEANUP_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
@@ -117,15 +117,14 @@
       reply.fail(503, "shutting_down", withJitter(SHUTDOWN_RETRY_MS));
       return new EndedCall();
     }
-    if (!crashCounts.isEmpty()
-        && crashCounts.isRefused(RequestFingerprint.of(request), ControlThread.nowMs())) {
-      recordRefusal(request, 503, "crashes_targets");
-      reply.fail(503, "crashes_targets", CRASHING_REQUEST_RETRY_MS);
+    String service = route.get().serviceFor(random.nextDouble());
+    RequestFlow flow = new RequestFlow(this, request, reply, route.get(), service);
+    if (crashWatch.findRefused(flow.traits()).isPresent()) {
+      recordRefusal(request, 503, RequestFlow.CRASHES_TARGETS);
+      reply.fail(503, RequestFlow.CRASHES_TARGETS, RequestFlow.CRASHING_REQUEST_RETRY_MS);
       return new EndedCall();
     }
-    String service = route.get().serviceFor(random.nextDouble());
     retryBudget(service).recordRequest(ControlThread.nowMs());
-    RequestFlow flow = new RequestFlow(this, request, reply, route.get(), service);
     flow.start();
     return flow;
   }
@@ -235,32 +234,28 @@
     fleetNotifier.reportMissing(engine, key);
   }
 
-  /** Records that a target crashed while it ran the request with this fingerprint. */
-  public void recordCrash(String fingerprint, String incarnation) {
-    crashCounts.recordCrash(fingerprint, incarnation, ControlThread.nowMs());
+  /** Ends the requests in progress that may crash their targets, before they do so. */
+  private void onTraitRefused() {
+    List.copyOf(activeFlows).forEach(RequestFlow::onTraitRefused);
   }
 
-  /**
-   * Probes a target that lost the connection of a request. If it does not respond, it is taken as
-   * crashed by the request, and all instances are told.
-   */
-  void probeForCrash(CallerRequest request, TargetEntry target) {
-    loop.schedule(
-        () ->
-            connections.probe(
-                target,
-                alive -> {
-                  if (!alive) {
-                    String fingerprint = RequestFingerprint.of(request);
-                    LOG.info(
-                        "crash_noted", "fingerprint", fingerprint, "target", target.incarnation());
-                    health.recordUnreachable(target.id(), ControlThread.nowMs());
-                    recordCrash(fingerprint, target.incarnation());
-                    fleetNotifier.reportCrash(fingerprint, target.incarnation());
-                  }
-                }),
-        CRASH_PROBE_DELAY_MS,
-        TimeUnit.MILLISECONDS);
+  /** Records a crash that another instance has seen; see {@link FleetNotifier#reportCrash}. */
+  public void recordCrash(String incarnation, Map<Trait, Integer> requestsByTrait) {
+    crashWatch.recordCrash(incarnation, requestsByTrait);
+  }
+
+  /** Records that a target has answered a request with this trait through another instance. */
+  public void recordAnswer(Trait trait) {
+    crashWatch.recordAnswer(trait);
+  }
+
+  /** Records that another instance refuses a trait until a monotonic time. */
+  public void recordRefusal(Trait trait, long untilMs) {
+    crashWatch.recordRefusal(trait, untilMs);
+  }
+
+  CrashWatch crashWatch() {
+    return crashWatch;
   }
 
   boolean tryRetry(String service) {
@@ -319,6 +314,10 @@
     return metrics;
   }
 
+  Set<RequestFlow> activeFlows() {
+    return activeFlows;
+  }
+
   Set<RequestFlow> waitingFlows() {
     return waitingFlows;
   }
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -83,7 +83,10 @@
         new RequestRouter(
             loop, settings, systems.headers(), fleet::view, loadTracker, fleet, metrics, random);
     fleet.setCrashListener(
-        (fingerprint, target) -> loop.execute(() -> router.recordCrash(fingerprint, target)));
+        (target, requests) -> loop.execute(() -> router.recordCrash(target, requests)));
+    fleet.setAnswerListener(trait -> loop.execute(() -> router.recordAnswer(trait)));
+    fleet.setRefusalListener(
+        (trait, untilMs) -> loop.execute(() -> router.recordRefusal(trait, untilMs)));
     fleet.setViewListener(() -> loop.execute(router::onViewChanged));
     callers =
         new CallerServer(loop, settings.callerAddress(), limitsOf(fleet::view), router, metrics);
--- a/node/src/test/java/org/apricotstand/fleet/FleetExchangeTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/FleetExchangeTest.java
@@ -106,18 +106,29 @@
   @Test
   void aCrashReachesAllInstances() {
     SimulatedFleet fleet = startedFleet(95, 5, 4);
-    fleet.get("n7").exchange.publishCrash(new FleetState.TargetCrash("f", "e#1"));
+    fleet.get("n7").exchange.publishCrash(new FleetState.TargetCrash("e#1", Map.of("prompt/f", 1)));
     fleet.run(1_000);
     fleet.all().stream()
         .filter(instance -> !instance.identity.name().equals("n7"))
         .forEach(instance -> assertThat(instance.crashes).hasSize(1));
   }
 
+  // Guards against a trait that other instances go on refusing although it was answered.
+  @Test
+  void anAnswerThatClearsATraitReachesAllInstances() {
+    SimulatedFleet fleet = startedFleet(95, 5, 4);
+    fleet.get("n7").exchange.publishAnswer(new FleetState.TraitAnswered("prompt/f"));
+    fleet.run(1_000);
+    fleet.all().stream()
+        .filter(instance -> !instance.identity.name().equals("n7"))
+        .forEach(instance -> assertThat(instance.answers).hasSize(1));
+  }
+
   // Guards against crashes of long ago that a restarted instance takes for new ones.
   @Test
   void anOldCrashIsNotPassedOn() {
     SimulatedFleet fleet = startedFleet(20, 2, 15);
-    fleet.get("n7").exchange.publishCrash(new FleetState.TargetCrash("f", "e#1"));
+    fleet.get("n7").exchange.publishCrash(new FleetState.TargetCrash("e#1", Map.of("prompt/f", 1)));
     fleet.run(70_000);
     SimulatedFleet.Instance restarted = fleet.get("n8");
     restarted.crashes.clear();
@@ -126,6 +137,36 @@
     assertThat(restarted.crashes).isEmpty();
   }
 
+  // Guards against an instance that starts later and crashes targets with what all others refuse.
+  @Test
+  void aRestartedInstanceLearnsWhatIsRefused() {
+    SimulatedFleet fleet = startedFleet(20, 2, 15);
+    FleetState.TraitRefused refusal = new FleetState.TraitRefused("prompt/f", 120_000);
+    fleet.all().forEach(instance -> instance.exchange.publishRefusal(refusal));
+    fleet.run(70_000);
+    SimulatedFleet.Instance restarted = fleet.get("n8");
+    restarted.refusals.clear();
+    fleet.restart(restarted);
+    fleet.run(5_000);
+    assertThat(restarted.refusals).contains(refusal);
+  }
+
+  // Guards against a restarted instance that refuses what others have seen answered since.
+  @Test
+  void aRefusalThatAnAnswerEndedIsNotPassedOn() {
+    SimulatedFleet fleet = startedFleet(20, 2, 15);
+    FleetState.TraitRefused refusal = new FleetState.TraitRefused("prompt/f", 120_000);
+    fleet.all().forEach(instance -> instance.exchange.publishRefusal(refusal));
+    fleet.run(5_000);
+    fleet.get("n7").exchange.publishAnswer(new FleetState.TraitAnswered("prompt/f"));
+    fleet.run(5_000);
+    SimulatedFleet.Instance restarted = fleet.get("n8");
+    restarted.refusals.clear();
+    fleet.restart(restarted);
+    fleet.run(5_000);
+    assertThat(restarted.refusals).isEmpty();
+  }
+
   // Guards against members that are taken for dead together with their relay.
   @Test
   void onlyTheRelayIsLostWhenARelayIsKilled() {
--- a/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
+++ b/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
@@ -69,6 +69,8 @@
     final Map<String, Map<String, List<String>>> adaptersInUse = new HashMap<>();
     final List<String> silentInstances = new ArrayList<>();
     final List<FleetState.TargetCrash> crashes = new ArrayList<>();
+    final List<FleetState.TraitAnswered> answers = new ArrayList<>();
+    final List<FleetState.TraitRefused> refusals = new ArrayList<>();
     final Map<String, RowChange> rows = new HashMap<>();
     long tableVersion;
     int recoveries;
@@ -210,6 +212,16 @@
       crashes.add(crash);
     }
 
+    @Override
+    public void onAnswer(FleetState.TraitAnswered answer) {
+      answers.add(answer);
+    }
+
+    @Override
+    public void onRefusal(FleetState.TraitRefused refusal) {
+      refusals.add(refusal);
+    }
+
     @Override
     public void onArrivals(Map<String, Integer> arrivals) {}
 
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
@@ -0,0 +1,85 @@
+package org.apricotstand.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.apricotstand.front.CallerRequest;
+import org.apricotstand.route.RequestKind;
+import org.apricotstand.suspect.CrashSuspects;
+import org.apricotstand.suspect.Trait;
+import org.junit.jupiter.api.Test;
+
+class CrashWatchTest extends RequestRouterFixture {
+
+  /** Time between crashes that have nothing in common but the request. */
+  private static final long CRASH_SPACING_MS = CrashSuspects.MOMENT_MS;
+
+  // Guards against a request that crashes one target after the other.
+  @Test
+  void aRequestThatCrashedTwoTargetsIsRefused() throws Exception {
+    serve(
+        RequestKind.IDEMPOTENT,
+        1,
+        false,
+        target(
+            "t1",
+            (id, number, out) -> {
+              targets.getFirst().close();
+              return false;
+            }));
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+    awaitFleetCall();
+    assertThat(fleetCalls).containsExactly("crashed t1#1");
+    CallerRequest sameRequest =
+        new CallerRequest(
+            HttpMethod.POST,
+            "/p/x",
+            new DefaultHttpHeaders(),
+            "hi".getBytes(StandardCharsets.UTF_8),
+            "127.0.0.1",
+            0);
+    RequestTraits traits = new RequestTraits(sameRequest, null, null);
+    router.loop().submit(() -> router.recordCrash("t2#1", Map.of(traits.wholeRequest(), 1))).sync();
+    assertThat(call("")).contains("crashes_targets");
+  }
+
+  // Guards against different requests that share only one part of their prompts and crash one
+  // target
+  // after the other, because each of them is blamed for one crash only.
+  @Test
+  void aPromptPartThatCrashedTargetsIsRefusedInOtherRequests() throws Exception {
+    for (int i = 1; i <= 3; i++) {
+      serve(RequestKind.STREAM, 1, false, target("t" + i, crashes));
+      assertThat(callWithPrompt("first:9,subject:9,harmful:9,own" + i + ":9"))
+          .startsWith("HTTP/1.1 502 ");
+      awaitFleetCalls(i);
+      Thread.sleep(CRASH_SPACING_MS);
+    }
+    serve(RequestKind.STREAM, 1, false, target("t4", ANSWERS_DONE));
+    assertThat(callWithPrompt("first:9,subject:9,harmful:9,own4:9")).contains("crashes_targets");
+    assertThat(targets.getLast().heads()).isEmpty();
+    assertThat(callWithPrompt("first:9,subject:9,own5:9")).endsWith("done");
+    assertThat(refusals).containsExactly(new Trait.PromptPart("harmful"));
+  }
+
+  /** Crashes the newest target: closes its listener and the connection of the request. */
+  private final ScriptedTarget.Script crashes =
+      (id, number, out) -> {
+        targets.getLast().close();
+        return false;
+      };
+
+  /** Sends a request with the given prompt parts and with a path that no other request has. */
+  private String callWithPrompt(String parts) throws IOException {
+    return sendRaw(
+        "POST /p/"
+            + parts.hashCode()
+            + " HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nConnection: close\r\nX-Prompt: "
+            + parts
+            + "\r\nContent-Length: 2\r\n\r\nhi");
+  }
+}
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -4,215 +4,20 @@
 import static org.apricotstand.request.ScriptedTarget.ok;
 import static org.apricotstand.request.ScriptedTarget.write;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.net.SocketException;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Random;
-import java.util.Set;
-import java.util.concurrent.CopyOnWriteArrayList;
 import org.apricotstand.dispatch.TargetEntry;
-import org.apricotstand.fleet.FleetView;
-import org.apricotstand.fleet.LocalLoadTracker;
-import org.apricotstand.front.CallerRequest;
-import org.apricotstand.front.CallerServer;
-import org.apricotstand.observe.Metrics;
-import org.apricotstand.port.AnswerLimits;
-import org.apricotstand.port.HeaderNames;
-import org.apricotstand.port.ServingSettings;
-import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
-import org.apricotstand.residency.SlotEvent;
-import org.apricotstand.route.CallerLimits;
 import org.apricotstand.route.EngineSpec;
 import org.apricotstand.route.ModelSpec;
 import org.apricotstand.route.RequestKind;
-import org.apricotstand.route.Route;
-import org.apricotstand.route.RoutingPlan;
-import org.apricotstand.route.ServiceSpec;
-import org.apricotstand.route.WeightedService;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-class RequestRouterTest {
-
-  private static final HeaderNames NAMES =
-      new HeaderNames(
-          "x-id",
-          "x-deadline",
-          "x-model",
-          "x-expect-target",
-          "x-expect-version",
-          "x-urgency",
-          "x-not-executed",
-          "x-seal",
-          "x-prompt",
-          "last-event-id",
-          Set.of("x-expect-target", "x-reserved"));
-  private static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
-  private static final long TEST_TIMEOUT_MS = 20_000;
-
-  /** Time between crashes that have nothing in common but the request. */
-  private static final long CRASH_SPACING_MS = 300;
-
-  private static final AnswerLimits LIMITS = new AnswerLimits(65_536, 16_384);
-
-  private final MultiThreadIoEventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-  private final List<ScriptedTarget> targets = new ArrayList<>();
-  private final List<String> fleetCalls = new CopyOnWriteArrayList<>();
-  private final LocalLoadTracker loadTracker = new LocalLoadTracker();
-  private volatile FleetView view = FleetView.EMPTY;
-  private long firstByteTimeoutMs = 2_000;
-  private CallerServer server;
-  private RequestRouter router;
-
-  private final class RecordingFleet implements FleetNotifier {
-    @Override
-    public void requestLoad(String engine, SlotEvent.LoadRequested loadRequest) {
-      fleetCalls.add(engine + " " + loadRequest.key() + " " + loadRequest.version());
-    }
-
-    @Override
-    public void reportCrash(String fingerprint, String incarnation) {
-      fleetCalls.add("crashed " + incarnation);
-    }
-
-    @Override
-    public void reportMissing(String engine, AdapterKey key) {
-      fleetCalls.add("missing " + engine + " " + key);
-    }
-  }
-
-  @BeforeEach
-  void start() {
-    InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    ServingSettings settings =
-        new ServingSettings(
-            "n", "d", anyPort, anyPort, anyPort, anyPort, 8_000, 3_000, 0.2, 50, 10_000, 100,
-            LIMITS);
-    EventLoop loop = group.next();
-    Metrics metrics = new Metrics();
-    router =
-        new RequestRouter(
-            loop,
-            settings,
-            NAMES,
-            () -> view,
-            loadTracker,
-            new RecordingFleet(),
-            metrics,
-            new Random(1));
-    CallerLimits limits = new CallerLimits(16_384, 65_536, 3_000, 15_000);
-    server = new CallerServer(loop, anyPort, () -> limits, router, metrics);
-    server.start();
-  }
-
-  @AfterEach
-  void stop() {
-    server.stop();
-    targets.forEach(ScriptedTarget::close);
-    group.shutdownGracefully();
-  }
-
-  private static final ScriptedTarget.Script ANSWERS_DONE =
-      (id, number, out) -> {
-        write(out, ok(id, "done"));
-        return true;
-      };
-
-  /** Returns a script that sends the same bytes for each request. */
-  private static ScriptedTarget.Script always(String answer, boolean staysOpen) {
-    return (id, number, out) -> {
-      write(out, answer);
-      return staysOpen;
-    };
-  }
-
-  private TargetEntry target(String id, ScriptedTarget.Script script) throws IOException {
-    ScriptedTarget target = new ScriptedTarget(script);
-    targets.add(target);
-    return new TargetEntry(id, "s", "127.0.0.1", target.port(), "d", 8, false, 1, Map.of());
-  }
-
-  private void serve(RequestKind kind, int maxAttempts, boolean resumable, TargetEntry... entries) {
-    view = view(kind, maxAttempts, resumable, Optional.empty(), Map.of(), entries);
-  }
-
-  private FleetView view(
-      RequestKind kind,
-      int maxAttempts,
-      boolean resumable,
-      Optional<EngineSpec> engine,
-      Map<String, Residency> residency,
-      TargetEntry... entries) {
-    Route route =
-        new Route(
-            "r",
-            "h",
-            "/p/",
-            kind,
-            5_000,
-            500,
-            firstByteTimeoutMs,
-            maxAttempts,
-            0,
-            resumable,
-            List.of(new WeightedService("s", 1)));
-    RoutingPlan plan =
-        new RoutingPlan(
-            1,
-            List.of(route),
-            List.of(new ServiceSpec("s", 100, engine)),
-            new CallerLimits(16_384, 65_536, 3_000, 15_000));
-    return new FleetView(
-        plan, Map.of("s", List.of(entries)), residency, Set.of("t1"), Map.of(), Map.of(), 1);
-  }
-
-  /** Sends one request on a new connection and returns everything that is received on it. */
-  private String call(String headers) throws IOException {
-    return sendRaw(
-        "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nConnection: close\r\n"
-            + headers
-            + "Content-Length: 2\r\n\r\nhi");
-  }
-
-  private String sendRaw(String request) throws IOException {
-    try (Socket socket = new Socket("127.0.0.1", server.address().getPort())) {
-      socket.setSoTimeout((int) TEST_TIMEOUT_MS);
-      socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
-      return readAll(socket.getInputStream());
-    }
-  }
-
-  private static String readAll(InputStream in) throws IOException {
-    StringBuilder received = new StringBuilder();
-    byte[] buffer = new byte[4_096];
-    try {
-      int read = in.read(buffer);
-      while (read > 0) {
-        received.append(new String(buffer, 0, read, StandardCharsets.UTF_8));
-        read = in.read(buffer);
-      }
-    } catch (SocketException e) {
-      received.append("[reset]");
-    }
-    return received.toString();
-  }
+class RequestRouterTest extends RequestRouterFixture {
 
   // Guards against a changed request or answer, and against callers that set reserved headers.
   @Test
@@ -432,17 +237,6 @@
     assertThat(targets.getFirst().heads()).isEmpty();
   }
 
-  private void awaitFleetCall() {
-    awaitFleetCalls(1);
-  }
-
-  private void awaitFleetCalls(int count) {
-    long endMs = System.nanoTime() / 1_000_000 + TEST_TIMEOUT_MS;
-    while (fleetCalls.size() < count && System.nanoTime() / 1_000_000 < endMs) {
-      Thread.onSpinWait();
-    }
-  }
-
   // Guards against request smuggling by ambiguous body lengths, which two servers read differently.
   @Test
   void refusesARequestWithAmbiguousLength() throws IOException {
@@ -493,76 +287,6 @@
     assertThat(call("X-Deadline: 1500\r\n")).endsWith("done");
   }
 
-  private int countHeads() {
-    return targets.stream().mapToInt(target -> target.heads().size()).sum();
-  }
-
-  // Guards against a request that crashes one target after the other.
-  @Test
-  void aRequestThatCrashedTwoTargetsIsRefused() throws Exception {
-    serve(
-        RequestKind.IDEMPOTENT,
-        1,
-        false,
-        target(
-            "t1",
-            (id, number, out) -> {
-              targets.getFirst().close();
-              return false;
-            }));
-    assertThat(call("")).startsWith("HTTP/1.1 502 ");
-    awaitFleetCall();
-    assertThat(fleetCalls).containsExactly("crashed t1#1");
-    CallerRequest sameRequest =
-        new CallerRequest(
-            HttpMethod.POST,
-            "/p/x",
-            new DefaultHttpHeaders(),
-            "hi".getBytes(StandardCharsets.UTF_8),
-            "127.0.0.1",
-            0);
-    router
-        .loop()
-        .submit(() -> router.recordCrash(RequestFingerprint.of(sameRequest), "t2#1"))
-        .sync();
-    assertThat(call("")).contains("crashes_targets");
-  }
-
-  // Guards against different requests that share only one part of their prompts and crash one
-  // target
-  // after the other, because each of them is blamed for one crash only.
-  @Test
-  void aPromptPartThatCrashedTargetsIsRefusedInOtherRequests() throws Exception {
-    for (int i = 1; i <= 3; i++) {
-      serve(RequestKind.STREAM, 1, false, target("t" + i, crashes));
-      assertThat(callWithPrompt("first:9,subject:9,harmful:9,own" + i + ":9"))
-          .startsWith("HTTP/1.1 502 ");
-      awaitFleetCalls(i);
-      Thread.sleep(CRASH_SPACING_MS);
-    }
-    serve(RequestKind.STREAM, 1, false, target("t4", ANSWERS_DONE));
-    assertThat(callWithPrompt("first:9,subject:9,harmful:9,own4:9")).contains("crashes_targets");
-    assertThat(targets.getLast().heads()).isEmpty();
-    assertThat(callWithPrompt("first:9,subject:9,own5:9")).endsWith("done");
-  }
-
-  /** Crashes the newest target: closes its listener and the connection of the request. */
-  private final ScriptedTarget.Script crashes =
-      (id, number, out) -> {
-        targets.getLast().close();
-        return false;
-      };
-
-  /** Sends a request with the given prompt parts and with a path that no other request has. */
-  private String callWithPrompt(String parts) throws IOException {
-    return sendRaw(
-        "POST /p/"
-            + parts.hashCode()
-            + " HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nConnection: close\r\nX-Prompt: "
-            + parts
-            + "\r\nContent-Length: 2\r\n\r\nhi");
-  }
-
   // Guards against passing on a success without signature, as a crashing target can send it.
   @Test
   void aSuccessWithoutSignatureIsNotPassedOn() throws IOException {
