Treat a stream that ends inside an event as broken off

What callers saw: half an event at the end of a stream that looked complete, when the target's answer had neither a length nor chunks and its connection ended early; for a resumable stream also the loss of the rest. Cause: the end of such an answer was taken as its complete end wherever it came. Change: the end of a stream inside an event, or before any byte when only the connection marks the end, counts as a lost connection: the stream is resumed where the route allows it, or cut off visibly. AnswerBody holds what happens to the bytes of one answer, EventBoundary knows where events end.

--- /dev/null
+++ b/node/src/main/java/org/apricotstand/request/AnswerBody.java
@@ -0,0 +1,78 @@
+package org.apricotstand.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import java.io.ByteArrayOutputStream;
+import org.apricotstand.port.AnswerLimits;
+
+/** The body of one answer of a target: decides which bytes are kept, passed on, or dropped. */
+final class AnswerBody {
+
+  /** What happens to the bytes of a body. */
+  enum Use {
+    /** They are dropped, since the answer is not for the caller. */
+    DISCARD,
+    /** They are kept until the answer is complete. */
+    BUFFER,
+    /** They are passed on as they arrive, or event by event if the stream may be resumed. */
+    STREAM
+  }
+
+  private final AnswerLimits limits;
+  private final EventSplitter eventSplitter;
+  private final EventBoundary eventBoundary = new EventBoundary();
+  private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+  private int discardedBytes;
+
+  /**
+   * Creates an empty body.
+   *
+   * @param eventSplitter splits the stream that the caller gets; null if it cannot be resumed
+   */
+  AnswerBody(AnswerLimits limits, EventSplitter eventSplitter) {
+    this.limits = limits;
+    this.eventSplitter = eventSplitter;
+  }
+
+  /** Adds a part and returns a new buffer with the bytes that are passed on now. */
+  ByteBuf add(ByteBuf part, Use use) {
+    eventBoundary.feed(part);
+    return switch (use) {
+      case DISCARD -> {
+        discardedBytes += part.readableBytes();
+        yield Unpooled.EMPTY_BUFFER;
+      }
+      case BUFFER -> {
+        buffered.writeBytes(ByteBufUtil.getBytes(part));
+        yield Unpooled.EMPTY_BUFFER;
+      }
+      case STREAM ->
+          eventSplitter == null
+              ? part.retainedSlice()
+              : Unpooled.wrappedBuffer(eventSplitter.feed(ByteBufUtil.getBytes(part)));
+    };
+  }
+
+  /** Removes and returns the bytes that were kept until the answer is complete. */
+  ByteBuf takeRest() {
+    byte[] incompleteEvent = eventSplitter == null ? new byte[0] : eventSplitter.takeIncomplete();
+    return Unpooled.wrappedBuffer(buffered.toByteArray(), incompleteEvent);
+  }
+
+  /** Returns whether more bytes are kept or were dropped than an answer may have. */
+  boolean exceedsLimits() {
+    int incompleteBytes = eventSplitter == null ? 0 : eventSplitter.incompleteBytes();
+    return discardedBytes > limits.maxSkippedBytes()
+        || buffered.size() > limits.maxHeldBytes()
+        || incompleteBytes > limits.maxHeldBytes();
+  }
+
+  /**
+   * Returns whether a stream that ends here is incomplete: inside an event, or without any if only
+   * its connection marks its end.
+   */
+  boolean isBrokenOff(boolean endedWithConnection) {
+    return eventBoundary.isInsideEvent() || (endedWithConnection && eventBoundary.isEmpty());
+  }
+}
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -1,14 +1,11 @@
 package org.apricotstand.request;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -21,7 +18,6 @@
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.front.Reply;
 import org.apricotstand.observe.EventLog;
-import org.apricotstand.port.AnswerLimits;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.SlotEvent;
 import org.apricotstand.route.RequestKind;
@@ -51,6 +47,8 @@
   /** Time after which a caller may send a request again that was refused for crashing targets. */
   static final long CRASHING_REQUEST_RETRY_MS = 60_000;
 
+  private static final String EVENT_STREAM = "text/event-stream";
+
   private static final int MAX_REJECTIONS = 4;
   private static final int MAX_CONNECT_FAILURES = 4;
 
@@ -487,11 +485,10 @@
   private final class Attempt implements AnswerListener {
 
     private final TargetEntry target;
-    private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
+    private final AnswerBody body = new AnswerBody(router.answerLimits(), eventSplitter);
     private TargetConnection connection;
     private HttpResponse head;
     private boolean discardAnswer;
-    private int discardedBytes;
     private boolean retryGranted;
     private boolean firstByteReceived;
     private long confirmAnswerMs;
@@ -580,16 +577,12 @@
       } else if (ControlThread.nowMs() >= confirmAnswerMs) {
         confirmAnswer();
       }
-      if (discardAnswer) {
-        discardedBytes += part.readableBytes();
-      } else if (!isStreamed()) {
-        bufferedBody.writeBytes(ByteBufUtil.getBytes(part));
-      } else if (eventSplitter != null) {
-        sendBody(eventSplitter.feed(ByteBufUtil.getBytes(part)));
-      } else {
-        reply.writePart(part);
+      ByteBuf passedOn = body.add(part, use());
+      if (passedOn.isReadable()) {
+        reply.writePart(passedOn);
       }
-      if (exceedsLimits()) {
+      passedOn.release();
+      if (body.exceedsLimits()) {
         giveUp("answer without end");
       } else if (answerStarted && !reply.isWritable()) {
         connection.setReading(false);
@@ -604,20 +597,11 @@
       }
     }
 
-    private boolean exceedsLimits() {
-      AnswerLimits limits = router.answerLimits();
-      int incompleteBytes = eventSplitter == null ? 0 : eventSplitter.incompleteBytes();
-      return discardedBytes > limits.maxSkippedBytes()
-          || bufferedBody.size() > limits.maxHeldBytes()
-          || incompleteBytes > limits.maxHeldBytes();
-    }
-
-    private void sendBody(byte[] bytes) {
-      if (bytes.length > 0) {
-        ByteBuf part = Unpooled.wrappedBuffer(bytes);
-        reply.writePart(part);
-        part.release();
+    private AnswerBody.Use use() {
+      if (discardAnswer) {
+        return AnswerBody.Use.DISCARD;
       }
+      return isStreamed() ? AnswerBody.Use.STREAM : AnswerBody.Use.BUFFER;
     }
 
     @Override
@@ -625,6 +609,10 @@
       if (closed) {
         return;
       }
+      if (isBrokenOff()) {
+        onFailure(new SendFailure.ConnectionLost("ended_inside_stream"));
+        return;
+      }
       close();
       if (discardAnswer) {
         onDiscardedAnswer();
@@ -639,24 +627,32 @@
         confirmAnswer();
       }
       finish("answered", head.status().code());
+      ByteBuf rest = body.takeRest();
       if (!isStreamed()) {
         // The whole body is buffered, so it is sent with its length, however the target framed it.
         if (head.status().code() != 204 && head.status().code() != 304) {
-          head.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyLength());
+          head.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyLength(rest.readableBytes()));
         }
         head.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
         reply.writeHead(head);
-        sendBody(bufferedBody.toByteArray());
-      } else if (eventSplitter != null) {
-        sendBody(eventSplitter.takeIncomplete());
+      }
+      if (rest.isReadable()) {
+        reply.writePart(rest);
       }
       reply.end();
     }
 
-    private String bodyLength() {
+    private boolean isBrokenOff() {
+      boolean endsWithConnection = !TargetConnection.hasLength(head);
+      String contentType = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+      boolean hasEvents = contentType.startsWith(EVENT_STREAM) || endsWithConnection;
+      return !discardAnswer && isStreamed() && hasEvents && body.isBrokenOff(endsWithConnection);
+    }
+
+    private String bodyLength(int receivedBytes) {
       String declared = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
       boolean isHeadRequest = HttpMethod.HEAD.equals(request.method());
-      return isHeadRequest && declared != null ? declared : Integer.toString(bufferedBody.size());
+      return isHeadRequest && declared != null ? declared : Integer.toString(receivedBytes);
     }
 
     private void onDiscardedAnswer() {
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -141,7 +141,8 @@
     }
   }
 
-  private static boolean hasLength(HttpResponse head) {
+  /** Returns whether the head tells where the body ends; if not, it ends with the connection. */
+  public static boolean hasLength(HttpResponse head) {
     return head.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
         || HttpUtil.isTransferEncodingChunked(head)
         || head.status().code() == 204
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -231,4 +231,8 @@
   int countHeads() {
     return targets.stream().mapToInt(target -> target.heads().size()).sum();
   }
+
+  static String chunk(String text) {
+    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+  }
 }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -167,10 +167,6 @@
         .reduce("", (joined, head) -> joined + head);
   }
 
-  private static String chunk(String text) {
-    return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-  }
-
   // Guards against sending a last chunk after a broken stream, which would make it look complete.
   @Test
   void aBrokenStreamEndsWithoutItsLastChunk() throws IOException {
