--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -67,6 +67,8 @@
    */
   private static final long START_MS = 5_000;
 
+  private static final long REFUSAL_READ_RETRY_MS = 300;
+
   /** Number of adapters of which an engine keeps copies. */
   private static final int WARM_COPIES_PER_ENGINE = 100;
 
@@ -78,6 +80,7 @@
   private final InstanceDirectory directory;
   private final FleetExchange exchange;
   private final EngineOwner engineOwner;
+  private final RefusalTable refusalTable;
   private final TargetRegistry targetRegistry = new TargetRegistry();
   private final AdapterUsageTracker usageTracker = new AdapterUsageTracker();
   private final Map<AdapterKey, Long> declaredVersions = new HashMap<>();
@@ -126,6 +129,7 @@
             localLoad,
             this::ownerOf,
             this);
+    this.refusalTable = new RefusalTable(store, System::currentTimeMillis);
     this.engineOwner =
         new EngineOwner(
             control,
@@ -183,6 +187,7 @@
           configuration.subscribe(this, exchange.tables());
           targetSource.subscribe(this, exchange.tables());
           directory.start(exchange.tables());
+          readRefusals();
         });
     control.execute(this::tickRegularly);
   }
@@ -347,14 +352,44 @@
   @Override
   public void reportAnswer(Trait trait) {
     FleetState.TraitAnswered answer = new FleetState.TraitAnswered(trait.encode());
-    control.execute(() -> exchange.publishAnswer(answer));
+    control.execute(
+        () -> {
+          exchange.publishAnswer(answer);
+          refusalTable.end(answer.trait());
+        });
   }
 
   @Override
   public void reportRefusal(Trait trait, long untilMs) {
     long remainingMs = untilMs - ControlThread.nowMs();
     FleetState.TraitRefused refusal = new FleetState.TraitRefused(trait.encode(), remainingMs);
-    control.execute(() -> exchange.publishRefusal(refusal));
+    control.execute(
+        () -> {
+          exchange.publishRefusal(refusal);
+          saveIfFirst(refusal);
+        });
+  }
+
+  /** Saves a refusal for instances that start later. One of the instances that know it does so. */
+  private void saveIfFirst(FleetState.TraitRefused refusal) {
+    boolean isFirst =
+        exchange.liveInstances().stream().noneMatch(name -> name.compareTo(settings.name()) < 0);
+    if (isFirst) {
+      refusalTable.save(new RefusalTable.Refusal(refusal.trait(), refusal.remainingMs()));
+    }
+  }
+
+  private void readRefusals() {
+    control.whenComplete(
+        refusalTable.read(),
+        (refusals, failure) -> {
+          if (failure == null) {
+            refusals.forEach(refusal -> applyRefusal(refusal.trait(), refusal.remainingMs()));
+          } else {
+            LOG.warn("refusals_not_read", "error", failure.toString());
+            control.executeAt(ControlThread.nowMs() + REFUSAL_READ_RETRY_MS, this::readRefusals);
+          }
+        });
   }
 
   @Override
@@ -445,13 +480,19 @@
 
   @Override
   public void onAnswer(FleetState.TraitAnswered answer) {
+    refusalTable.end(answer.trait());
     Trait.decode(answer.trait()).ifPresent(answerListener);
   }
 
   @Override
   public void onRefusal(FleetState.TraitRefused refusal) {
-    long untilMs = ControlThread.nowMs() + refusal.remainingMs();
-    Trait.decode(refusal.trait()).ifPresent(trait -> refusalListener.accept(trait, untilMs));
+    saveIfFirst(refusal);
+    applyRefusal(refusal.trait(), refusal.remainingMs());
+  }
+
+  private void applyRefusal(String encodedTrait, long remainingMs) {
+    long untilMs = ControlThread.nowMs() + remainingMs;
+    Trait.decode(encodedTrait).ifPresent(trait -> refusalListener.accept(trait, untilMs));
   }
 
   @Override
