Log the limits that targets name in their answers

Cause looked for: engines that name a limit get more than it allows, and the logs could not tell whether an instance knew of the limit. Change: each answer that names one is logged as limit_named.

--- a/node/src/main/java/org/apricotstand/port/HeaderNames.java
+++ b/node/src/main/java/org/apricotstand/port/HeaderNames.java
@@ -16,6 +16,8 @@
  *     elsewhere
  * @param promptParts parts of the prompt, in order, as {@code ID:TOKENS} pairs; only the last one
  *     belongs to the request alone
+ * @param rateLimit in an answer: requests a second that the target takes from all instances
+ *     together, for as long as its answers say so
  * @param lastEventId id of the event after which an interrupted stream is resumed
  * @param reserved names in lower case of headers that callers may not set
  */
@@ -29,5 +31,6 @@
     String notExecuted,
     String signature,
     String promptParts,
+    String rateLimit,
     String lastEventId,
     Set<String> reserved) {}
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -525,6 +525,7 @@
     @Override
     public void onHead(HttpResponse answer) {
       head = answer;
+      logRateLimit();
       if (isUnsignedSuccess()) {
         giveUp("success without signature");
         return;
@@ -542,6 +543,12 @@
       }
     }
 
+    private void logRateLimit() {
+      RateLimitHeader.perSecond(head.headers().get(router.headerNames().rateLimit()))
+          .ifPresent(
+              perSecond -> LOG.info("limit_named", "target", target.id(), "per_second", perSecond));
+    }
+
     /** Closes the connection of an answer that cannot be passed on; the request may have run. */
     private void giveUp(String reason) {
       TargetConnection brokenConnection = connection;
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -56,6 +56,7 @@
           "x-not-executed",
           "x-seal",
           "x-prompt",
+          "x-limit",
           "last-event-id",
           Set.of("x-expect-target", "x-reserved"));
   static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
