Add a failing test for a target that names a limit

All of twelve requests reach a target that allows one in a hundred seconds, although another target is free.

--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -415,4 +415,21 @@
         target("t2", ANSWERS_DONE));
     assertThat(call("")).endsWith("done");
   }
+
+  // Guards against a target that gets as many requests as before after it has named a limit.
+  @Test
+  void aTargetThatNamesALimitGetsNoMoreThanItAllows() throws IOException {
+    ScriptedTarget.Script limited =
+        (id, number, out) -> {
+          write(out, "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\nX-Limit: 0.01\r\n");
+          write(out, "Content-Length: 0\r\n\r\n");
+          return true;
+        };
+    serve(RequestKind.NON_IDEMPOTENT, 1, false, target("t1", limited), target("t2", ANSWERS_DONE));
+    for (int i = 0; i < 12; i++) {
+      assertThat(call("")).startsWith("HTTP/1.1 200 OK");
+    }
+    // One and a half times the limit in four seconds, and five requests.
+    assertThat(targets.getFirst().heads().size()).isAtMost(5);
+  }
 }
