Keep the limits that targets name for all instances together

Cause: the header with the limit was passed on to callers and read by nobody. All instances know the limits (told when they change and every 5 s) and each other, so each computes its share without asking; of a target only as many send as leaves each a request every two seconds. The time until a target may be sent to is part of its cost; a request waits for its turn for half of the time in which its answer is on time, else it is refused at once. An answer without a limit ends it. What other instances have seen of targets now reaches the traffic thread through one FleetEventListener; LoadWait and AnswerHead are split off RequestFlow for its size.

--- a/core/src/main/java/org/apricotstand/dispatch/Candidate.java
+++ b/core/src/main/java/org/apricotstand/dispatch/Candidate.java
@@ -9,6 +9,7 @@
  * @param canLoad whether the engine has a reachable owner that can load a missing model or adapter
  * @param queuedLoads adapters whose load waits for other loads at the engine
  * @param penaltyMs cost added for recent failures
+ * @param sendDelayMs time until a request may be sent to the target, because of its limit
  */
 public record Candidate(
     TargetEntry target,
@@ -16,11 +17,13 @@
     Availability availability,
     boolean canLoad,
     int queuedLoads,
-    double penaltyMs) {
+    double penaltyMs,
+    long sendDelayMs) {
 
   /** Returns a candidate of a plain service, whose targets need no adapter. */
-  public static Candidate ofPlainService(TargetEntry target, TargetLoad load, double penaltyMs) {
-    return new Candidate(target, load, Availability.RESIDENT, false, 0, penaltyMs);
+  public static Candidate ofPlainService(
+      TargetEntry target, TargetLoad load, double penaltyMs, long sendDelayMs) {
+    return new Candidate(target, load, Availability.RESIDENT, false, 0, penaltyMs, sendDelayMs);
   }
 
   /** Returns whether the target can run the request now. */
@@ -30,6 +33,7 @@
 
   /** Returns a copy with another penalty. */
   Candidate withPenaltyMs(double newPenaltyMs) {
-    return new Candidate(target, load, availability, canLoad, queuedLoads, newPenaltyMs);
+    return new Candidate(
+        target, load, availability, canLoad, queuedLoads, newPenaltyMs, sendDelayMs);
   }
 }
--- a/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
@@ -117,6 +117,7 @@
         + overloadMs
         + residencyCostMs(candidate)
         + candidate.penaltyMs()
+        + candidate.sendDelayMs()
         + domainCostMs(candidate, domain);
   }
 
@@ -137,6 +138,7 @@
         (double) candidate.load().total() / Math.max(1, candidate.target().maxConcurrentRequests());
     return utilization * WAITING_REQUEST_COST_MS
         + candidate.penaltyMs()
+        + candidate.sendDelayMs()
         + domainCostMs(candidate, domain);
   }
 
--- a/core/src/test/java/org/apricotstand/dispatch/TargetChooserTest.java
+++ b/core/src/test/java/org/apricotstand/dispatch/TargetChooserTest.java
@@ -14,7 +14,7 @@
 
   private static Candidate resident(String id, int waiting) {
     return new Candidate(
-        target(id, "d"), new TargetLoad(0, waiting), Availability.RESIDENT, true, 0, 0);
+        target(id, "d"), new TargetLoad(0, waiting), Availability.RESIDENT, true, 0, 0, 0);
   }
 
   private static Candidate cold(String id) {
@@ -22,7 +22,8 @@
   }
 
   private static Candidate cold(String id, int queuedLoads) {
-    return new Candidate(target(id, "d"), TargetLoad.NONE, Availability.COLD, true, queuedLoads, 0);
+    return new Candidate(
+        target(id, "d"), TargetLoad.NONE, Availability.COLD, true, queuedLoads, 0, 0);
   }
 
   private static String chosen(List<Candidate> candidates) {
@@ -45,7 +46,7 @@
   @Test
   void prefersAnEngineWithACachedCopy() {
     Candidate warm =
-        new Candidate(target("e2", "d"), new TargetLoad(5, 1), Availability.WARM, true, 0, 0);
+        new Candidate(target("e2", "d"), new TargetLoad(5, 1), Availability.WARM, true, 0, 0, 0);
     assertThat(chosen(List.of(cold("e1"), warm, cold("e3")))).isEqualTo("e2");
   }
 
@@ -53,7 +54,7 @@
   @Test
   void skipsEnginesThatCannotLoad() {
     Candidate withoutOwner =
-        new Candidate(target("e1", "d"), TargetLoad.NONE, Availability.COLD, false, 0, 0);
+        new Candidate(target("e1", "d"), TargetLoad.NONE, Availability.COLD, false, 0, 0, 0);
     assertThat(chosen(List.of(withoutOwner, cold("e2")))).isEqualTo("e2");
     assertThat(TargetChooser.chooseEngine("m/a1", "d", List.of(withoutOwner)).isPresent())
         .isFalse();
@@ -65,7 +66,8 @@
   void skipsAnEngineWithoutTheBaseModel() {
     String preferred = chosen(List.of(cold("e1"), cold("e2")));
     Candidate withoutModel =
-        new Candidate(target(preferred, "d"), TargetLoad.NONE, Availability.NO_MODEL, true, 0, 0);
+        new Candidate(
+            target(preferred, "d"), TargetLoad.NONE, Availability.NO_MODEL, true, 0, 0, 0);
     Candidate other = cold(preferred.equals("e1") ? "e2" : "e1", 8);
     assertThat(chosen(List.of(withoutModel, other))).isEqualTo(other.target().id());
   }
@@ -84,7 +86,8 @@
   @Test
   void staysWithTheEngineThatTheLoadWasRequestedFrom() {
     Candidate loadRequested =
-        new Candidate(target("e1", "d"), TargetLoad.NONE, Availability.LOAD_REQUESTED, true, 9, 0);
+        new Candidate(
+            target("e1", "d"), TargetLoad.NONE, Availability.LOAD_REQUESTED, true, 9, 0, 0);
     assertThat(chosen(List.of(loadRequested, cold("e2"), cold("e3")))).isEqualTo("e1");
     assertThat(chosen(List.of(loadRequested, resident("e2", 1)))).isEqualTo("e2");
   }
@@ -98,8 +101,8 @@
 
   @Test
   void plainRequestsGoToTheLeastLoadedTarget() {
-    Candidate busy = Candidate.ofPlainService(target("t1", "d"), new TargetLoad(9, 0), 0);
-    Candidate idle = Candidate.ofPlainService(target("t2", "x"), TargetLoad.NONE, 0);
+    Candidate busy = Candidate.ofPlainService(target("t1", "d"), new TargetLoad(9, 0), 0, 0);
+    Candidate idle = Candidate.ofPlainService(target("t2", "x"), TargetLoad.NONE, 0, 0);
     assertThat(
             TargetChooser.choosePlainTarget("d", List.of(busy, idle)).orElseThrow().target().id())
         .isEqualTo("t2");
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -231,6 +231,14 @@
     return "refused/" + trait;
   }
 
+  void publishLimit(FleetState.TargetLimit limit) {
+    publishEvent("limit/" + limit.target(), limit);
+  }
+
+  void publishLimitEnd(FleetState.TargetLimitEnd end) {
+    publishEvent("limit/" + end.target(), end);
+  }
+
   /** Publishes what happened here; each time under a key of its own, since all of it counts. */
   private void publishEvent(String what, FleetState event) {
     publish(what + "/" + self.name() + "/" + (sequence + 1), incarnation, event);
@@ -575,6 +583,8 @@
         listener.onAnswer(answer);
       }
       case FleetState.TraitRefused refusal -> listener.onRefusal(refusal);
+      case FleetState.TargetLimit limit -> listener.onLimit(limit);
+      case FleetState.TargetLimitEnd end -> listener.onLimitEnd(end);
       case FleetState.TableRow row -> tables.apply(row);
     }
   }
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchangeListener.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchangeListener.java
@@ -33,6 +33,12 @@
   /** Called when an instance published that it refuses a trait. */
   void onRefusal(FleetState.TraitRefused refusal);
 
+  /** Called when an instance published the limit of a target. */
+  void onLimit(FleetState.TargetLimit limit);
+
+  /** Called when an instance published that a target has a limit no more. */
+  void onLimitEnd(FleetState.TargetLimitEnd end);
+
   /** Called with the requests that all instances behind a relay received, by adapter. */
   void onArrivals(Map<String, Integer> arrivals);
 
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -7,9 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
-import java.util.function.BiConsumer;
-import java.util.function.Consumer;
-import java.util.function.ObjLongConsumer;
 import java.util.stream.Collectors;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
@@ -88,9 +85,7 @@
   private final Map<String, WarmCopies> warmCopies = new HashMap<>();
   private final Map<String, String> incarnations = new HashMap<>();
   private Runnable viewListener = () -> {};
-  private BiConsumer<String, Map<Trait, Integer>> crashListener = (target, requests) -> {};
-  private Consumer<Trait> answerListener = trait -> {};
-  private ObjLongConsumer<Trait> refusalListener = (trait, untilMs) -> {};
+  private FleetEventListener eventListener = FleetEventListener.NONE;
   private RoutingPlan plan;
   private List<TargetEntry> targets = List.of();
   private boolean publishScheduled;
@@ -150,25 +145,9 @@
     viewListener = listener;
   }
 
-  /**
-   * Sets the listener for crashes that other instances report. It gets the incarnation of the
-   * target and the number of requests that it had not begun to answer, by trait.
-   */
-  public void setCrashListener(BiConsumer<String, Map<Trait, Integer>> listener) {
-    crashListener = listener;
-  }
-
-  /** Sets the listener for traits that other instances report as answered. */
-  public void setAnswerListener(Consumer<Trait> listener) {
-    answerListener = listener;
-  }
-
-  /**
-   * Sets the listener for traits that other instances refuse. It gets the monotonic time at which
-   * the refusal ends.
-   */
-  public void setRefusalListener(ObjLongConsumer<Trait> listener) {
-    refusalListener = listener;
+  /** Sets the listener for what other instances have seen; it is called on the control thread. */
+  public void setEventListener(FleetEventListener listener) {
+    eventListener = listener;
   }
 
   /** Returns the newest view. */
@@ -392,6 +371,18 @@
         });
   }
 
+  @Override
+  public void reportLimit(String incarnation, double perSecond) {
+    FleetState.TargetLimit limit = new FleetState.TargetLimit(incarnation, perSecond);
+    control.execute(() -> exchange.publishLimit(limit));
+  }
+
+  @Override
+  public void reportLimitEnd(String incarnation) {
+    FleetState.TargetLimitEnd end = new FleetState.TargetLimitEnd(incarnation);
+    control.execute(() -> exchange.publishLimitEnd(end));
+  }
+
   @Override
   public void onHello(InstanceId peer, PeerMessage.Hello hello) {
     LOG.info("peer_linked", "peer", peer, "incarnation", hello.incarnation());
@@ -475,13 +466,13 @@
         .forEach(
             (text, requests) ->
                 Trait.decode(text).ifPresent(trait -> requestsByTrait.put(trait, requests)));
-    crashListener.accept(crash.target(), requestsByTrait);
+    eventListener.onCrash(crash.target(), requestsByTrait);
   }
 
   @Override
   public void onAnswer(FleetState.TraitAnswered answer) {
     refusalTable.end(answer.trait());
-    Trait.decode(answer.trait()).ifPresent(answerListener);
+    Trait.decode(answer.trait()).ifPresent(eventListener::onAnswer);
   }
 
   @Override
@@ -490,9 +481,19 @@
     applyRefusal(refusal.trait(), refusal.remainingMs());
   }
 
+  @Override
+  public void onLimit(FleetState.TargetLimit limit) {
+    eventListener.onLimit(limit.target(), limit.perSecond());
+  }
+
+  @Override
+  public void onLimitEnd(FleetState.TargetLimitEnd end) {
+    eventListener.onLimitEnd(end.target());
+  }
+
   private void applyRefusal(String encodedTrait, long remainingMs) {
     long untilMs = ControlThread.nowMs() + remainingMs;
-    Trait.decode(encodedTrait).ifPresent(trait -> refusalListener.accept(trait, untilMs));
+    Trait.decode(encodedTrait).ifPresent(trait -> eventListener.onRefusal(trait, untilMs));
   }
 
   @Override
@@ -576,6 +577,13 @@
     }
   }
 
+  private Set<String> sharingInstances() {
+    Set<String> names = new HashSet<>(exchange.liveInstances());
+    names.removeIf(exchange::isLeaving);
+    names.add(settings.name());
+    return Set.copyOf(names);
+  }
+
   private void publish() {
     publishScheduled = false;
     publishedEnginesWithOwner = enginesWithOwner();
@@ -589,7 +597,7 @@
             publishedEnginesWithOwner,
             Map.copyOf(declaredVersions),
             exchange.peerLoads(),
-            1 + exchange.liveInstances().size());
+            sharingInstances());
     viewListener.run();
   }
 }
--- a/node/src/main/java/org/apricotstand/fleet/FleetView.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetView.java
@@ -18,7 +18,7 @@
  * @param enginesWithOwner ids of the engines whose owner is known and reachable
  * @param declaredVersions declared versions of models and adapters
  * @param peerLoads requests of the other instances at each target, by target id
- * @param instanceCount number of live instances, including this one
+ * @param instances names of the live instances that are not leaving, and of this one
  */
 public record FleetView(
     RoutingPlan plan,
@@ -27,11 +27,11 @@
     Set<String> enginesWithOwner,
     Map<AdapterKey, Long> declaredVersions,
     Map<String, TargetLoad> peerLoads,
-    int instanceCount) {
+    Set<String> instances) {
 
   /** View before anything is known. */
   public static final FleetView EMPTY =
-      new FleetView(null, Map.of(), Map.of(), Set.of(), Map.of(), Map.of(), 1);
+      new FleetView(null, Map.of(), Map.of(), Set.of(), Map.of(), Map.of(), Set.of());
 
   /** Returns the targets of a service that accept requests. */
   public List<TargetEntry> targetsOf(String service) {
--- a/node/src/main/java/org/apricotstand/fleet/StateLifetime.java
+++ b/node/src/main/java/org/apricotstand/fleet/StateLifetime.java
@@ -12,6 +12,9 @@
    */
   private static final long EVENT_LIFETIME_MS = 60_000;
 
+  /** Time for which a limit of a target is passed on; it is published again while it holds. */
+  private static final long LIMIT_LIFETIME_MS = 10_000;
+
   private StateLifetime() {}
 
   /** Returns how long a state is passed on; empty if until another one replaces it. */
@@ -20,6 +23,8 @@
       case FleetState.TargetCrash crash -> OptionalLong.of(EVENT_LIFETIME_MS);
       case FleetState.TraitAnswered answer -> OptionalLong.of(EVENT_LIFETIME_MS);
       case FleetState.TraitRefused refusal -> OptionalLong.of(refusal.remainingMs());
+      case FleetState.TargetLimit limit -> OptionalLong.of(LIMIT_LIFETIME_MS);
+      case FleetState.TargetLimitEnd end -> OptionalLong.of(LIMIT_LIFETIME_MS);
       case FleetState.TableRow row ->
           row.removed() ? OptionalLong.of(EVENT_LIFETIME_MS) : OptionalLong.empty();
       case FleetState.EngineHoldings holdings -> OptionalLong.empty();
@@ -37,6 +42,8 @@
       case FleetState.TargetCrash crash -> true;
       case FleetState.TraitAnswered answer -> true;
       case FleetState.TraitRefused refusal -> false;
+      case FleetState.TargetLimit limit -> true;
+      case FleetState.TargetLimitEnd end -> true;
       // Members are told at each read, and other relays read themselves.
       case FleetState.TableRow row -> false;
       case FleetState.InstanceStatus status -> status.leaving();
--- a/node/src/main/java/org/apricotstand/peer/FleetState.java
+++ b/node/src/main/java/org/apricotstand/peer/FleetState.java
@@ -19,6 +19,8 @@
   @JsonSubTypes.Type(value = FleetState.TargetCrash.class, name = "crash"),
   @JsonSubTypes.Type(value = FleetState.TraitAnswered.class, name = "answered"),
   @JsonSubTypes.Type(value = FleetState.TraitRefused.class, name = "refused"),
+  @JsonSubTypes.Type(value = FleetState.TargetLimit.class, name = "limit"),
+  @JsonSubTypes.Type(value = FleetState.TargetLimitEnd.class, name = "unlimited"),
   @JsonSubTypes.Type(value = FleetState.TableRow.class, name = "row")
 })
 public sealed interface FleetState {
@@ -92,6 +94,21 @@
    */
   record TraitRefused(String trait, long remainingMs) implements FleetState {}
 
+  /**
+   * A target limits the requests of all instances together.
+   *
+   * @param target incarnation of the target
+   * @param perSecond requests a second
+   */
+  record TargetLimit(String target, double perSecond) implements FleetState {}
+
+  /**
+   * A target limits requests no more.
+   *
+   * @param target incarnation of the target
+   */
+  record TargetLimitEnd(String target) implements FleetState {}
+
   /**
    * A row that an instance read from the store.
    *
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/request/AnswerHead.java
@@ -0,0 +1,57 @@
+package org.apricotstand.request;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.OptionalDouble;
+import org.apricotstand.port.HeaderNames;
+import org.apricotstand.upstream.TargetConnection;
+
+/**
+ * Status and headers of a target's answer, and what they say.
+ *
+ * @param response head as it was received
+ * @param names names of the headers
+ */
+record AnswerHead(HttpResponse response, HeaderNames names) {
+
+  private static final String EVENT_STREAM = "text/event-stream";
+
+  int status() {
+    return response.status().code();
+  }
+
+  /** Returns whether a success comes from elsewhere than a target. */
+  boolean isUnsignedSuccess() {
+    return status() / 100 == 2 && !response.headers().contains(names.signature());
+  }
+
+  /** Returns whether the target has not run the request. */
+  boolean isNotExecuted() {
+    return status() == 421 || response.headers().contains(names.notExecuted());
+  }
+
+  boolean isFailure() {
+    return status() >= 500;
+  }
+
+  /** Returns whether an answer with this status has no body, whatever its headers say. */
+  boolean isBodiless() {
+    return status() == 204 || status() == 304;
+  }
+
+  /** Returns whether only the end of the connection marks the end of the body. */
+  boolean endsWithConnection() {
+    return !TargetConnection.hasLength(response);
+  }
+
+  /** Returns whether the body consists of events, as far as the head tells. */
+  boolean hasEvents() {
+    String contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
+    return contentType.startsWith(EVENT_STREAM) || endsWithConnection();
+  }
+
+  /** Returns the requests a second that the target takes; empty if it names no limit. */
+  OptionalDouble limitPerSecond() {
+    return RateLimitHeader.perSecond(response.headers().get(names.rateLimit()));
+  }
+}
--- a/node/src/main/java/org/apricotstand/request/FleetNotifier.java
+++ b/node/src/main/java/org/apricotstand/request/FleetNotifier.java
@@ -31,4 +31,15 @@
    * @param untilMs monotonic time at which the refusal ends
    */
   void reportRefusal(Trait trait, long untilMs);
+
+  /**
+   * Tells all instances that a target limits the requests of all of them together.
+   *
+   * @param incarnation identifier of the run of the target
+   * @param perSecond requests a second
+   */
+  void reportLimit(String incarnation, double perSecond);
+
+  /** Tells all instances that a target limits requests no more. */
+  void reportLimitEnd(String incarnation);
 }
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -19,7 +20,6 @@
 import org.apricotstand.front.Reply;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.residency.AdapterKey;
-import org.apricotstand.residency.SlotEvent;
 import org.apricotstand.route.RequestKind;
 import org.apricotstand.route.Route;
 import org.apricotstand.suspect.Trait;
@@ -47,23 +47,12 @@
   /** Time after which a caller may send a request again that was refused for crashing targets. */
   static final long CRASHING_REQUEST_RETRY_MS = 60_000;
 
-  private static final String EVENT_STREAM = "text/event-stream";
-
   private static final int MAX_REJECTIONS = 4;
   private static final int MAX_CONNECT_FAILURES = 4;
 
   /** Time before the deadline at which the request is ended, so that the answer is in time. */
   private static final long ANSWER_MARGIN_MS = 20;
 
-  /** Time after which a request that still waits asks the owner for the same load again. */
-  private static final long LOAD_REQUEST_INTERVAL_MS = 400;
-
-  /** Typical time from the start of a load to the first byte of the answer. */
-  private static final long LOAD_TO_FIRST_BYTE_MS = 450;
-
-  /** Time to wait for a load at one engine before another engine is chosen. */
-  private static final long LOAD_TIMEOUT_MS = 2_000;
-
   /** Time before the first-byte timeout of the caller at which a refusal still reaches it. */
   private static final long REFUSAL_MARGIN_MS = 350;
 
@@ -91,12 +80,11 @@
   private final Set<String> excludedTargetIds = new HashSet<>();
   private final EventSplitter eventSplitter;
   private final TargetRequestFactory targetRequests;
+  private final LoadWait loadWait;
   private ScheduledFuture<?> deadlineTimer;
   private ScheduledFuture<?> refusalTimer;
-  private String loadRequestedFrom;
-  private long lastLoadRequestMs;
-  private long loadWaitStartMs;
   private Attempt currentAttempt;
+  private Reservation reservation;
   private String lastTargetId = "";
   private int runs;
   private int rejections;
@@ -124,6 +112,12 @@
     this.callerDeadlineMs = request.arrivedMs() + callerTimeoutMs(request.headers());
     this.deadlineMs =
         Math.min(callerDeadlineMs, request.arrivedMs() + route.timeoutMs()) - ANSWER_MARGIN_MS;
+    this.loadWait =
+        new LoadWait(
+            router.fleetNotifier(),
+            adapter,
+            deadlineMs,
+            request.arrivedMs() + route.targetLatencyMs());
     this.eventSplitter = route.resumable() ? new EventSplitter() : null;
     this.targetRequests =
         new TargetRequestFactory(request, router.headerNames(), route.priority(), callerDeadlineMs);
@@ -152,7 +146,7 @@
 
   /** Returns whether the request has asked for a load at the target and still waits for it. */
   boolean hasRequestedLoad(TargetEntry target) {
-    return target.id().equals(loadRequestedFrom);
+    return target.id().equals(loadWait.engine());
   }
 
   void start() {
@@ -177,7 +171,7 @@
 
   /** Chooses a target again after the view of the fleet has changed. */
   void onViewChanged() {
-    if (!ended && currentAttempt == null) {
+    if (!ended && currentAttempt == null && reservation == null) {
       dispatch();
     }
   }
@@ -215,15 +209,63 @@
     Candidate candidate = chosen.get();
     if (candidate.isResident()) {
       router.waitingFlows().remove(this);
-      send(candidate.target());
+      sendInTurn(candidate.target());
     } else {
       awaitLoad(candidate);
     }
   }
 
   private void failWithoutTarget() {
-    boolean hasTargets = !router.view().targetsOf(service).isEmpty();
-    refuseOrAbort(hasTargets ? "no_target_left" : "no_target", RetryAdvice.Cause.NO_OWNER);
+    List<TargetEntry> targets = router.view().targetsOf(service);
+    if (targets.stream().anyMatch(router::isLimited)) {
+      refuseOrAbort("targets_limited", RetryAdvice.Cause.TARGETS_BUSY);
+    } else {
+      String code = targets.isEmpty() ? "no_target" : "no_target_left";
+      refuseOrAbort(code, RetryAdvice.Cause.NO_OWNER);
+    }
+  }
+
+  /**
+   * Returns how long the request may wait for its turn at a target that limits requests. A longer
+   * wait would make it late, and all requests behind it.
+   */
+  long maxSendDelayMs() {
+    return Math.max(0, route.targetLatencyMs() / 2 - ageMs());
+  }
+
+  /** Sends the request as soon as the limit of the target allows. */
+  private void sendInTurn(TargetEntry target) {
+    long sendAtMs = router.pacer().reserve(target);
+    long delayMs = sendAtMs - ControlThread.nowMs();
+    if (delayMs <= 0) {
+      send(target);
+    } else {
+      ScheduledFuture<?> timer =
+          router.loop().schedule(this::onTurn, delayMs, TimeUnit.MILLISECONDS);
+      reservation = new Reservation(target, sendAtMs, timer);
+    }
+  }
+
+  /** A place in the requests to a target that limits them. */
+  private record Reservation(TargetEntry target, long sendAtMs, ScheduledFuture<?> timer) {}
+
+  private void onTurn() {
+    TargetEntry target = reservation.target;
+    reservation = null;
+    boolean isRefused = router.crashWatch().findRefused(traits).isPresent();
+    if (!isRefused && router.isResident(target, this)) {
+      send(target);
+    } else {
+      dispatch();
+    }
+  }
+
+  private void giveUpReservation() {
+    if (reservation != null) {
+      reservation.timer.cancel(false);
+      router.pacer().release(reservation.target, reservation.sendAtMs);
+      reservation = null;
+    }
   }
 
   /**
@@ -255,32 +297,14 @@
   private void awaitLoad(Candidate candidate) {
     long nowMs = ControlThread.nowMs();
     String engine = candidate.target().id();
-    boolean sameEngine = engine.equals(loadRequestedFrom);
-    if (sameEngine && nowMs - loadWaitStartMs > LOAD_TIMEOUT_MS) {
-      // The load makes no progress at this engine or its owner: choose another engine.
+    if (loadWait.isOverdueAt(engine, nowMs)) {
       excludedTargetIds.add(engine);
-      loadRequestedFrom = null;
+      loadWait.abandon();
       dispatch();
       return;
     }
-    if (!sameEngine) {
-      loadWaitStartMs = nowMs;
-    }
-    boolean requestedRecently = sameEngine && nowMs - lastLoadRequestMs < LOAD_REQUEST_INTERVAL_MS;
     router.waitingFlows().add(this);
-    if (!requestedRecently && candidate.canLoad()) {
-      loadRequestedFrom = engine;
-      lastLoadRequestMs = nowMs;
-      // The load request expires soon and is renewed while the caller waits, so that no adapter is
-      // loaded for callers that have disconnected.
-      long loadUntilMs = Math.min(deadlineMs, nowMs + 2 * LOAD_REQUEST_INTERVAL_MS);
-      long latestStartMs = request.arrivedMs() + route.targetLatencyMs() - LOAD_TO_FIRST_BYTE_MS;
-      long version = router.view().declaredVersion(adapter);
-      router
-          .fleetNotifier()
-          .requestLoad(
-              engine, new SlotEvent.LoadRequested(adapter, version, loadUntilMs, latestStartMs));
-    }
+    loadWait.waitFor(engine, candidate.canLoad(), router.view().declaredVersion(adapter), nowMs);
   }
 
   private void send(TargetEntry target) {
@@ -407,6 +431,7 @@
 
   private void finish(String code, int status) {
     ended = true;
+    giveUpReservation();
     router.activeFlows().remove(this);
     deadlineTimer.cancel(false);
     if (refusalTimer != null) {
@@ -429,7 +454,7 @@
         "adapter",
         adapter,
         "wanted_from",
-        loadRequestedFrom,
+        loadWait.engine(),
         "runs",
         runs,
         "rejections",
@@ -485,9 +510,10 @@
   private final class Attempt implements AnswerListener {
 
     private final TargetEntry target;
+    private final long sentMs = ControlThread.nowMs();
     private final AnswerBody body = new AnswerBody(router.answerLimits(), eventSplitter);
     private TargetConnection connection;
-    private HttpResponse head;
+    private AnswerHead head;
     private boolean discardAnswer;
     private boolean retryGranted;
     private boolean firstByteReceived;
@@ -524,14 +550,14 @@
 
     @Override
     public void onHead(HttpResponse answer) {
-      head = answer;
-      logRateLimit();
-      if (isUnsignedSuccess()) {
+      head = new AnswerHead(answer, router.headerNames());
+      router.pacer().onAnswer(target, head.limitPerSecond(), sentMs);
+      if (head.isUnsignedSuccess()) {
         giveUp("success without signature");
         return;
       }
-      retryGranted = !isNotExecuted() && isFailure() && tryTakeRetry(runs + 1);
-      discardAnswer = isNotExecuted() || retryGranted;
+      retryGranted = !head.isNotExecuted() && head.isFailure() && tryTakeRetry(runs + 1);
+      discardAnswer = head.isNotExecuted() || retryGranted;
       if (discardAnswer) {
         return;
       }
@@ -543,12 +569,6 @@
       }
     }
 
-    private void logRateLimit() {
-      RateLimitHeader.perSecond(head.headers().get(router.headerNames().rateLimit()))
-          .ifPresent(
-              perSecond -> LOG.info("limit_named", "target", target.id(), "per_second", perSecond));
-    }
-
     /** Closes the connection of an answer that cannot be passed on; the request may have run. */
     private void giveUp(String reason) {
       TargetConnection brokenConnection = connection;
@@ -556,22 +576,8 @@
       brokenConnection.cancel();
     }
 
-    private boolean isUnsignedSuccess() {
-      return head.status().code() / 100 == 2
-          && !head.headers().contains(router.headerNames().signature());
-    }
-
-    private boolean isNotExecuted() {
-      return head.status().code() == 421
-          || head.headers().contains(router.headerNames().notExecuted());
-    }
-
-    private boolean isFailure() {
-      return head.status().code() >= 500;
-    }
-
     private boolean isStreamed() {
-      return route.kind() == RequestKind.STREAM && head.status().code() == 200;
+      return route.kind() == RequestKind.STREAM && head.status() == 200;
     }
 
     @Override
@@ -627,21 +633,22 @@
       }
       runs++;
       long nowMs = ControlThread.nowMs();
-      if (isFailure()) {
+      if (head.isFailure()) {
         router.health().recordFailure(target.id(), nowMs);
       } else {
         router.health().recordSuccess(target.id(), nowMs);
         confirmAnswer();
       }
-      finish("answered", head.status().code());
+      finish("answered", head.status());
       ByteBuf rest = body.takeRest();
       if (!isStreamed()) {
         // The whole body is buffered, so it is sent with its length, however the target framed it.
-        if (head.status().code() != 204 && head.status().code() != 304) {
-          head.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyLength(rest.readableBytes()));
+        HttpHeaders headers = head.response().headers();
+        if (!head.isBodiless()) {
+          headers.set(HttpHeaderNames.CONTENT_LENGTH, bodyLength(rest.readableBytes()));
         }
-        head.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
-        reply.writeHead(head);
+        headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+        reply.writeHead(head.response());
       }
       if (rest.isReadable()) {
         reply.writePart(rest);
@@ -650,21 +657,21 @@
     }
 
     private boolean isBrokenOff() {
-      boolean endsWithConnection = !TargetConnection.hasLength(head);
-      String contentType = head.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-      boolean hasEvents = contentType.startsWith(EVENT_STREAM) || endsWithConnection;
-      return !discardAnswer && isStreamed() && hasEvents && body.isBrokenOff(endsWithConnection);
+      return !discardAnswer
+          && isStreamed()
+          && head.hasEvents()
+          && body.isBrokenOff(head.endsWithConnection());
     }
 
     private String bodyLength(int receivedBytes) {
-      String declared = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+      String declared = head.response().headers().get(HttpHeaderNames.CONTENT_LENGTH);
       boolean isHeadRequest = HttpMethod.HEAD.equals(request.method());
       return isHeadRequest && declared != null ? declared : Integer.toString(receivedBytes);
     }
 
     private void onDiscardedAnswer() {
-      if (isNotExecuted()) {
-        onRejected(this, head.status().code());
+      if (head.isNotExecuted()) {
+        onRejected(this, head.status());
         return;
       }
       runs++;
@@ -683,8 +690,8 @@
         return;
       }
       close();
-      if (discardAnswer && isNotExecuted()) {
-        onRejected(this, head.status().code());
+      if (discardAnswer && head.isNotExecuted()) {
+        onRejected(this, head.status());
       } else {
         onAttemptLost(this, failure, false);
       }
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -18,6 +19,7 @@
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.dispatch.TargetHealth;
 import org.apricotstand.dispatch.TargetLoad;
+import org.apricotstand.fleet.FleetEventListener;
 import org.apricotstand.fleet.FleetView;
 import org.apricotstand.fleet.LocalLoadTracker;
 import org.apricotstand.front.CallHandler;
@@ -39,7 +41,7 @@
  * Starts a {@link RequestFlow} for each request of a caller and holds the state that requests
  * share: connections, retry budgets, recent failures and crashes. Belongs to the traffic thread.
  */
-public final class RequestRouter implements CallHandler {
+public final class RequestRouter implements CallHandler, FleetEventListener {
 
   private static final EventLog LOG = EventLog.of(RequestRouter.class);
 
@@ -57,6 +59,7 @@
   private final Metrics metrics;
   private final Random random;
   private final CrashWatch crashWatch;
+  private final TargetPacer pacer;
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final Set<RequestFlow> activeFlows = new LinkedHashSet<>();
@@ -91,6 +94,7 @@
     this.fleetNotifier = fleetNotifier;
     this.metrics = metrics;
     this.random = random;
+    this.pacer = new TargetPacer(settings.name(), ControlThread::nowMs, fleetNotifier);
     this.crashWatch =
         new CrashWatch(
             loop, ControlThread::nowMs, connections, health, fleetNotifier, this::onTraitRefused);
@@ -138,6 +142,9 @@
     missingAdapters
         .entrySet()
         .removeIf(entry -> fleetView.residency().get(entry.getKey().engine) != entry.getValue());
+    if (fleetView.instances().contains(settings.name())) {
+      pacer.setInstances(fleetView.instances());
+    }
     List.copyOf(waitingFlows).forEach(RequestFlow::onViewChanged);
   }
 
@@ -177,6 +184,7 @@
     List<Candidate> candidates =
         fleetView.targetsOf(flow.service()).stream()
             .filter(target -> !flow.isExcluded(target))
+            .filter(target -> canSendInTime(target, flow))
             .map(target -> toCandidate(fleetView, target, flow))
             .toList();
     return flow.adapter() == null
@@ -184,6 +192,25 @@
         : TargetChooser.chooseEngine(flow.adapter().toString(), settings.domain(), candidates);
   }
 
+  /** Returns whether a request may be sent to a target soon enough, as far as its limit allows. */
+  private boolean canSendInTime(TargetEntry target, RequestFlow flow) {
+    OptionalLong delayMs = pacer.delayMs(target);
+    return delayMs.isPresent() && delayMs.getAsLong() <= flow.maxSendDelayMs();
+  }
+
+  /** Returns whether a target limits requests, so that this instance cannot send one now. */
+  boolean isLimited(TargetEntry target) {
+    return pacer.delayMs(target).orElse(1) > 0;
+  }
+
+  /** Returns whether a target is still listed and can run a request now. */
+  boolean isResident(TargetEntry target, RequestFlow flow) {
+    FleetView fleetView = view.get();
+    return fleetView.targetsOf(flow.service()).stream()
+        .filter(listed -> listed.incarnation().equals(target.incarnation()))
+        .anyMatch(listed -> toCandidate(fleetView, listed, flow).isResident());
+  }
+
   private Candidate toCandidate(FleetView fleetView, TargetEntry target, RequestFlow flow) {
     AdapterKey key = flow.adapter();
     TargetLoad load =
@@ -191,8 +218,9 @@
             .load(target.id())
             .plus(fleetView.peerLoads().getOrDefault(target.id(), TargetLoad.NONE));
     double penaltyMs = health.penaltyMs(target.id(), ControlThread.nowMs());
+    long sendDelayMs = pacer.delayMs(target).orElse(0);
     if (key == null) {
-      return Candidate.ofPlainService(target, load, penaltyMs);
+      return Candidate.ofPlainService(target, load, penaltyMs, sendDelayMs);
     }
     Residency residency = fleetView.residency().getOrDefault(target.id(), Residency.EMPTY);
     Availability currentAvailability =
@@ -201,7 +229,8 @@
         flow.hasRequestedLoad(target) && currentAvailability != Availability.RESIDENT;
     Availability availability = loadRequested ? Availability.LOAD_REQUESTED : currentAvailability;
     boolean canLoad = fleetView.enginesWithOwner().contains(target.id());
-    return new Candidate(target, load, availability, canLoad, residency.queuedLoads(), penaltyMs);
+    return new Candidate(
+        target, load, availability, canLoad, residency.queuedLoads(), penaltyMs, sendDelayMs);
   }
 
   private Availability availability(
@@ -239,27 +268,42 @@
     List.copyOf(activeFlows).forEach(RequestFlow::onTraitRefused);
   }
 
-  /** Records a crash that another instance has seen; see {@link FleetNotifier#reportCrash}. */
-  public void recordCrash(String incarnation, Map<Trait, Integer> requestsByTrait) {
+  @Override
+  public void onCrash(String incarnation, Map<Trait, Integer> requestsByTrait) {
     crashWatch.recordCrash(incarnation, requestsByTrait);
   }
 
-  /** Records that a target has answered a request with this trait through another instance. */
-  public void recordAnswer(Trait trait) {
+  @Override
+  public void onAnswer(Trait trait) {
     crashWatch.recordAnswer(trait);
   }
 
-  /** Records that another instance refuses a trait until a monotonic time. */
-  public void recordRefusal(Trait trait, long untilMs) {
+  @Override
+  public void onRefusal(Trait trait, long untilMs) {
     crashWatch.recordRefusal(trait, untilMs);
   }
 
+  @Override
+  public void onLimit(String incarnation, double perSecond) {
+    pacer.recordLimit(incarnation, perSecond);
+  }
+
+  @Override
+  public void onLimitEnd(String incarnation) {
+    pacer.recordLimitEnd(incarnation);
+  }
+
+  TargetPacer pacer() {
+    return pacer;
+  }
+
   CrashWatch crashWatch() {
     return crashWatch;
   }
 
   boolean tryRetry(String service) {
-    return retryBudget(service).tryRetry(view.get().instanceCount(), ControlThread.nowMs());
+    return retryBudget(service)
+        .tryRetry(Math.max(1, view.get().instances().size()), ControlThread.nowMs());
   }
 
   private WindowedRetryBudget retryBudget(String service) {
@@ -273,8 +317,10 @@
   private void removeGoneTargets() {
     List<TargetEntry> liveTargets =
         view.get().targets().values().stream().flatMap(List::stream).toList();
-    connections.sweep(
-        liveTargets.stream().map(TargetEntry::incarnation).collect(Collectors.toSet()));
+    Set<String> incarnations =
+        liveTargets.stream().map(TargetEntry::incarnation).collect(Collectors.toSet());
+    connections.sweep(incarnations);
+    pacer.retain(incarnations);
     health.retain(liveTargets.stream().map(TargetEntry::id).collect(Collectors.toSet()));
   }
 
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -82,11 +82,7 @@
     router =
         new RequestRouter(
             loop, settings, systems.headers(), fleet::view, loadTracker, fleet, metrics, random);
-    fleet.setCrashListener(
-        (target, requests) -> loop.execute(() -> router.recordCrash(target, requests)));
-    fleet.setAnswerListener(trait -> loop.execute(() -> router.recordAnswer(trait)));
-    fleet.setRefusalListener(
-        (trait, untilMs) -> loop.execute(() -> router.recordRefusal(trait, untilMs)));
+    fleet.setEventListener(new TrafficThreadListener(loop, router));
     fleet.setViewListener(() -> loop.execute(router::onViewChanged));
     callers =
         new CallerServer(loop, settings.callerAddress(), limitsOf(fleet::view), router, metrics);
--- a/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
+++ b/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
@@ -71,6 +71,7 @@
     final List<FleetState.TargetCrash> crashes = new ArrayList<>();
     final List<FleetState.TraitAnswered> answers = new ArrayList<>();
     final List<FleetState.TraitRefused> refusals = new ArrayList<>();
+    final List<FleetState.TargetLimit> limits = new ArrayList<>();
     final Map<String, RowChange> rows = new HashMap<>();
     long tableVersion;
     int recoveries;
@@ -217,6 +218,16 @@
       answers.add(answer);
     }
 
+    @Override
+    public void onLimit(FleetState.TargetLimit limit) {
+      limits.add(limit);
+    }
+
+    @Override
+    public void onLimitEnd(FleetState.TargetLimitEnd end) {
+      limits.removeIf(limit -> limit.target().equals(end.target()));
+    }
+
     @Override
     public void onRefusal(FleetState.TraitRefused refusal) {
       refusals.add(refusal);
--- a/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
+++ b/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
@@ -43,7 +43,7 @@
             "127.0.0.1",
             0);
     RequestTraits traits = new RequestTraits(sameRequest, null, null);
-    router.loop().submit(() -> router.recordCrash("t2#1", Map.of(traits.wholeRequest(), 1))).sync();
+    router.loop().submit(() -> router.onCrash("t2#1", Map.of(traits.wholeRequest(), 1))).sync();
     assertThat(call("")).contains("crashes_targets");
   }
 
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -91,6 +91,16 @@
       fleetCalls.add("answered " + trait.encode());
     }
 
+    @Override
+    public void reportLimit(String incarnation, double perSecond) {
+      fleetCalls.add("limit " + incarnation + " " + perSecond);
+    }
+
+    @Override
+    public void reportLimitEnd(String incarnation) {
+      fleetCalls.add("limit ended " + incarnation);
+    }
+
     @Override
     public void reportRefusal(Trait trait, long untilMs) {
       refusals.add(trait);
@@ -184,7 +194,13 @@
             List.of(new ServiceSpec("s", 100, engine)),
             new CallerLimits(16_384, 65_536, 3_000, 15_000));
     return new FleetView(
-        plan, Map.of("s", List.of(entries)), residency, Set.of("t1"), Map.of(), Map.of(), 1);
+        plan,
+        Map.of("s", List.of(entries)),
+        residency,
+        Set.of("t1"),
+        Map.of(),
+        Map.of(),
+        Set.of("n"));
   }
 
   /** Sends one request on a new connection and returns everything that is received on it. */
