End a limit only by a signed success, and look up refusals only if there are any

A failure of a limited target may come without the header, and would have ended its limit at all instances until the next answer (TargetPacerTest). Requests were hashed for two minutes after any crash, although none was refused.

--- a/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
+++ b/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
@@ -303,7 +303,12 @@
     return refusal != null && nowMs < refusal.untilMs;
   }
 
-  /** Returns whether no trait is suspected or refused, in which case none needs to be looked up. */
+  /** Returns whether any trait is or was refused; if not, none needs to be looked up. */
+  public boolean hasRefusals() {
+    return !refusals.isEmpty();
+  }
+
+  /** Returns whether no trait is suspected or refused. */
   public boolean isEmpty() {
     return suspicions.isEmpty() && refusals.isEmpty();
   }
--- a/node/src/main/java/org/apricotstand/request/AnswerHead.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerHead.java
@@ -22,7 +22,19 @@
 
   /** Returns whether a success comes from elsewhere than a target. */
   boolean isUnsignedSuccess() {
-    return status() / 100 == 2 && !response.headers().contains(names.signature());
+    return isSuccess() && !isSigned();
+  }
+
+  boolean isSignedSuccess() {
+    return isSuccess() && isSigned();
+  }
+
+  private boolean isSuccess() {
+    return status() / 100 == 2;
+  }
+
+  private boolean isSigned() {
+    return response.headers().contains(names.signature());
   }
 
   /** Returns whether the target has not run the request. */
--- a/node/src/main/java/org/apricotstand/request/CrashWatch.java
+++ b/node/src/main/java/org/apricotstand/request/CrashWatch.java
@@ -65,7 +65,7 @@
 
   /** Returns the trait for which a request is refused, if there is one. */
   Optional<Trait> findRefused(RequestTraits traits) {
-    if (suspects.isEmpty()) {
+    if (!suspects.hasRefusals()) {
       return Optional.empty();
     }
     return suspects.findRefused(traits.all().toList(), clock.getAsLong());
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -551,7 +551,7 @@
     @Override
     public void onHead(HttpResponse answer) {
       head = new AnswerHead(answer, router.headerNames());
-      router.pacer().onAnswer(target, head.limitPerSecond(), sentMs);
+      router.pacer().onAnswer(target, head, sentMs);
       if (head.isUnsignedSuccess()) {
         giveUp("success without signature");
         return;
--- a/node/src/main/java/org/apricotstand/request/TargetPacer.java
+++ b/node/src/main/java/org/apricotstand/request/TargetPacer.java
@@ -38,20 +38,22 @@
   }
 
   /**
-   * Records what an answer says of the limit of its target.
+   * Records what an answer says of the limit of its target. Only a success shows that a limit has
+   * ended; a failure may come from a part of the target that does not know of it.
    *
-   * @param limitPerSecond limit that it names; empty if it names none
    * @param sentMs time at which the request was sent
    */
-  void onAnswer(TargetEntry target, OptionalDouble limitPerSecond, long sentMs) {
+  void onAnswer(TargetEntry target, AnswerHead head, long sentMs) {
     String incarnation = target.incarnation();
+    OptionalDouble limitPerSecond = head.limitPerSecond();
     if (limitPerSecond.isPresent()) {
       double perSecond = limitPerSecond.getAsDouble();
       if (limits.recordLimit(incarnation, perSecond, clock.getAsLong())) {
         LOG.info("limit_named", "target", incarnation, "per_second", perSecond);
         fleetNotifier.reportLimit(incarnation, perSecond);
       }
-    } else if (limits.recordNoLimit(incarnation, sentMs, clock.getAsLong())) {
+    } else if (head.isSignedSuccess()
+        && limits.recordNoLimit(incarnation, sentMs, clock.getAsLong())) {
       LOG.info("limit_ended", "target", incarnation);
       fleetNotifier.reportLimitEnd(incarnation);
     }
