Let a call that cannot wait for the backoff probe the platform

Cause: the pause before the next probe of the circuit breaker grows to 7.5 s, the call of a claim waits 2 s. Change: a call that would be overdue before the pause ends may be the probe, 1 s before its deadline and at the earliest 0.2 s after the last failure; still one probe at a time. aCallThatCannotWaitForThePauseIsTheProbe failed before.

--- a/node/src/main/java/org/apricotstand/platform/CallQueue.java
+++ b/node/src/main/java/org/apricotstand/platform/CallQueue.java
@@ -113,7 +113,7 @@
       while (!queue.isEmpty()
           && inFlight < MAX_CALLS_IN_FLIGHT
           && tokens >= 1
-          && breaker.tryAcquire(nowMs)) {
+          && breaker.tryAcquire(nowMs, queue.peek().deadlineMs())) {
         ready.add(queue.poll());
         waitingCount--;
         inFlight++;
--- a/node/src/main/java/org/apricotstand/platform/CircuitBreaker.java
+++ b/node/src/main/java/org/apricotstand/platform/CircuitBreaker.java
@@ -13,10 +13,14 @@
   private static final long INITIAL_BACKOFF_MS = 200;
   private static final long MAX_BACKOFF_MS = 5_000;
 
+  /** Time before its deadline at which a call can still be answered. */
+  private static final long CALL_DURATION_MS = 1_000;
+
   private final RandomGenerator random;
   private int consecutiveFailures;
   private long backoffMs = INITIAL_BACKOFF_MS;
   private long nextProbeMs;
+  private long lastFailureMs;
   private boolean probeInFlight;
 
   CircuitBreaker(RandomGenerator random) {
@@ -25,13 +29,18 @@
 
   /**
    * Returns whether a call may be sent. While the circuit is open, permits one probe at a time and
-   * only after the backoff; the probe counts as in flight until its result is recorded.
+   * only after the backoff; the probe counts as in flight until its result is recorded. A call that
+   * cannot wait for the end of the backoff may be the probe before it, after the initial backoff:
+   * it would fail in any case.
+   *
+   * @param deadlineMs time at which the call must have been answered
    */
-  boolean tryAcquire(long nowMs) {
+  boolean tryAcquire(long nowMs, long deadlineMs) {
     if (!isOpen()) {
       return true;
     }
-    if (probeInFlight || nowMs < nextProbeMs) {
+    long latestSendMs = Math.max(deadlineMs - CALL_DURATION_MS, lastFailureMs + INITIAL_BACKOFF_MS);
+    if (probeInFlight || nowMs < Math.min(nextProbeMs, latestSendMs)) {
       return false;
     }
     probeInFlight = true;
@@ -50,6 +59,7 @@
 
   void recordFailure(long nowMs) {
     consecutiveFailures++;
+    lastFailureMs = nowMs;
     probeInFlight = false;
     if (isOpen()) {
       nextProbeMs = nowMs + backoffMs / 2 + random.nextLong(backoffMs);
--- a/node/src/test/java/org/apricotstand/platform/CallQueueTest.java
+++ b/node/src/test/java/org/apricotstand/platform/CallQueueTest.java
@@ -25,9 +25,14 @@
   private final List<CompletableFuture<Result<HttpReply>>> answers = new ArrayList<>();
 
   private CompletableFuture<Result<HttpReply>> submit(CallPriority priority, String name) {
+    return submit(priority, 10_000, name);
+  }
+
+  private CompletableFuture<Result<HttpReply>> submit(
+      CallPriority priority, long deadlineMs, String name) {
     return queue.submit(
         priority,
-        10_000,
+        deadlineMs,
         () -> {
           sent.add(name);
           CompletableFuture<Result<HttpReply>> answer = new CompletableFuture<>();
@@ -75,6 +80,29 @@
     assertThat(status.join()).isEqualTo(ANSWERED);
   }
 
+  /**
+   * Guards against a first call after an outage that fails although the platform is back, because
+   * the pause before the next probe is longer than the call may wait.
+   */
+  @Test
+  void aCallThatCannotWaitForThePauseIsTheProbe() {
+    for (int i = 0; i < 20; i++) {
+      submit(CallPriority.STATUS, clock.get() + 60_000, "earlier");
+      answers.getLast().complete(LOST);
+      clock.addAndGet(10_000);
+    }
+    submit(CallPriority.STATUS, clock.get() + 60_000, "earlier");
+    answers.getLast().complete(LOST);
+    int sentBefore = sent.size();
+    CompletableFuture<Result<HttpReply>> urgent =
+        submit(CallPriority.STATUS, clock.get() + 2_000, "urgent");
+    clock.addAndGet(1_000);
+    submit(CallPriority.STATUS, clock.get() + 60_000, "later");
+    assertThat(sent.subList(sentBefore, sent.size())).containsExactly("urgent");
+    answers.getLast().complete(ANSWERED);
+    assertThat(urgent.join()).isEqualTo(ANSWERED);
+  }
+
   /** Guards against calls that are sent after their deadline. */
   @Test
   void failsOverdueCallAsNotSent() {
