--- a/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
+++ b/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
@@ -124,6 +124,7 @@
     return refuseCauses(nowMs);
   }
 
+  /** Returns the start of the moment to which a crash that is noticed now belongs. */
   private long momentAt(long nowMs) {
     if (nowMs - lastMomentMs >= MOMENT_MS) {
       lastMomentMs = nowMs;
@@ -147,18 +148,15 @@
 
   private void removeExpired(long nowMs) {
     refusals.values().removeIf(refusal -> refusal.isForgotten(nowMs));
-    suspicions
-        .entrySet()
-        .removeIf(
-            entry -> {
-              Suspicion suspicion = entry.getValue();
-              Refusal refusal = refusals.get(entry.getKey());
-              boolean hasBeenPunished =
-                  refusal != null
-                      && nowMs >= refusal.untilMs
-                      && suspicion.lastCrashMs() < refusal.untilMs;
-              return hasBeenPunished || nowMs >= suspicion.untilMs();
-            });
+    suspicions.entrySet().removeIf(entry -> isExpired(entry.getKey(), entry.getValue(), nowMs));
+  }
+
+  /** Returns whether a suspicion is too old, or has led to a refusal that has ended. */
+  private boolean isExpired(Trait trait, Suspicion suspicion, long nowMs) {
+    Refusal refusal = refusals.get(trait);
+    boolean isSettled =
+        refusal != null && nowMs >= refusal.untilMs && suspicion.lastCrashMs() < refusal.untilMs;
+    return isSettled || nowMs >= suspicion.untilMs();
   }
 
   /**
