--- a/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
+++ b/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
@@ -5,8 +5,11 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.apricotstand.control.ControlThread;
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.route.RequestKind;
 import org.apricotstand.suspect.CrashSuspects;
@@ -66,6 +69,42 @@
     assertThat(refusals).containsExactly(new Trait.PromptPart("harmful"));
   }
 
+  // Guards against requests that crash their targets although they were recognized while they
+  // waited
+  // there.
+  @Test
+  void aSentRequestWithoutAnswerEndsWhenItsTraitIsRefused() throws Exception {
+    ScriptedTarget.Script silent = (id, number, out) -> true;
+    serve(RequestKind.STREAM, 1, false, target("t1", silent));
+    CompletableFuture<String> answer =
+        CompletableFuture.supplyAsync(
+            () -> {
+              try {
+                return callWithPrompt("first:9,harmful:9,own:9");
+              } catch (IOException e) {
+                throw new UncheckedIOException(e);
+              }
+            });
+    awaitHeads(1);
+    Trait harmful = new Trait.PromptPart("harmful");
+    long untilMs = ControlThread.nowMs() + TEST_TIMEOUT_MS;
+    router.loop().submit(() -> router.onRefusal(harmful, untilMs)).sync();
+    assertThat(answer.join()).startsWith("HTTP/1.1 502 ");
+    assertThat(callWithPrompt("first:9,harmful:9,own2:9")).contains("crashes_targets");
+  }
+
+  // Guards against a refusal that goes on at this instance after another one has seen an answer.
+  @Test
+  void anAnswerAtAnotherInstanceEndsTheRefusal() throws Exception {
+    Trait part = new Trait.PromptPart("subject");
+    long untilMs = ControlThread.nowMs() + TEST_TIMEOUT_MS;
+    serve(RequestKind.STREAM, 1, false, target("t1", ANSWERS_DONE));
+    router.loop().submit(() -> router.onRefusal(part, untilMs)).sync();
+    assertThat(callWithPrompt("subject:9,own:9")).contains("crashes_targets");
+    router.loop().submit(() -> router.onAnswer(part)).sync();
+    assertThat(callWithPrompt("subject:9,own2:9")).endsWith("done");
+  }
+
   /** Crashes the newest target: closes its listener and the connection of the request. */
   private final ScriptedTarget.Script crashes =
       (id, number, out) -> {
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -252,4 +252,12 @@
   static String chunk(String text) {
     return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
   }
+
+  /** Waits until the targets have received this number of requests. */
+  void awaitHeads(int count) {
+    long endMs = System.nanoTime() / 1_000_000 + TEST_TIMEOUT_MS;
+    while (countHeads() < count && System.nanoTime() / 1_000_000 < endMs) {
+      Thread.onSpinWait();
+    }
+  }
 }
