--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -577,9 +577,8 @@
     }
   }
 
-  private Set<String> sharingInstances() {
+  private Set<String> allInstances() {
     Set<String> names = new HashSet<>(exchange.liveInstances());
-    names.removeIf(exchange::isLeaving);
     names.add(settings.name());
     return Set.copyOf(names);
   }
@@ -597,7 +596,7 @@
             publishedEnginesWithOwner,
             Map.copyOf(declaredVersions),
             exchange.peerLoads(),
-            sharingInstances());
+            allInstances());
     viewListener.run();
   }
 }
--- a/node/src/main/java/org/apricotstand/fleet/FleetView.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetView.java
@@ -18,7 +18,7 @@
  * @param enginesWithOwner ids of the engines whose owner is known and reachable
  * @param declaredVersions declared versions of models and adapters
  * @param peerLoads requests of the other instances at each target, by target id
- * @param instances names of the live instances that are not leaving, and of this one
+ * @param instances names of all live instances, including this one and those that are leaving
  */
 public record FleetView(
     RoutingPlan plan,
