Refuse no trait that was answered a moment ago

Cause, as far as it is proved: the reports of one crash arrive one after the other. Before the one with the harmful part, the beginning that most prompts share is at three crashes and the harmful part at two, so the beginning was refused. Its requests without a confirmed answer were ended everywhere, also those whose answers had begun, so that no answer could clear it. Evidence: aTraitThatWasAnsweredAMomentAgoIsNotRefused failed before. Change: a trait is not refused within 5 s of an answer to it; an answer that has begun goes on when its trait is refused.

--- a/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
+++ b/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
@@ -51,6 +51,13 @@
    */
   public static final long MOMENT_MS = 100;
 
+  /**
+   * Time without an answer after which a trait may be refused that was answered before. The reports
+   * of one crash arrive one after the other; until that with the cause is there, what many requests
+   * share looks like the cause.
+   */
+  static final long SILENCE_MS = 5_000;
+
   // A harmless request may be running at one crash by chance, but rarely at two.
   private static final int CRASHES_OF_REQUEST = 2;
 
@@ -216,6 +223,7 @@
         comparingLong(entry -> answeredMs.getOrDefault(entry.getKey(), Long.MIN_VALUE));
     return suspicions.entrySet().stream()
         .filter(entry -> !isRefused(entry.getKey(), nowMs))
+        .filter(entry -> isSilent(entry.getKey(), nowMs))
         .filter(entry -> isAtEnoughCrashes(entry.getKey(), nowMs))
         .sorted(
             mostLikelyFirst
@@ -225,6 +233,11 @@
         .toList();
   }
 
+  private boolean isSilent(Trait trait, long nowMs) {
+    Long lastAnswerMs = answeredMs.get(trait);
+    return lastAnswerMs == null || nowMs - lastAnswerMs >= SILENCE_MS;
+  }
+
   private boolean isAtEnoughCrashes(Trait trait, long nowMs) {
     Set<String> targets = suspicions.get(trait).requestsByTarget.keySet();
     return countCrashes(trait, targets) >= crashesUntilRefusal(trait, nowMs);
--- a/core/src/test/java/org/apricotstand/suspect/CrashSuspectsTest.java
+++ b/core/src/test/java/org/apricotstand/suspect/CrashSuspectsTest.java
@@ -145,6 +145,31 @@
     assertThat(isRefused(SUBJECT, 4_001)).isFalse();
   }
 
+  // Guards against refusing the beginning of most prompts while the report that has the cause of
+  // the
+  // last crash is still on its way.
+  @Test
+  void aTraitThatWasAnsweredAMomentAgoIsNotRefused() {
+    suspects.recordAnswer(FIRST, 0);
+    crash("t1#1", 200, FIRST, HARMFUL);
+    crash("t2#1", 400, FIRST, HARMFUL);
+    crash("t3#1", 600, FIRST);
+    assertThat(isRefused(FIRST, 601)).isFalse();
+    crash("t3#1", 610, FIRST, HARMFUL);
+    assertThat(isRefused(HARMFUL, 611)).isTrue();
+    assertThat(isRefused(FIRST, 611)).isFalse();
+  }
+
+  // Guards against a trait that is never refused because it was harmless once.
+  @Test
+  void aTraitThatTurnsHarmfulIsRefusedWhenAnswersStayAway() {
+    suspects.recordAnswer(SUBJECT, 0);
+    for (int i = 1; i <= 3; i++) {
+      crash("t" + i + "#1", 2_000 * i, SUBJECT);
+    }
+    assertThat(isRefused(SUBJECT, 6_001)).isTrue();
+  }
+
   // Guards against telling the whole fleet of every answer.
   @Test
   void anAnswerToATraitAtOneCrashIsNoNews() {
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -176,10 +176,10 @@
     }
   }
 
-  /** Ends the request if it may crash its target and the target has not begun to answer. */
+  /** Ends a request without answer that may crash its target; an answer would clear its traits. */
   void onTraitRefused() {
     Attempt current = currentAttempt;
-    boolean isAnswered = current != null && current.answerConfirmed;
+    boolean isAnswered = current != null && current.firstByteReceived;
     if (!ended && !isAnswered && router.crashWatch().findRefused(traits).isPresent()) {
       refuseAsCrashing();
     }
