Resume a broken stream on a new connection

Cause: the rest of the stream was requested on a pooled connection. When a link breaks, the pooled connections to the same engine break with that of the stream, some of them only a moment later, and a resumption is tried once. Change: it is sent on a new connection.

EngineClientTest#resumesAStreamOnANewConnection failed before (1 of 1).

--- a/node/src/main/java/org/apricotstand/engine/EngineClient.java
+++ b/node/src/main/java/org/apricotstand/engine/EngineClient.java
@@ -59,7 +59,8 @@
   }
 
   /**
-   * Requests the rest of a stream whose connection broke.
+   * Requests the rest of a stream whose connection broke. Uses a new connection, since the pooled
+   * ones often break together with that of the stream.
    *
    * @param fromToken index of the first missing token
    */
@@ -69,7 +70,8 @@
         encode(Map.of("request_id", request.scheduled().id().value(), "from_token", fromToken));
     HttpCall call =
         HttpCall.json("POST", url(address, "/v1/resume"), body, request.scheduled().deadlineMs())
-            .withHeader(EngineHeaders.FENCING, Long.toString(fencing));
+            .withHeader(EngineHeaders.FENCING, Long.toString(fencing))
+            .withNewConnection();
     http.stream(call, listener);
   }
 
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/engine/EngineClientTest.java
@@ -0,0 +1,89 @@
+package org.apricotstand.engine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.http.CallFailure;
+import org.apricotstand.http.HttpClient;
+import org.apricotstand.http.ReplyControl;
+import org.apricotstand.http.ReplyListener;
+import org.apricotstand.model.AdapterVersion;
+import org.apricotstand.model.RequestClass;
+import org.apricotstand.model.RequestId;
+import org.apricotstand.schedule.ScheduledRequest;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class EngineClientTest {
+
+  private static final long TIMEOUT_MS = 20_000;
+
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final HttpClient http = new HttpClient(group);
+  private final EngineClient engineClient = new EngineClient(http);
+
+  @AfterEach
+  void stop() {
+    http.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  // Guards against a stream that is not resumed because its rest is requested on a pooled
+  // connection, which broke at the same moment as the connection of the stream.
+  @Test
+  void resumesAStreamOnANewConnection() throws Exception {
+    try (KeepAliveServer server = new KeepAliveServer()) {
+      long deadlineMs = ControlThread.nowMs() + TIMEOUT_MS;
+      engineClient.cancel(server.address(), "r0", deadlineMs).join();
+      engineClient.cancel(server.address(), "r0", deadlineMs).join();
+      EndOfReply end = new EndOfReply();
+      engineClient.resumeStream(server.address(), 1, request(deadlineMs), 7, end);
+      end.future.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      assertThat(server.requests())
+          .containsExactly("1 /v1/cancel", "1 /v1/cancel", "2 /v1/resume")
+          .inOrder();
+    }
+  }
+
+  private static EngineRequest request(long deadlineMs) {
+    ScheduledRequest scheduled =
+        new ScheduledRequest(
+            new RequestId("r1"),
+            1,
+            AdapterVersion.parse("letters@v1"),
+            RequestClass.STANDARD,
+            "caller",
+            0,
+            deadlineMs);
+    return new EngineRequest(
+        scheduled, "/v1/completions", "", "{}".getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static final class EndOfReply implements ReplyListener {
+    private final CompletableFuture<Void> future = new CompletableFuture<>();
+
+    @Override
+    public void onHead(int status, HttpHeaders headers, ReplyControl control) {}
+
+    @Override
+    public void onPart(byte[] part) {}
+
+    @Override
+    public void onEnd() {
+      future.complete(null);
+    }
+
+    @Override
+    public void onFailure(CallFailure failure) {
+      future.completeExceptionally(new AssertionError(failure.toString()));
+    }
+  }
+}
