Contradict the refusal of a trait that was answered a moment ago

Cause: an instance took over each refusal that another one published. Answers are passed on at once and refusals with the next regular update, so a refusal can arrive after the answer that has ended it. The instance then refused on its own, and nobody told it again, because the trait was suspected nowhere else.

CrashWatchTest#aRefusalOfWhatWasAnsweredAMomentAgoIsContradicted failed before.

--- a/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
+++ b/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
@@ -270,18 +270,35 @@
     refusals.put(trait, new Refusal(nowMs, nowMs + durationMs));
   }
 
+  /** How the refusal of a trait by another instance agrees with what this instance knows. */
+  public enum RefusalReport {
+    /** The trait is refused from now on. */
+    ACCEPTED,
+    /** The trait was refused already. */
+    KNOWN,
+    /** The refusal has ended. */
+    ENDED,
+    /** The trait was answered a moment ago, so it is not refused. */
+    CONTRADICTED
+  }
+
   /**
    * Records that another instance refuses a trait. An instance that has just started knows the
-   * crashes only from others and cannot tell how far apart they were.
-   *
-   * @return whether the trait was not refused here
+   * crashes only from others and cannot tell how far apart they were. A refusal may arrive after
+   * the answer that has ended it at the other instance.
    */
-  public boolean recordRefusal(Trait trait, long untilMs, long nowMs) {
-    if (isRefused(trait, nowMs) || untilMs <= nowMs) {
-      return false;
+  public RefusalReport recordRefusal(Trait trait, long untilMs, long nowMs) {
+    if (untilMs <= nowMs) {
+      return RefusalReport.ENDED;
+    }
+    if (isRefused(trait, nowMs)) {
+      return RefusalReport.KNOWN;
+    }
+    if (!isSilent(trait, nowMs)) {
+      return RefusalReport.CONTRADICTED;
     }
     refusals.put(trait, new Refusal(nowMs, Math.min(untilMs, nowMs + MAX_REFUSAL_MS)));
-    return true;
+    return RefusalReport.ACCEPTED;
   }
 
   /** Returns the time until which a trait is refused; empty if it is not refused now. */
--- a/core/src/test/java/org/apricotstand/suspect/CrashSuspectsTest.java
+++ b/core/src/test/java/org/apricotstand/suspect/CrashSuspectsTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
+import org.apricotstand.suspect.CrashSuspects.RefusalReport;
 import org.junit.jupiter.api.Test;
 
 class CrashSuspectsTest {
@@ -230,11 +231,23 @@
   // Guards against an instance that crashes targets again after its restart.
   @Test
   void refusesWhatAnotherInstanceRefuses() {
-    assertThat(suspects.recordRefusal(HARMFUL, 90_000, 1_000)).isTrue();
-    assertThat(suspects.recordRefusal(HARMFUL, 90_000, 1_000)).isFalse();
+    assertThat(suspects.recordRefusal(HARMFUL, 90_000, 1_000)).isEqualTo(RefusalReport.ACCEPTED);
+    assertThat(suspects.recordRefusal(HARMFUL, 90_000, 1_000)).isEqualTo(RefusalReport.KNOWN);
     assertThat(isRefused(HARMFUL, 89_999)).isTrue();
     assertThat(isRefused(HARMFUL, 90_000)).isFalse();
+    assertThat(suspects.recordRefusal(HARMFUL, 90_000, 90_000)).isEqualTo(RefusalReport.ENDED);
     crash("t1#1", 91_000, HARMFUL);
     assertThat(isRefused(HARMFUL, 91_001)).isTrue();
   }
+
+  // Guards against refusing what was answered here a moment ago, because the refusal of another
+  // instance arrives after the answer that has ended it there.
+  @Test
+  void anAnswerAMomentAgoContradictsTheRefusalOfAnotherInstance() {
+    suspects.recordAnswer(FIRST, 1_000);
+    long lastMs = 1_000 + CrashSuspects.SILENCE_MS - 1;
+    assertThat(suspects.recordRefusal(FIRST, 90_000, lastMs)).isEqualTo(RefusalReport.CONTRADICTED);
+    assertThat(isRefused(FIRST, lastMs)).isFalse();
+    assertThat(suspects.recordRefusal(FIRST, 90_000, lastMs + 1)).isEqualTo(RefusalReport.ACCEPTED);
+  }
 }
--- a/node/src/main/java/org/apricotstand/request/CrashWatch.java
+++ b/node/src/main/java/org/apricotstand/request/CrashWatch.java
@@ -12,6 +12,7 @@
 import org.apricotstand.dispatch.TargetHealth;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.suspect.CrashSuspects;
+import org.apricotstand.suspect.CrashSuspects.RefusalReport;
 import org.apricotstand.suspect.Trait;
 import org.apricotstand.upstream.TargetConnectionPool;
 
@@ -131,11 +132,17 @@
     }
   }
 
-  /** Records that another instance refuses a trait. */
+  /**
+   * Records that another instance refuses a trait, or tells the fleet that it has been answered.
+   */
   void recordRefusal(Trait trait, long untilMs) {
-    if (suspects.recordRefusal(trait, untilMs, clock.getAsLong())) {
+    RefusalReport report = suspects.recordRefusal(trait, untilMs, clock.getAsLong());
+    if (report == RefusalReport.ACCEPTED) {
       LOG.info("trait_refusal_learnt", "trait", trait.encode());
       refusalListener.run();
+    } else if (report == RefusalReport.CONTRADICTED) {
+      LOG.info("trait_refusal_contradicted", "trait", trait.encode());
+      fleetNotifier.reportAnswer(trait);
     }
   }
 
--- a/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
+++ b/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
@@ -105,6 +105,20 @@
     assertThat(callWithPrompt("subject:9,own2:9")).endsWith("done");
   }
 
+  // Guards against an instance that goes on refusing what it gets answers to, because the refusal
+  // of
+  // another instance arrives after the answer that ended it there.
+  @Test
+  void aRefusalOfWhatWasAnsweredAMomentAgoIsContradicted() throws Exception {
+    Trait part = new Trait.PromptPart("subject");
+    serve(RequestKind.STREAM, 1, false, target("t1", ANSWERS_DONE));
+    assertThat(callWithPrompt("subject:9,own:9")).endsWith("done");
+    long untilMs = ControlThread.nowMs() + TEST_TIMEOUT_MS;
+    router.loop().submit(() -> router.onRefusal(part, untilMs)).sync();
+    assertThat(callWithPrompt("subject:9,own2:9")).endsWith("done");
+    assertThat(fleetCalls).containsExactly("answered prompt/subject");
+  }
+
   /** Crashes the newest target: closes its listener and the connection of the request. */
   private final ScriptedTarget.Script crashes =
       (id, number, out) -> {
