End saved refusals whatever happens to the writes of their rows

After all instances are killed they read their refusals from the store, and no instance has an answer that ends one.

Cause: a refusal was saved at once and ended by a second write without order or condition, so a row could outlive its refusal: when the store carried out the writes the other way round, when the second one failed, and when the instance that had written it was gone.

Change: a refusal is saved after it has lasted for a second; those by mistake end within milliseconds. The writes of a row follow each other on the condition of its version, failed ones are repeated, and whichever instance writes ends what any instance has written. Refusals read at the start are published, so that an instance that has seen an answer since contradicts them.

--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -124,7 +124,9 @@
             localLoad,
             this::ownerOf,
             this);
-    this.refusalTable = new RefusalTable(store, System::currentTimeMillis);
+    this.refusalTable =
+        new RefusalTable(
+            store, control, ControlThread::nowMs, System::currentTimeMillis, this::isFirst);
     this.engineOwner =
         new EngineOwner(
             control,
@@ -345,17 +347,17 @@
     control.execute(
         () -> {
           exchange.publishRefusal(refusal);
-          saveIfFirst(refusal);
+          save(refusal);
         });
   }
 
-  /** Saves a refusal for instances that start later. One of the instances that know it does so. */
-  private void saveIfFirst(FleetState.TraitRefused refusal) {
-    boolean isFirst =
-        exchange.liveInstances().stream().noneMatch(name -> name.compareTo(settings.name()) < 0);
-    if (isFirst) {
-      refusalTable.save(new RefusalTable.Refusal(refusal.trait(), refusal.remainingMs()));
-    }
+  private void save(FleetState.TraitRefused refusal) {
+    refusalTable.save(new RefusalTable.Refusal(refusal.trait(), refusal.remainingMs()));
+  }
+
+  /** Returns whether this instance does what one of the live instances has to do. */
+  private boolean isFirst() {
+    return exchange.liveInstances().stream().noneMatch(name -> name.compareTo(settings.name()) < 0);
   }
 
   private void readRefusals() {
@@ -363,7 +365,7 @@
         refusalTable.read(),
         (refusals, failure) -> {
           if (failure == null) {
-            refusals.forEach(refusal -> applyRefusal(refusal.trait(), refusal.remainingMs()));
+            refusals.forEach(this::applySavedRefusal);
           } else {
             LOG.warn("refusals_not_read", "error", failure.toString());
             control.executeAt(ControlThread.nowMs() + REFUSAL_READ_RETRY_MS, this::readRefusals);
@@ -371,6 +373,12 @@
         });
   }
 
+  /** Applies a refusal from the store. Other instances may have seen answers since it was saved. */
+  private void applySavedRefusal(RefusalTable.Refusal saved) {
+    exchange.publishRefusal(new FleetState.TraitRefused(saved.trait(), saved.remainingMs()));
+    applyRefusal(saved.trait(), saved.remainingMs());
+  }
+
   @Override
   public void reportLimit(String incarnation, double perSecond) {
     FleetState.TargetLimit limit = new FleetState.TargetLimit(incarnation, perSecond);
@@ -477,7 +485,7 @@
 
   @Override
   public void onRefusal(FleetState.TraitRefused refusal) {
-    saveIfFirst(refusal);
+    save(refusal);
     applyRefusal(refusal.trait(), refusal.remainingMs());
   }
 
@@ -548,6 +556,7 @@
     engineOwner.tick();
     released = engineOwner.isReleased();
     exchange.tick(leaving, engineOwner.leaseStatuses());
+    refusalTable.tick();
     long nowMs = ControlThread.nowMs();
     if (starting && nowMs >= startEndMs) {
       starting = false;
--- a/node/src/main/java/org/apricotstand/fleet/RefusalTable.java
+++ b/node/src/main/java/org/apricotstand/fleet/RefusalTable.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.port.CommitResult;
@@ -20,6 +22,10 @@
  * outlives the monotonic clocks of all instances, and a jump of a few seconds does not matter to
  * it.
  *
+ * <p>A refusal is saved only after it has lasted for a while, because those by mistake soon end.
+ * The writes of a row follow each other, each on the condition that the row is as the one before
+ * left it, so that none takes effect late.
+ *
  * <p>Used on one thread; the calls return immediately.
  */
 final class RefusalTable {
@@ -30,11 +36,21 @@
   /** Number of rows. A trait always has the same row, which it may share with others. */
   private static final int ROWS = 64;
 
+  /** Time for which a refusal lasts before it is saved. */
+  static final long SAVE_DELAY_MS = 1_000;
+
+  /** Pause after a write that failed. */
+  static final long RETRY_DELAY_MS = 500;
+
+  private static final long ENDED = 0;
   private static final String SEPARATOR = " ";
 
   private final RowStore store;
+  private final Executor executor;
+  private final LongSupplier clock;
   private final LongSupplier timeOfDayMs;
-  private final Map<String, String> traitsByKey = new HashMap<>();
+  private final BooleanSupplier isWriter;
+  private final Map<String, RefusalRow> rowsByKey = new HashMap<>();
 
   /**
    * A refusal that has not ended.
@@ -44,55 +60,178 @@
    */
   record Refusal(String trait, long remainingMs) {}
 
-  RefusalTable(RowStore store, LongSupplier timeOfDayMs) {
+  /**
+   * Content of a row.
+   *
+   * @param trait encoded trait
+   * @param endMs time of day at which the refusal ends
+   */
+  private record Content(String trait, long endMs) {
+
+    boolean refuses(String encodedTrait, long timeOfDayMs) {
+      return trait.equals(encodedTrait) && endMs > timeOfDayMs;
+    }
+
+    byte[] encode() {
+      return (endMs + SEPARATOR + trait).getBytes(StandardCharsets.UTF_8);
+    }
+
+    static Optional<Content> decode(byte[] value) {
+      String[] parts = new String(value, StandardCharsets.UTF_8).split(SEPARATOR, 2);
+      return parts.length == 2 && parts[0].matches("\\d{1,18}")
+          ? Optional.of(new Content(parts[1], Long.parseLong(parts[0])))
+          : Optional.empty();
+    }
+  }
+
+  /** What this instance knows of a row, and what it has to write there. */
+  private static final class RefusalRow {
+    private final String key;
+    private long version;
+    private Optional<Content> stored = Optional.empty();
+    private Optional<Content> pending = Optional.empty();
+    private long writeAtMs;
+    private boolean isWriting;
+
+    RefusalRow(String key) {
+      this.key = key;
+    }
+  }
+
+  /**
+   * Creates a table of which nothing is known.
+   *
+   * @param executor runs what follows on the answers of the store, on the thread of the calls
+   * @param clock monotonic time in milliseconds
+   * @param timeOfDayMs time of day in milliseconds
+   * @param isWriter whether this instance is the one that writes
+   */
+  RefusalTable(
+      RowStore store,
+      Executor executor,
+      LongSupplier clock,
+      LongSupplier timeOfDayMs,
+      BooleanSupplier isWriter) {
     this.store = store;
+    this.executor = executor;
+    this.clock = clock;
     this.timeOfDayMs = timeOfDayMs;
+    this.isWriter = isWriter;
   }
 
   /** Reads the refusals that have not ended. The future fails when the store does not answer. */
   CompletableFuture<List<Refusal>> read() {
-    return store.readAll(TABLE).thenApply(this::decode);
+    return store
+        .readAll(TABLE)
+        .thenApplyAsync(
+            rows -> rows.stream().map(this::read).flatMap(Optional::stream).toList(), executor);
   }
 
-  private List<Refusal> decode(List<Row> rows) {
-    return rows.stream().map(this::decode).flatMap(Optional::stream).toList();
+  private Optional<Refusal> read(Row stored) {
+    recordStored(row(stored.key()), stored);
+    long nowMs = timeOfDayMs.getAsLong();
+    return Content.decode(stored.value())
+        .filter(content -> content.endMs > nowMs)
+        .map(content -> new Refusal(content.trait, content.endMs - nowMs));
   }
 
-  private Optional<Refusal> decode(Row row) {
-    String[] parts = new String(row.value(), StandardCharsets.UTF_8).split(SEPARATOR, 2);
-    if (parts.length != 2 || !parts[0].matches("\\d{1,18}")) {
-      LOG.warn("refusal_row_unreadable", "key", row.key());
-      return Optional.empty();
+  private static void recordStored(RefusalRow row, Row stored) {
+    row.version = stored.version();
+    row.stored = Content.decode(stored.value());
+    if (row.stored.isEmpty()) {
+      LOG.warn("refusal_row_unreadable", "key", row.key);
     }
-    long remainingMs = Long.parseLong(parts[0]) - timeOfDayMs.getAsLong();
-    return remainingMs > 0 ? Optional.of(new Refusal(parts[1], remainingMs)) : Optional.empty();
   }
 
-  /** Writes a refusal over the one whose row it shares. */
+  private RefusalRow row(String key) {
+    return rowsByKey.computeIfAbsent(key, RefusalRow::new);
+  }
+
+  /** Writes a refusal over the one whose row it shares, unless it ends before it is due. */
   void save(Refusal refusal) {
-    String key = keyOf(refusal.trait);
-    traitsByKey.put(key, refusal.trait);
-    write(key, timeOfDayMs.getAsLong() + refusal.remainingMs, refusal.trait);
+    RefusalRow row = row(keyOf(refusal.trait));
+    Content content = new Content(refusal.trait, timeOfDayMs.getAsLong() + refusal.remainingMs);
+    if (isNeeded(content, row.pending.or(() -> row.stored))) {
+      row.pending = Optional.of(content);
+      row.writeAtMs = clock.getAsLong() + SAVE_DELAY_MS;
+    }
+  }
+
+  /** Returns whether a refusal is the same as another one, as two instances would report it. */
+  private static boolean lastsAsLong(Content known, Content other) {
+    return known.refuses(other.trait, other.endMs - SAVE_DELAY_MS);
   }
 
-  /** Ends the refusal of a trait if this instance has written it. */
+  /** Ends the refusal of a trait. */
   void end(String trait) {
-    String key = keyOf(trait);
-    if (traitsByKey.remove(key, trait)) {
-      write(key, 0, trait);
+    RefusalRow row = row(keyOf(trait));
+    long nowMs = timeOfDayMs.getAsLong();
+    boolean isPending = row.pending.filter(content -> content.refuses(trait, nowMs)).isPresent();
+    boolean isStored = row.stored.filter(content -> content.refuses(trait, nowMs)).isPresent();
+    if (isPending && !row.isWriting && !isStored) {
+      row.pending = Optional.empty();
+    } else if (isPending || isStored) {
+      row.pending = Optional.of(new Content(trait, ENDED));
+      row.writeAtMs = clock.getAsLong();
     }
   }
 
-  private void write(String key, long endMs, String trait) {
-    byte[] value = (endMs + SEPARATOR + trait).getBytes(StandardCharsets.UTF_8);
+  /** Writes what is due. Every instance knows what is to be written, and one of them does it. */
+  void tick() {
+    long nowMs = clock.getAsLong();
+    rowsByKey.values().stream()
+        .filter(row -> row.pending.isPresent() && !row.isWriting && nowMs >= row.writeAtMs)
+        .forEach(this::write);
+  }
+
+  private void write(RefusalRow row) {
+    Content content = row.pending.orElseThrow();
+    if (!isWriter.getAsBoolean()) {
+      row.stored = row.pending;
+      row.pending = Optional.empty();
+      return;
+    }
+    row.isWriting = true;
     store
-        .commit(TABLE, List.of(new RowWrite(key, value, RowWrite.ANY_VERSION)))
-        .thenAccept(
-            result -> {
-              if (!(result instanceof CommitResult.Committed)) {
-                LOG.warn("refusal_not_saved", "trait", trait, "result", result);
-              }
-            });
+        .commit(TABLE, List.of(new RowWrite(row.key, content.encode(), row.version)))
+        .thenAcceptAsync(result -> onResult(row, content, result), executor);
+  }
+
+  private void onResult(RefusalRow row, Content written, CommitResult result) {
+    row.isWriting = false;
+    boolean isCurrent = row.pending.filter(written::equals).isPresent();
+    switch (result) {
+      case CommitResult.Committed(long version) -> {
+        row.version = version;
+        row.stored = Optional.of(written);
+        if (isCurrent) {
+          row.pending = Optional.empty();
+        }
+      }
+      case CommitResult.Conflict(List<Row> current) -> onConflict(row, current);
+      case CommitResult.Failed(String reason) -> {
+        LOG.warn("refusal_not_saved", "trait", written.trait, "reason", reason);
+        // The write may have taken effect, or may still do so.
+        row.stored = Optional.of(written);
+        row.writeAtMs = Math.max(row.writeAtMs, clock.getAsLong() + RETRY_DELAY_MS);
+      }
+    }
+  }
+
+  private void onConflict(RefusalRow row, List<Row> current) {
+    row.version = 0;
+    row.stored = Optional.empty();
+    current.stream()
+        .filter(stored -> stored.key().equals(row.key))
+        .forEach(stored -> recordStored(row, stored));
+    row.pending = row.pending.filter(content -> isNeeded(content, row.stored));
+  }
+
+  /** Returns whether a content is still to be written over what another instance has written. */
+  private boolean isNeeded(Content content, Optional<Content> stored) {
+    return content.endMs == ENDED
+        ? stored.filter(other -> other.refuses(content.trait, timeOfDayMs.getAsLong())).isPresent()
+        : stored.filter(other -> lastsAsLong(other, content)).isEmpty();
   }
 
   private static String keyOf(String trait) {
