Look up send delays once and read event boundaries of streams only

RequestRouter looked up the delay of a limited target twice for each candidate, AnswerBody tracked event boundaries in bodies that are no stream, and two classes knew which statuses have no body.

--- a/core/src/main/java/org/apricotstand/dispatch/Candidate.java
+++ b/core/src/main/java/org/apricotstand/dispatch/Candidate.java
@@ -9,7 +9,8 @@
  * @param canLoad whether the engine has a reachable owner that can load a missing model or adapter
  * @param queuedLoads adapters whose load waits for other loads at the engine
  * @param penaltyMs cost added for recent failures
- * @param sendDelayMs time until a request may be sent to the target, because of its limit
+ * @param sendDelayMs time until a request may be sent to the target, because of its limit; {@link
+ *     #NEVER} if this instance may send none
  */
 public record Candidate(
     TargetEntry target,
@@ -20,6 +21,9 @@
     double penaltyMs,
     long sendDelayMs) {
 
+  /** Delay of a target to which this instance may send no request while its limit holds. */
+  public static final long NEVER = Long.MAX_VALUE;
+
   /** Returns a candidate of a plain service, whose targets need no adapter. */
   public static Candidate ofPlainService(
       TargetEntry target, TargetLoad load, double penaltyMs, long sendDelayMs) {
--- a/node/src/main/java/org/apricotstand/front/CallReply.java
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -84,7 +84,7 @@
         new DefaultHttpResponse(
             HttpVersion.HTTP_1_1, head.status(), HopByHopHeaders.strip(head.headers()));
     String length = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
-    boolean bodiless = HttpMethod.HEAD.equals(request.method()) || isBodiless(head);
+    boolean bodiless = HttpMethod.HEAD.equals(request.method()) || ResponseFraming.isBodiless(head);
     if (length != null && !HttpUtil.isTransferEncodingChunked(head)) {
       answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
     } else if (HttpUtil.isTransferEncodingChunked(head) && !bodiless) {
@@ -97,11 +97,6 @@
     channel.write(answer, channel.voidPromise());
   }
 
-  private static boolean isBodiless(HttpResponse head) {
-    int status = head.status().code();
-    return status == 204 || status == 304;
-  }
-
   @Override
   public void writePart(ByteBuf part) {
     if (!ended) {
--- a/node/src/main/java/org/apricotstand/request/AnswerBody.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerBody.java
@@ -37,7 +37,6 @@
 
   /** Adds a part and returns a new buffer with the bytes that are passed on now. */
   ByteBuf add(ByteBuf part, Use use) {
-    eventBoundary.feed(part);
     return switch (use) {
       case DISCARD -> {
         discardedBytes += part.readableBytes();
@@ -47,10 +46,12 @@
         buffered.writeBytes(ByteBufUtil.getBytes(part));
         yield Unpooled.EMPTY_BUFFER;
       }
-      case STREAM ->
-          eventSplitter == null
-              ? part.retainedSlice()
-              : Unpooled.wrappedBuffer(eventSplitter.feed(ByteBufUtil.getBytes(part)));
+      case STREAM -> {
+        eventBoundary.feed(part);
+        yield eventSplitter == null
+            ? part.retainedSlice()
+            : Unpooled.wrappedBuffer(eventSplitter.feed(ByteBufUtil.getBytes(part)));
+      }
     };
   }
 
--- a/node/src/main/java/org/apricotstand/request/AnswerHead.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerHead.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.OptionalDouble;
+import org.apricotstand.front.ResponseFraming;
 import org.apricotstand.port.HeaderNames;
 import org.apricotstand.upstream.TargetConnection;
 
@@ -46,9 +47,9 @@
     return status() >= 500;
   }
 
-  /** Returns whether an answer with this status has no body, whatever its headers say. */
+  /** Returns whether the answer has no body, whatever its headers say. */
   boolean isBodiless() {
-    return status() == 204 || status() == 304;
+    return ResponseFraming.isBodiless(response);
   }
 
   /** Returns whether only the end of the connection marks the end of the body. */
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -184,20 +183,14 @@
     List<Candidate> candidates =
         fleetView.targetsOf(flow.service()).stream()
             .filter(target -> !flow.isExcluded(target))
-            .filter(target -> canSendInTime(target, flow))
             .map(target -> toCandidate(fleetView, target, flow))
+            .filter(candidate -> candidate.sendDelayMs() <= flow.maxSendDelayMs())
             .toList();
     return flow.adapter() == null
         ? TargetChooser.choosePlainTarget(settings.domain(), candidates)
         : TargetChooser.chooseEngine(flow.adapter().toString(), settings.domain(), candidates);
   }
 
-  /** Returns whether a request may be sent to a target soon enough, as far as its limit allows. */
-  private boolean canSendInTime(TargetEntry target, RequestFlow flow) {
-    OptionalLong delayMs = pacer.delayMs(target);
-    return delayMs.isPresent() && delayMs.getAsLong() <= flow.maxSendDelayMs();
-  }
-
   /** Returns whether a target limits requests, so that this instance cannot send one now. */
   boolean isLimited(TargetEntry target) {
     return pacer.delayMs(target).orElse(1) > 0;
@@ -218,7 +211,7 @@
             .load(target.id())
             .plus(fleetView.peerLoads().getOrDefault(target.id(), TargetLoad.NONE));
     double penaltyMs = health.penaltyMs(target.id(), ControlThread.nowMs());
-    long sendDelayMs = pacer.delayMs(target).orElse(0);
+    long sendDelayMs = pacer.delayMs(target).orElse(Candidate.NEVER);
     if (key == null) {
       return Candidate.ofPlainService(target, load, penaltyMs, sendDelayMs);
     }
