--- a/node/src/main/java/org/apricotstand/claims/ClaimTable.java
+++ b/node/src/main/java/org/apricotstand/claims/ClaimTable.java
@@ -15,6 +15,7 @@
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.Result;
+import org.apricotstand.observe.EventLog;
 import org.apricotstand.platform.TableService;
 import org.apricotstand.platform.TableService.CommitResult;
 import org.apricotstand.platform.TableService.Condition;
@@ -25,6 +26,7 @@
 /** Reads and writes claim rows in the table service. */
 final class ClaimTable {
 
+  private static final EventLog LOG = EventLog.of(ClaimTable.class);
   private static final String TABLE = "claims";
   private static final ObjectMapper JSON = new ObjectMapper();
 
@@ -83,10 +85,25 @@
         .thenApply(result -> result.map(row -> row.map(ClaimTable::toStoredClaim)));
   }
 
-  /** Reads the rows whose keys start with a prefix, by key; errors are as in {@link #read}. */
+  /**
+   * Reads the rows whose keys start with a prefix, by key. Leaves out malformed rows. The result is
+   * a failure if the platform gave no usable answer.
+   */
   CompletableFuture<Result<Map<String, StoredClaim>>> scan(String prefix) {
     return callWithTimeout(deadlineMs -> tables.scan(TABLE, prefix, deadlineMs))
-        .thenApply(result -> result.map(ClaimTable::toClaimsByKey));
+        .thenApply(result -> result.map(ClaimTable::toReadableClaimsByKey));
+  }
+
+  private static Map<String, StoredClaim> toReadableClaimsByKey(List<Row> rows) {
+    Map<String, StoredClaim> claims = new HashMap<>();
+    for (Row row : rows) {
+      try {
+        claims.put(row.key(), toStoredClaim(row));
+      } catch (MalformedClaimException e) {
+        LOG.warn("claim_row_unreadable", "key", row.key(), "error", e.getMessage());
+      }
+    }
+    return claims;
   }
 
   private static <T> CompletableFuture<T> callWithTimeout(
@@ -108,7 +125,16 @@
     try {
       return new StoredClaim(JSON.treeToValue(row.value(), ClaimRow.class), row.version());
     } catch (JsonProcessingException e) {
-      throw new IllegalStateException("malformed claim row " + row.key(), e);
+      throw new MalformedClaimException(row.key(), e);
+    }
+  }
+
+  /** Thrown when a row is no claim. */
+  private static final class MalformedClaimException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    MalformedClaimException(String key, JsonProcessingException cause) {
+      super("malformed claim row " + key + ": " + cause.getOriginalMessage(), cause);
     }
   }
 }
--- a/node/src/test/java/org/apricotstand/claims/ClaimSweeperTest.java
+++ b/node/src/test/java/org/apricotstand/claims/ClaimSweeperTest.java
@@ -4,6 +4,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.TextNode;
 import java.util.Random;
 import org.apricotstand.claim.ClaimRetention;
 import org.apricotstand.claim.ClaimRow;
@@ -44,6 +45,18 @@
     return metrics.counter("claims.removed").getCount();
   }
 
+  // Guards against a part of the table that is never swept again because of one row in it.
+  @Test
+  void removesExpiredRowsBesideAnUnreadableOne() {
+    tables.rows.add(row(PREFIX + "a", TextNode.valueOf("no claim")));
+    tables.rows.add(row(PREFIX + "b", expiredClaim()));
+    sweeper.sweep(BUCKET).join();
+    assertThat(tables.transactions).hasSize(1);
+    assertThat(tables.transactions.getFirst().writes())
+        .containsExactly(new TableService.Write("claims", PREFIX + "b", JSON.nullNode()));
+    assertThat(removedCount()).isEqualTo(1);
+  }
+
   // Guards against counting rows as removed that are still there.
   @Test
   void countsNoRemovalWhoseOutcomeIsUnknown() {
