Refuse an adapter that crashes engines on the other request path too

An adapter that crashes each engine, in requests of which no two are alike, was never refused.

SuspectService now blames the adapter of requests whose answer had not begun, with the rule of CrashSuspects: refused after three crashes at different moments, cleared by an answer. The peer message is the old one, with the text of the trait in place of the fingerprint.

SuspectServiceTest: without the blame, the tests of other requests and of other instances failed.

--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -177,7 +177,8 @@
 
   /**
    * Reports that a request with this fingerprint was running when a target crashed, or that it is
-   * no longer suspected of crashing targets.
+   * no longer suspected of crashing targets. In place of a fingerprint it may name a trait that
+   * different requests share, such as their adapter.
    *
    * @param target name of the target that crashed, or empty
    * @param targetIncarnation incarnation of the target that crashed, or 0
--- a/node/src/main/java/org/apricotstand/suspects/CrashDetectingSink.java
+++ b/node/src/main/java/org/apricotstand/suspects/CrashDetectingSink.java
@@ -43,6 +43,7 @@
   private final String address;
   private final long incarnation;
   private final EngineRequest request;
+  private volatile boolean begun;
 
   CrashDetectingSink(
       SuspectService suspects,
@@ -63,6 +64,18 @@
     this.request = request;
   }
 
+  @Override
+  public void writePart(byte[] part) {
+    begun = true;
+    super.writePart(part);
+  }
+
+  @Override
+  public void end() {
+    control.execute(() -> suspects.recordAnswer(request));
+    super.end();
+  }
+
   @Override
   public void fail(Outcome outcome) {
     if (outcome instanceof Outcome.OutcomeUnknown(Failure failure) && mayBeCrash(failure)) {
@@ -128,7 +141,7 @@
     }
 
     private void onCrashed() {
-      suspects.reportCrash(fingerprint, target, incarnation);
+      suspects.reportCrash(request, target, incarnation, begun);
       CrashDetectingSink.super.fail(
           new Outcome.OutcomeUnknown(
               new Failure(
--- a/node/src/main/java/org/apricotstand/suspects/SuspectService.java
+++ b/node/src/main/java/org/apricotstand/suspects/SuspectService.java
@@ -1,6 +1,8 @@
 package org.apricotstand.suspects;
 
 import java.util.Collection;
+import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.engine.EngineClient;
@@ -18,14 +20,17 @@
 import org.apricotstand.peer.PeerListener;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.PeerSender;
+import org.apricotstand.suspect.CrashSuspects;
 import org.apricotstand.suspect.Fingerprint;
 import org.apricotstand.suspect.RunDecision;
 import org.apricotstand.suspect.SuspectEvent;
 import org.apricotstand.suspect.SuspectRegistry;
+import org.apricotstand.suspect.Trait;
 
 /**
  * Maintains the registry of suspects of this instance and exchanges crashes with other instances.
- * All methods run on the control thread.
+ * Blames crashes on whole requests and on the adapters that different requests share. All methods
+ * run on the control thread.
  */
 public final class SuspectService implements Service, PeerListener, RequestGuard {
 
@@ -39,6 +44,7 @@
   private final Supplier<Collection<InstanceId>> otherInstances;
   private final Metrics metrics;
   private final SuspectRegistry registry = new SuspectRegistry();
+  private final CrashSuspects adapters = new CrashSuspects();
 
   /**
    * Creates the service.
@@ -60,10 +66,20 @@
 
   /** Returns whether and how a request may run. */
   public RunDecision decide(EngineRequest request) {
+    long nowMs = ControlThread.nowMs();
+    OptionalLong adapterRefusedUntilMs = adapters.refusedUntilMs(adapterOf(request), nowMs);
+    if (adapterRefusedUntilMs.isPresent()) {
+      return new RunDecision.Refused(
+          SuspectRegistry.REFUSED, adapterRefusedUntilMs.getAsLong() - nowMs);
+    }
     // Requests need not be hashed while there are no suspects.
     return registry.size() == 0
         ? new RunDecision.Unrestricted()
-        : registry.decide(fingerprintOf(request), ControlThread.nowMs());
+        : registry.decide(fingerprintOf(request), nowMs);
+  }
+
+  private static Trait adapterOf(EngineRequest request) {
+    return new Trait.Adapter(request.scheduled().adapterVersion().toString());
   }
 
   /**
@@ -76,7 +92,10 @@
     return switch (decide(request)) {
       case RunDecision.Unrestricted unrestricted -> Result.ok(request);
       case RunDecision.Refused(String code, long retryAfterMs) ->
-          refusal(target, code, "the request was running when an engine crashed");
+          refusal(
+              target,
+              code,
+              "engines crashed while they ran this request or others with its adapter");
       case RunDecision.Alone alone when request.scheduled().alone() -> Result.ok(request);
       case RunDecision.Alone alone ->
           refusal(target, SuspectCodes.NOT_ALONE, "the request must run alone; send it again");
@@ -125,13 +144,52 @@
     registry.handle(event, ControlThread.nowMs());
   }
 
-  void reportCrash(String fingerprint, TargetId target, long incarnation) {
+  /**
+   * Records that an engine crashed while it ran a request, and tells the other instances.
+   *
+   * @param begun whether the engine had begun to answer, so that the adapter is no suspect
+   */
+  void reportCrash(EngineRequest request, TargetId target, long incarnation, boolean begun) {
+    String fingerprint = fingerprintOf(request);
     LOG.warn(
         "engine_crashed", "target", target, "incarnation", incarnation, "suspect", fingerprint);
     metrics.count("suspects.crashes");
     apply(new SuspectEvent.TargetCrashed(fingerprint, target, incarnation));
     sendToOtherInstances(
         new PeerMessage.SuspectNoted(fingerprint, target.value(), incarnation, CRASHED));
+    if (!begun) {
+      Trait adapter = adapterOf(request);
+      blame(adapter, target, incarnation);
+      sendToOtherInstances(
+          new PeerMessage.SuspectNoted(adapter.encode(), target.value(), incarnation, CRASHED));
+    }
+  }
+
+  private void blame(Trait adapter, TargetId target, long incarnation) {
+    long nowMs = ControlThread.nowMs();
+    adapters
+        .recordCrash(target + "#" + incarnation, Map.of(adapter, 1), nowMs)
+        .forEach(
+            refused -> {
+              long untilMs = adapters.refusedUntilMs(refused, nowMs).orElse(nowMs);
+              LOG.warn(
+                  "trait_refused",
+                  "trait",
+                  refused.encode(),
+                  "target",
+                  target,
+                  "remaining_ms",
+                  untilMs - nowMs);
+            });
+  }
+
+  /** Records that an engine has answered a request, and tells the others if that is news. */
+  void recordAnswer(EngineRequest request) {
+    Trait adapter = adapterOf(request);
+    if (adapters.recordAnswer(adapter, ControlThread.nowMs())) {
+      LOG.info("trait_cleared", "trait", adapter.encode());
+      sendToOtherInstances(new PeerMessage.SuspectNoted(adapter.encode(), "", 0, CLEARED));
+    }
   }
 
   private void sendToOtherInstances(PeerMessage message) {
@@ -141,11 +199,24 @@
   @Override
   public void onMessage(InstanceId from, PeerMessage message) {
     if (message instanceof PeerMessage.SuspectNoted noted) {
-      apply(
-          noted.state().equals(CRASHED)
-              ? new SuspectEvent.TargetCrashed(
-                  noted.fingerprint(), new TargetId(noted.target()), noted.targetIncarnation())
-              : new SuspectEvent.RequestFinished(noted.fingerprint()));
+      Trait.decode(noted.fingerprint())
+          .ifPresentOrElse(adapter -> onAdapterNoted(adapter, noted), () -> onRequestNoted(noted));
     }
   }
+
+  private void onAdapterNoted(Trait adapter, PeerMessage.SuspectNoted noted) {
+    if (noted.state().equals(CRASHED)) {
+      blame(adapter, new TargetId(noted.target()), noted.targetIncarnation());
+    } else {
+      adapters.recordAnswer(adapter, ControlThread.nowMs());
+    }
+  }
+
+  private void onRequestNoted(PeerMessage.SuspectNoted noted) {
+    apply(
+        noted.state().equals(CRASHED)
+            ? new SuspectEvent.TargetCrashed(
+                noted.fingerprint(), new TargetId(noted.target()), noted.targetIncarnation())
+            : new SuspectEvent.RequestFinished(noted.fingerprint()));
+  }
 }
