Start processes and wait for them in one place

The tests of the command line and those of the platform's program each had a class that starts, signals and awaits processes, and one that waits for conditions. No check changes.

--- a/cli/src/test/java/org/apricotstand/it/ClaimTest.java
+++ b/cli/src/test/java/org/apricotstand/it/ClaimTest.java
@@ -12,6 +12,7 @@
 import org.apricotstand.standin.fault.Direction;
 import org.apricotstand.standin.fault.Fault;
 import org.apricotstand.standin.fault.FaultProxy;
+import org.apricotstand.standin.process.Await;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeAll;
--- a/cli/src/test/java/org/apricotstand/it/ConfigurationTest.java
+++ b/cli/src/test/java/org/apricotstand/it/ConfigurationTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.stream.IntStream;
+import org.apricotstand.standin.process.Await;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
--- a/cli/src/test/java/org/apricotstand/it/GracefulStopTest.java
+++ b/cli/src/test/java/org/apricotstand/it/GracefulStopTest.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.apricotstand.standin.fault.Direction;
+import org.apricotstand.standin.process.Await;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a graceful stop that cuts off a request in progress. */
--- a/cli/src/test/java/org/apricotstand/it/OperatorCommandsTest.java
+++ b/cli/src/test/java/org/apricotstand/it/OperatorCommandsTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Map;
+import org.apricotstand.standin.process.Await;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
--- a/cli/src/test/java/org/apricotstand/it/OwnerFailureTest.java
+++ b/cli/src/test/java/org/apricotstand/it/OwnerFailureTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.apricotstand.standin.process.Await;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
--- a/cli/src/test/java/org/apricotstand/it/ProcessCluster.java
+++ b/cli/src/test/java/org/apricotstand/it/ProcessCluster.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.apricotstand.standin.fault.FaultProxy;
+import org.apricotstand.standin.process.Await;
 
 /**
  * Cluster of real processes on the loopback interface, with a fault proxy on every link. Closing it
--- a/cli/src/test/java/org/apricotstand/it/RecoveryTimeBenchmark.java
+++ b/cli/src/test/java/org/apricotstand/it/RecoveryTimeBenchmark.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.apricotstand.standin.process.Await;
 
 /**
  * Measures the time from a failure to the next answer for an adapter on the engine, requested at an
--- a/cli/src/test/java/org/apricotstand/it/SuspectTest.java
+++ b/cli/src/test/java/org/apricotstand/it/SuspectTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import org.apricotstand.standin.process.Await;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
--- a/cli/src/test/java/org/apricotstand/it/TestCaller.java
+++ b/cli/src/test/java/org/apricotstand/it/TestCaller.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
+import org.apricotstand.standin.process.Await;
 
 /** HTTP client for tests; uses that of the JDK to share no code with the software under test. */
 public final class TestCaller {
--- a/cli/src/test/java/org/apricotstand/it/Await.java
+++ b/standin/src/main/java/org/apricotstand/standin/process/Await.java
@@ -1,14 +1,14 @@
-package org.apricotstand.it;
+package org.apricotstand.standin.process;
 
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
-/** Polls for conditions. Timeouts are generous because no test asserts on speed. */
+/** Waits for conditions that other processes bring about, with generous timeouts. */
 public final class Await {
 
   private static final long POLL_INTERVAL_MS = 10;
 
-  /** Default timeout, long enough for every condition of these tests on a busy machine. */
+  /** Default timeout, long enough for every condition of the tests on a busy machine. */
   public static final long TIMEOUT_MS = 90_000;
 
   private Await() {}
@@ -25,13 +25,14 @@
       if (System.nanoTime() > deadlineNanos) {
         throw new AssertionError("condition not met within " + timeoutMs + " ms: " + description);
       }
-      sleep();
+      pause(POLL_INTERVAL_MS);
     }
   }
 
-  private static void sleep() {
+  /** Waits for a time. */
+  public static void pause(long durationMs) {
     try {
-      Thread.sleep(POLL_INTERVAL_MS);
+      Thread.sleep(durationMs);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       throw new IllegalStateException(e);
