Pass on a refusal with the time that is left of it

Cause: the entry of a refused trait holds how long the refusal lasts, and was passed on unchanged. An instance that started 70 s after it began refused for 120 s more, saved that end in the store, and passed it on in its turn: with restarts in close succession a refusal, also a mistaken one of a quiet trait, never ended. Seen while reading the tests of restarted instances.

--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -457,7 +457,10 @@
     Map<UpdateId, List<InstanceId>> receivers = new HashMap<>();
     for (String neighbor : neighbors) {
       List<StateEntry> missing =
-          entries.take(neighbor).stream().map(ReplicatedEntries.Entry::value).toList();
+          entries.take(neighbor).stream()
+              .map(ReplicatedEntries.Entry::value)
+              .map(this::withAge)
+              .toList();
       boolean requested = overlay.isUplink(neighbor);
       UpdateId id = new UpdateId(requested, missing.stream().map(EntryId::of).toList());
       updates.putIfAbsent(id, new PeerMessage.StateUpdate(requested, missing));
@@ -466,6 +469,19 @@
     updates.forEach((id, update) -> peers.sendToAll(receivers.get(id), update));
   }
 
+  /**
+   * Returns an entry as it is passed on now: the rest of a refusal is shorter than at its start.
+   */
+  private StateEntry withAge(StateEntry entry) {
+    if (!(entry.state() instanceof FleetState.TraitRefused refusal)) {
+      return entry;
+    }
+    long nowMs = clock.getAsLong();
+    long remainingMs = Math.max(0, eventUntilMs.getOrDefault(entry.key(), nowMs) - nowMs);
+    FleetState aged = new FleetState.TraitRefused(refusal.trait(), remainingMs);
+    return new StateEntry(entry.key(), entry.epoch(), entry.sequence(), entry.domain(), aged);
+  }
+
   /** Identifies an update by the versions of its entries, without comparing their content. */
   private record UpdateId(boolean requested, List<EntryId> entries) {}
 
