--- a/node/src/main/java/org/apricotstand/suspects/SuspectService.java
+++ b/node/src/main/java/org/apricotstand/suspects/SuspectService.java
@@ -166,21 +166,9 @@
   }
 
   private void blame(Trait adapter, TargetId target, long incarnation) {
-    long nowMs = ControlThread.nowMs();
     adapters
-        .recordCrash(target + "#" + incarnation, Map.of(adapter, 1), nowMs)
-        .forEach(
-            refused -> {
-              long untilMs = adapters.refusedUntilMs(refused, nowMs).orElse(nowMs);
-              LOG.warn(
-                  "trait_refused",
-                  "trait",
-                  refused.encode(),
-                  "target",
-                  target,
-                  "remaining_ms",
-                  untilMs - nowMs);
-            });
+        .recordCrash(target + "#" + incarnation, Map.of(adapter, 1), ControlThread.nowMs())
+        .forEach(refused -> LOG.warn("trait_refused", "trait", refused.encode(), "target", target));
   }
 
   /** Records that an engine has answered a request, and tells the others if that is news. */
