Stop accepting in the step that finds no open request

Cause: the drain looked at the number of active requests once, from its own thread, then waited up to 0.3 s for the release of the engines and for the end of the runtime; the traffic thread went on accepting requests and passing them on. Evidence: the cuts come 3.04 s after SIGTERM, right after the first moment without a request, and the log counts an active request at the end; with a store that takes 2 s an order sent in that gap is cut each time. Change: Drain (core) decides, DrainRunner carries it out on the traffic thread: the step that finds no open request closes the listener and the idle connections before another byte is read; then the engines are released and the process ends. A request is open from its first byte. At the end of the grace period requests that are still open get a final answer, 503 or 502, instead of a closed connection.

--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -202,6 +202,25 @@
     return server.isDraining();
   }
 
+  /** Returns whether a request is being received or answered. */
+  boolean hasOpenRequest() {
+    return reply != null || hasPartOfRequest();
+  }
+
+  private boolean hasPartOfRequest() {
+    return !ignoringInput && firstByteMs != 0;
+  }
+
+  /** Reads nothing more and closes the connection after what is being answered. */
+  void stopReading() {
+    if (hasPartOfRequest()) {
+      refuse(503, "shutting_down");
+    } else if (reply == null && !ignoringInput) {
+      channel.close();
+    }
+    ignoringInput = true;
+  }
+
   /**
    * Closes the connection when it has been idle or its request head incomplete for too long, or
    * when the server closes idle connections.
--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -10,6 +10,7 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.apricotstand.control.ControlThread;
@@ -99,6 +100,27 @@
     drainingSinceMs = ControlThread.nowMs();
   }
 
+  /**
+   * Accepts no more connections and requests. Closes the open connections: after their last answer,
+   * or after a refusal if a request has arrived in part. Runs on the loop.
+   */
+  public void stopAccepting() {
+    if (listener != null) {
+      listener.close();
+    }
+    callerConnections().forEach(CallerConnection::stopReading);
+  }
+
+  /** Returns the number of open connections; runs on the loop. */
+  public int openConnections() {
+    return connections.size();
+  }
+
+  /** Returns the number of connections with a request that is not answered; runs on the loop. */
+  public int openRequests() {
+    return (int) callerConnections().stream().filter(CallerConnection::hasOpenRequest).count();
+  }
+
   /** Returns the number of requests in progress. */
   public int activeRequests() {
     return activeRequests;
@@ -137,11 +159,14 @@
 
   private void sweep() {
     long nowMs = ControlThread.nowMs();
-    connections.stream()
+    callerConnections().forEach(connection -> connection.sweep(nowMs));
+  }
+
+  private List<CallerConnection> callerConnections() {
+    return connections.stream()
         .map(channel -> channel.pipeline().get(CallerConnection.class))
         .filter(connection -> connection != null)
-        .toList()
-        .forEach(connection -> connection.sweep(nowMs));
+        .toList();
   }
 
   @Override
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -81,10 +81,10 @@
   private final EventSplitter eventSplitter;
   private final TargetRequestFactory targetRequests;
   private final LoadWait loadWait;
+  private final TurnWait turnWait;
   private ScheduledFuture<?> deadlineTimer;
   private ScheduledFuture<?> refusalTimer;
   private Attempt currentAttempt;
-  private Reservation reservation;
   private String lastTargetId = "";
   private int runs;
   private int rejections;
@@ -118,6 +118,7 @@
             adapter,
             deadlineMs,
             request.arrivedMs() + route.targetLatencyMs());
+    this.turnWait = new TurnWait(router.loop(), router.pacer());
     this.eventSplitter = route.resumable() ? new EventSplitter() : null;
     this.targetRequests =
         new TargetRequestFactory(request, router.headerNames(), route.priority(), callerDeadlineMs);
@@ -171,7 +172,7 @@
 
   /** Chooses a target again after the view of the fleet has changed. */
   void onViewChanged() {
-    if (!ended && currentAttempt == null && reservation == null) {
+    if (!ended && currentAttempt == null && !turnWait.isWaiting()) {
       dispatch();
     }
   }
@@ -186,13 +187,26 @@
   }
 
   private void refuseAsCrashing() {
-    if (currentAttempt != null) {
+    cancelAndEnd(CRASHES_TARGETS, CRASHING_REQUEST_RETRY_MS);
+  }
+
+  /** Ends the request because the process is about to end. */
+  void onShutdown() {
+    if (!ended) {
+      cancelAndEnd(RequestRouter.SHUTTING_DOWN, router.withJitter(RequestRouter.SHUTDOWN_RETRY_MS));
+    }
+  }
+
+  /** Ends the request now: as not run, with a time to retry after, unless a target may run it. */
+  private void cancelAndEnd(String code, long retryAfterMs) {
+    boolean isSent = currentAttempt != null;
+    if (isSent) {
       currentAttempt.cancel();
-      abort(CRASHES_TARGETS);
-    } else if (answerStarted || runs > 0) {
-      abort(CRASHES_TARGETS);
+    }
+    if (isSent || answerStarted || runs > 0) {
+      abort(code);
     } else {
-      fail(503, CRASHES_TARGETS, CRASHING_REQUEST_RETRY_MS);
+      fail(503, code, retryAfterMs);
     }
   }
 
@@ -235,23 +249,12 @@
 
   /** Sends the request as soon as the limit of the target allows. */
   private void sendInTurn(TargetEntry target) {
-    long sendAtMs = router.pacer().reserve(target);
-    long delayMs = sendAtMs - ControlThread.nowMs();
-    if (delayMs <= 0) {
+    if (turnWait.takeTurn(target, this::onTurn)) {
       send(target);
-    } else {
-      ScheduledFuture<?> timer =
-          router.loop().schedule(this::onTurn, delayMs, TimeUnit.MILLISECONDS);
-      reservation = new Reservation(target, sendAtMs, timer);
     }
   }
 
-  /** A place in the requests to a target that limits them. */
-  private record Reservation(TargetEntry target, long sendAtMs, ScheduledFuture<?> timer) {}
-
-  private void onTurn() {
-    TargetEntry target = reservation.target;
-    reservation = null;
+  private void onTurn(TargetEntry target) {
     boolean isRefused = router.crashWatch().findRefused(traits).isPresent();
     if (!isRefused && router.isResident(target, this)) {
       send(target);
@@ -260,14 +263,6 @@
     }
   }
 
-  private void giveUpReservation() {
-    if (reservation != null) {
-      reservation.timer.cancel(false);
-      router.pacer().release(reservation.target, reservation.sendAtMs);
-      reservation = null;
-    }
-  }
-
   /**
    * Ends a request without an answer: refuses it as not run, with a time to retry after, or calls
    * {@link #abort} if it may have run.
@@ -431,7 +426,7 @@
 
   private void finish(String code, int status) {
     ended = true;
-    giveUpReservation();
+    turnWait.giveUp();
     router.activeFlows().remove(this);
     deadlineTimer.cancel(false);
     if (refusalTimer != null) {
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -46,7 +46,12 @@
 
   private static final long CLEANUP_INTERVAL_MS = 500;
   private static final long NO_PLAN_RETRY_MS = 500;
-  private static final long SHUTDOWN_RETRY_MS = 40;
+
+  /** Code of requests that are refused or ended because the instance stops. */
+  static final String SHUTTING_DOWN = "shutting_down";
+
+  /** Time after which a caller may send such a request again, to another instance. */
+  static final long SHUTDOWN_RETRY_MS = 40;
 
   private final EventLoop loop;
   private final ServingSettings settings;
@@ -116,8 +121,8 @@
       return new EndedCall();
     }
     if (!endsBeforeShutdown(request, route.get())) {
-      recordRefusal(request, 503, "shutting_down");
-      reply.fail(503, "shutting_down", withJitter(SHUTDOWN_RETRY_MS));
+      recordRefusal(request, 503, SHUTTING_DOWN);
+      reply.fail(503, SHUTTING_DOWN, withJitter(SHUTDOWN_RETRY_MS));
       return new EndedCall();
     }
     String service = route.get().serviceFor(random.nextDouble());
@@ -159,6 +164,11 @@
     drainEndMs = endMs;
   }
 
+  /** Gives each request in progress its final answer, since the process is about to end. */
+  public void endRequests() {
+    List.copyOf(activeFlows).forEach(RequestFlow::onShutdown);
+  }
+
   private boolean endsBeforeShutdown(CallerRequest request, Route route) {
     long nowMs = ControlThread.nowMs();
     return nowMs < refusalStartMs || request.arrivedMs() + route.timeoutMs() < drainEndMs;
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -3,7 +3,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import java.util.Random;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.fleet.FleetService;
@@ -35,18 +34,12 @@
   private static final EventLog LOG = EventLog.of(ServingInstance.class);
   private static final CallerLimits LIMITS_BEFORE_PLAN =
       new CallerLimits(16_384, 4_194_304, 3_000, 15_000);
-  // Readiness is checked once a second; two failed checks take an instance out of rotation.
-  private static final long LEAVE_ROTATION_MS = 3_000;
-  private static final long REFUSE_LONG_REQUESTS_AFTER_MS = 2_700;
-  private static final long EXIT_MARGIN_MS = 400;
-  private static final long RELEASE_TIMEOUT_MS = 300;
-  private static final long POLL_INTERVAL_MS = 50;
 
   private final Kernel kernel = new Kernel();
   private final ServingSettings settings;
   private final FleetService fleet;
-  private final RequestRouter router;
   private final CallerServer callers;
+  private final DrainRunner drainRunner;
   private volatile boolean draining;
 
   private ServingInstance(
@@ -79,13 +72,14 @@
             metrics,
             incarnation);
     Random random = new Random(incarnation ^ settings.name().hashCode());
-    router =
+    RequestRouter router =
         new RequestRouter(
             loop, settings, systems.headers(), fleet::view, loadTracker, fleet, metrics, random);
     fleet.setEventListener(new TrafficThreadListener(loop, router));
     fleet.setViewListener(() -> loop.execute(router::onViewChanged));
     callers =
         new CallerServer(loop, settings.callerAddress(), limitsOf(fleet::view), router, metrics);
+    drainRunner = new DrainRunner(loop, fleet, router, callers);
     kernel.register("control", control);
     kernel.register("metrics", metrics);
     kernel.register("peers", peers);
@@ -129,24 +123,14 @@
 
   /**
    * Takes the instance out of rotation and answers the requests that are in progress or still
-   * arrive. Returns when none is left, at the latest shortly before the grace period ends.
+   * arrive. Returns when all are answered and no further one can be accepted, at the latest shortly
+   * before the grace period ends.
    */
   public void drain() {
     long startMs = ControlThread.nowMs();
     LOG.info("instance_draining", "active", callers.activeRequests());
     draining = true;
-    fleet.announceLeaving();
-    callers.drain();
-    long endMs = startMs + settings.graceMs() - EXIT_MARGIN_MS - RELEASE_TIMEOUT_MS;
-    router.drain(startMs + REFUSE_LONG_REQUESTS_AFTER_MS, endMs);
-    while (ControlThread.nowMs() < endMs && !isDrained(startMs)) {
-      sleepPollInterval();
-    }
-    fleet.releaseEngines();
-    long releaseEndMs = ControlThread.nowMs() + RELEASE_TIMEOUT_MS;
-    while (ControlThread.nowMs() < releaseEndMs && !fleet.isReleased()) {
-      sleepPollInterval();
-    }
+    drainRunner.run(startMs + settings.graceMs());
     LOG.info(
         "instance_stopped",
         "active",
@@ -155,19 +139,6 @@
         ControlThread.nowMs() - startMs);
   }
 
-  private boolean isDrained(long startMs) {
-    return ControlThread.nowMs() - startMs > LEAVE_ROTATION_MS && callers.activeRequests() == 0;
-  }
-
-  private static void sleepPollInterval() {
-    try {
-      TimeUnit.MILLISECONDS.sleep(POLL_INTERVAL_MS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-      LOG.warn("drain_interrupted", "error", e.toString());
-    }
-  }
-
   @Override
   public void close() {
     kernel.close();
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -1,6 +1,7 @@
 package org.apricotstand.front;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -104,4 +105,48 @@
       assertThat(readAll(socket).split("HTTP/1.1 504", -1)).hasLength(18);
     }
   }
+
+  // Guards against a process that ends while a request is still arriving, or runs.
+  @Test
+  void requestsCountAsOpenFromTheirFirstByteToTheEndOfTheirAnswer() throws Exception {
+    assertThat(openRequests()).isEqualTo(0);
+    try (Socket socket = connect()) {
+      send(socket, "GET /p/");
+      awaitOpenRequests(1);
+      send(socket, REQUEST.substring("GET /p/".length()));
+      answerNext();
+      awaitOpenRequests(0);
+    }
+  }
+
+  // Guards against requests that are accepted, and passed on, after the last look at those that are
+  // open.
+  @Test
+  void aServerThatStopsAcceptingClosesIdleConnectionsAndReadsNoMore() throws Exception {
+    try (Socket socket = connect();
+        Socket halfSent = connect()) {
+      send(socket, REQUEST);
+      answerNext();
+      awaitOpenRequests(0);
+      send(halfSent, "GET /p/");
+      awaitOpenRequests(1);
+      loop.submit(() -> server.stopAccepting()).sync();
+      readAll(socket);
+      assertThat(readAll(halfSent)).startsWith("HTTP/1.1 503 ");
+      assertThat(replies).isEmpty();
+      assertThrows(IOException.class, this::connect);
+    }
+  }
+
+  private int openRequests() throws Exception {
+    return loop.submit(() -> server.openRequests()).get();
+  }
+
+  private void awaitOpenRequests(int count) throws Exception {
+    long endMs = System.nanoTime() / 1_000_000 + TEST_TIMEOUT_MS;
+    while (openRequests() != count && System.nanoTime() / 1_000_000 < endMs) {
+      Thread.onSpinWait();
+    }
+    assertThat(openRequests()).isEqualTo(count);
+  }
 }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -5,12 +5,15 @@
 import static org.apricotstand.request.ScriptedTarget.write;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
 import org.apricotstand.route.EngineSpec;
 import org.apricotstand.route.ModelSpec;
@@ -268,6 +271,53 @@
     assertThat(call("")).startsWith("HTTP/1.1 503 ");
   }
 
+  // Guards against orders that are cut without an answer at the end of the grace period, and
+  // against
+  // telling a caller that its order has not run although a target has it.
+  @Test
+  void aRequestThatRunsWhenTheProcessEndsIsAnsweredAsUnknown() throws Exception {
+    ScriptedTarget.Script silent = (id, number, out) -> true;
+    serve(RequestKind.NON_IDEMPOTENT, 1, false, target("t1", silent));
+    CompletableFuture<String> answer = CompletableFuture.supplyAsync(this::callUnchecked);
+    awaitHeads(1);
+    group.next().execute(router::endRequests);
+    assertThat(answer.get()).startsWith("HTTP/1.1 502 ");
+    assertThat(answer.get()).contains("shutting_down");
+  }
+
+  // Guards against requests that wait for an adapter and are cut without an answer when the process
+  // ends.
+  @Test
+  void aRequestThatWaitsWhenTheProcessEndsIsRefusedAsNotRun() throws Exception {
+    EngineSpec spec = new EngineSpec(8, 100, 4, List.of(new ModelSpec("m", 50, 100, 10)));
+    view =
+        view(
+            RequestKind.STREAM,
+            1,
+            false,
+            Optional.of(spec),
+            Map.of("t1", Residency.of(Map.of(new AdapterKey("m", ""), 1L))),
+            target("t1", ANSWERS_DONE));
+    CompletableFuture<String> answer =
+        CompletableFuture.supplyAsync(() -> callUnchecked("X-Model: m/a1\r\n"));
+    awaitFleetCall();
+    group.next().execute(router::endRequests);
+    assertThat(answer.get()).startsWith("HTTP/1.1 503 ");
+    assertThat(answer.get()).contains("retry-after");
+  }
+
+  private String callUnchecked() {
+    return callUnchecked("");
+  }
+
+  private String callUnchecked(String headers) {
+    try {
+      return call(headers);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   // Guards against an idempotent request that waits for a silent target until its deadline.
   @Test
   void anIdempotentRequestIsRetriedWhenTheTargetIsSilent() throws IOException {
