Answer the requests that a stopping instance has read

Callers saw: of several requests sent at once on one connection, those after the first were dropped without an answer, although they had been read, when their instance was stopped meanwhile. Cause: while an instance drains, each answer closed its connection, also with further requests of it waiting for their turn. Change: only the answer to the last request that was read announces the close. Measured: aStoppingServerAnswersTheRequestsThatItHasRead failed before (one answer of three) and passes.

--- a/node/src/main/java/org/apricotstand/front/CallReply.java
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -126,7 +126,7 @@
   }
 
   private void setConnectionHeader(HttpResponse answer, boolean selfDelimited) {
-    keepsAlive = callerKeepsAlive && selfDelimited && !connection.isDraining();
+    keepsAlive = callerKeepsAlive && selfDelimited && !connection.closesAfterAnswer();
     if (!keepsAlive) {
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -198,8 +198,9 @@
     channel.close();
   }
 
-  boolean isDraining() {
-    return server.isDraining();
+  /** Returns whether the next answer is the last one; requests that were read are answered. */
+  boolean closesAfterAnswer() {
+    return server.isDraining() && pipelinedRequests.isEmpty();
   }
 
   /** Returns whether a request is being received or answered. */
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -138,6 +138,23 @@
     }
   }
 
+  // Guards against requests that were read and are dropped without an answer, because the answer
+  // before them closes the connection of a stopping instance.
+  @Test
+  void aStoppingServerAnswersTheRequestsThatItHasRead() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, REQUEST + REQUEST + REQUEST);
+      Reply first = replies.poll(TEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      server.drain();
+      loop.execute(() -> first.fail(504, "test", 0));
+      answerNext();
+      answerNext();
+      String received = readAll(socket);
+      assertThat(received.split("HTTP/1.1 504", -1)).hasLength(4);
+      assertThat(received.split("(?i)connection: close", -1)).hasLength(2);
+    }
+  }
+
   private int openRequests() throws Exception {
     return loop.submit(() -> server.openRequests()).get();
   }
