Bound the answers that are kept in memory together

Callers saw (reported by other operators): a target that sends bytes without end makes the instance that calls it run out of memory, and the requests of its other callers end with it. Cause: each answer that is kept until it is complete was bounded (1 MB), their sum was not. Evidence: with 100 orders at once to a service that sends 640 KB/s without end, the log of an instance with the deployed heap (48 MB) is full of attempt_lost with "Java heap space", and calls to the store time out; 60 orders that are answered at full speed show nothing, since each is cut before the next one holds much. Change: HeldBytes (core) bounds the sum and gives up the largest answer of the target that holds most; ByteCollector keeps a body in segments.

--- a/node/src/main/java/org/apricotstand/port/AnswerLimits.java
+++ b/node/src/main/java/org/apricotstand/port/AnswerLimits.java
@@ -10,11 +10,13 @@
  *     the connection is closed beyond that
  * @param maxSkippedBytes bytes that are read and dropped before the answer to a request, or of an
  *     answer that is not passed on; the connection is closed beyond that
+ * @param maxHeldTotalBytes bytes of all answers together that are kept until their end; beyond that
+ *     the connection of the answer that holds most is closed
  */
-public record AnswerLimits(int maxHeldBytes, int maxSkippedBytes) {
+public record AnswerLimits(int maxHeldBytes, int maxSkippedBytes, long maxHeldTotalBytes) {
 
   /** Limits of an instance whose settings name none. */
-  public static final AnswerLimits DEFAULT = new AnswerLimits(1_048_576, 262_144);
+  public static final AnswerLimits DEFAULT = new AnswerLimits(1_048_576, 262_144, 8_388_608);
 
   private static final int MIN_BYTES = 1_024;
 
@@ -27,5 +29,10 @@
         "maxSkippedBytes %s is less than %s",
         maxSkippedBytes,
         MIN_BYTES);
+    checkArgument(
+        maxHeldTotalBytes >= maxHeldBytes,
+        "maxHeldTotalBytes %s is less than maxHeldBytes %s",
+        maxHeldTotalBytes,
+        maxHeldBytes);
   }
 }
--- a/node/src/main/java/org/apricotstand/request/AnswerBody.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerBody.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
-import java.io.ByteArrayOutputStream;
 import org.apricotstand.port.AnswerLimits;
 
 /** The body of one answer of a target: decides which bytes are kept, passed on, or dropped. */
@@ -22,7 +21,7 @@
   private final AnswerLimits limits;
   private final EventSplitter eventSplitter;
   private final EventBoundary eventBoundary = new EventBoundary();
-  private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
+  private final ByteCollector buffered = new ByteCollector();
   private int discardedBytes;
 
   /**
@@ -43,7 +42,7 @@
         yield Unpooled.EMPTY_BUFFER;
       }
       case BUFFER -> {
-        buffered.writeBytes(ByteBufUtil.getBytes(part));
+        buffered.add(part);
         yield Unpooled.EMPTY_BUFFER;
       }
       case STREAM -> {
@@ -58,15 +57,23 @@
   /** Removes and returns the bytes that were kept until the answer is complete. */
   ByteBuf takeRest() {
     byte[] incompleteEvent = eventSplitter == null ? new byte[0] : eventSplitter.takeIncomplete();
-    return Unpooled.wrappedBuffer(buffered.toByteArray(), incompleteEvent);
+    return Unpooled.wrappedBuffer(buffered.take(), Unpooled.wrappedBuffer(incompleteEvent));
+  }
+
+  /** Returns the number of bytes that are kept. */
+  int heldBytes() {
+    return buffered.size() + incompleteEventBytes();
+  }
+
+  private int incompleteEventBytes() {
+    return eventSplitter == null ? 0 : eventSplitter.incompleteBytes();
   }
 
   /** Returns whether more bytes are kept or were dropped than an answer may have. */
   boolean exceedsLimits() {
-    int incompleteBytes = eventSplitter == null ? 0 : eventSplitter.incompleteBytes();
     return discardedBytes > limits.maxSkippedBytes()
         || buffered.size() > limits.maxHeldBytes()
-        || incompleteBytes > limits.maxHeldBytes();
+        || incompleteEventBytes() > limits.maxHeldBytes();
   }
 
   /**
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -0,0 +1,247 @@
+package org.apricotstand.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.upstream.AnswerListener;
+import org.apricotstand.upstream.SendFailure;
+import org.apricotstand.upstream.TargetConnection;
+
+/** One attempt to run the request at one target. */
+final class Attempt implements AnswerListener, HeldAnswer {
+
+  /**
+   * Time without a crash after the first byte of an answer, after which the request did not cause
+   * one.
+   */
+  private static final long CRASH_AFTER_FIRST_BYTE_MS = 250;
+
+  private final RequestFlow flow;
+  private final RequestRouter router;
+  private final TargetEntry target;
+  private final long sentMs = ControlThread.nowMs();
+  private final AnswerBody body;
+  private TargetConnection connection;
+  private AnswerHead head;
+  private boolean discardAnswer;
+  private boolean retryGranted;
+  private boolean firstByteReceived;
+  private long confirmAnswerMs;
+  private boolean answerConfirmed;
+  private boolean closed;
+
+  /**
+   * Creates an attempt that is not sent.
+   *
+   * @param eventSplitter splits the stream that the caller gets; null if it cannot be resumed
+   */
+  Attempt(RequestFlow flow, RequestRouter router, TargetEntry target, EventSplitter eventSplitter) {
+    this.flow = flow;
+    this.router = router;
+    this.target = target;
+    this.body = new AnswerBody(router.answerLimits(), eventSplitter);
+  }
+
+  TargetEntry target() {
+    return target;
+  }
+
+  boolean isClosed() {
+    return closed;
+  }
+
+  boolean hasHead() {
+    return head != null;
+  }
+
+  boolean hasFirstByte() {
+    return firstByteReceived;
+  }
+
+  /** Returns whether the target has answered for so long that the request did not crash it. */
+  boolean isAnswerConfirmed() {
+    return answerConfirmed;
+  }
+
+  void resumeReading() {
+    if (connection != null) {
+      connection.setReading(true);
+    }
+  }
+
+  boolean onConnected(TargetConnection newConnection) {
+    if (closed) {
+      return false;
+    }
+    connection = newConnection;
+    return true;
+  }
+
+  void cancel() {
+    close();
+    if (connection != null) {
+      connection.cancel();
+    }
+  }
+
+  private void close() {
+    if (!closed) {
+      closed = true;
+      flow.onAttemptClosed();
+      router.heldBytes().remove(this);
+      router.loadTracker().recordEnd(target.id(), flow.adapter(), firstByteReceived);
+    }
+  }
+
+  @Override
+  public void onHead(HttpResponse answer) {
+    head = new AnswerHead(answer, router.headerNames());
+    router.pacer().onAnswer(target, head, sentMs);
+    if (head.isUnsignedSuccess()) {
+      giveUp("success without signature");
+      return;
+    }
+    retryGranted = !head.isNotExecuted() && head.isFailure() && flow.tryTakeRetry();
+    discardAnswer = head.isNotExecuted() || retryGranted;
+    if (discardAnswer) {
+      return;
+    }
+    if (flow.isAnswerStarted()) {
+      discardAnswer = answer.status().code() != 200;
+    } else if (isStreamed()) {
+      flow.startAnswer(answer);
+    }
+  }
+
+  /** Closes the connection of an answer that cannot be passed on; the request may have run. */
+  @Override
+  public void giveUp(String reason) {
+    TargetConnection brokenConnection = connection;
+    onFailure(new SendFailure.Malformed(reason));
+    brokenConnection.cancel();
+  }
+
+  private boolean isStreamed() {
+    return flow.isStream() && head.status() == 200;
+  }
+
+  @Override
+  public void onPart(ByteBuf part) {
+    if (!firstByteReceived) {
+      firstByteReceived = true;
+      flow.onFirstByte();
+      confirmAnswerMs = ControlThread.nowMs() + CRASH_AFTER_FIRST_BYTE_MS;
+      router.loadTracker().recordFirstByte(target.id());
+    } else if (ControlThread.nowMs() >= confirmAnswerMs) {
+      confirmAnswer();
+    }
+    ByteBuf passedOn = body.add(part, use());
+    if (passedOn.isReadable()) {
+      flow.reply().writePart(passedOn);
+    }
+    passedOn.release();
+    router
+        .heldBytes()
+        .update(this, target.incarnation(), body.heldBytes())
+        .ifPresent(largest -> largest.giveUp("answers too large together"));
+    if (closed) {
+      return;
+    }
+    if (body.exceedsLimits()) {
+      giveUp("answer without end");
+    } else if (flow.isAnswerStarted() && !flow.reply().isWritable()) {
+      connection.setReading(false);
+    }
+  }
+
+  /** Clears the traits of the request, since the target answers it and has not crashed. */
+  private void confirmAnswer() {
+    if (!answerConfirmed) {
+      answerConfirmed = true;
+      router.crashWatch().onAnswer(flow.traits());
+    }
+  }
+
+  private AnswerBody.Use use() {
+    if (discardAnswer) {
+      return AnswerBody.Use.DISCARD;
+    }
+    return isStreamed() ? AnswerBody.Use.STREAM : AnswerBody.Use.BUFFER;
+  }
+
+  @Override
+  public void onEnd() {
+    if (closed) {
+      return;
+    }
+    if (isBrokenOff()) {
+      onFailure(new SendFailure.ConnectionLost("ended_inside_stream"));
+      return;
+    }
+    close();
+    if (discardAnswer) {
+      onDiscardedAnswer();
+      return;
+    }
+    long nowMs = ControlThread.nowMs();
+    if (head.isFailure()) {
+      router.health().recordFailure(target.id(), nowMs);
+    } else {
+      router.health().recordSuccess(target.id(), nowMs);
+      confirmAnswer();
+    }
+    flow.onAnswered(head.status());
+    ByteBuf rest = body.takeRest();
+    if (!isStreamed()) {
+      // The whole body is buffered, so it is sent with its length, however the target framed it.
+      HttpHeaders headers = head.response().headers();
+      if (!head.isBodiless()) {
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, bodyLength(rest.readableBytes()));
+      }
+      headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+      flow.reply().writeHead(head.response());
+    }
+    if (rest.isReadable()) {
+      flow.reply().writePart(rest);
+    }
+    flow.reply().end();
+  }
+
+  private boolean isBrokenOff() {
+    return !discardAnswer
+        && isStreamed()
+        && head.hasEvents()
+        && body.isBrokenOff(head.endsWithConnection());
+  }
+
+  private String bodyLength(int receivedBytes) {
+    String declared = head.response().headers().get(HttpHeaderNames.CONTENT_LENGTH);
+    boolean isHeadRequest = HttpMethod.HEAD.equals(flow.method());
+    return isHeadRequest && declared != null ? declared : Integer.toString(receivedBytes);
+  }
+
+  private void onDiscardedAnswer() {
+    if (head.isNotExecuted()) {
+      flow.onRejected(this, head.status());
+      return;
+    }
+    flow.onAnswerDiscarded(target, retryGranted);
+  }
+
+  @Override
+  public void onFailure(SendFailure failure) {
+    if (closed) {
+      return;
+    }
+    close();
+    if (discardAnswer && head.isNotExecuted()) {
+      flow.onRejected(this, head.status());
+    } else {
+      flow.onAttemptLost(this, failure, false);
+    }
+  }
+}
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -1,7 +1,5 @@
 package org.apricotstand.request;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
@@ -23,9 +21,7 @@
 import org.apricotstand.route.RequestKind;
 import org.apricotstand.route.Route;
 import org.apricotstand.suspect.Trait;
-import org.apricotstand.upstream.AnswerListener;
 import org.apricotstand.upstream.SendFailure;
-import org.apricotstand.upstream.TargetConnection;
 import org.apricotstand.upstream.TargetRequest;
 
 /**
@@ -61,12 +57,6 @@
   /** Fraction of the time left that a target gets to answer an idempotent request. */
   private static final double HEAD_TIMEOUT_FRACTION = 0.35;
 
-  /**
-   * Time without a crash after the first byte of an answer, after which the request did not cause
-   * one.
-   */
-  private static final long CRASH_AFTER_FIRST_BYTE_MS = 250;
-
   private final RequestRouter router;
   private final CallerRequest request;
   private final Reply reply;
@@ -180,7 +170,7 @@
   /** Ends a request without answer that may crash its target; an answer would clear its traits. */
   void onTraitRefused() {
     Attempt current = currentAttempt;
-    boolean isAnswered = current != null && current.firstByteReceived;
+    boolean isAnswered = current != null && current.hasFirstByte();
     if (!ended && !isAnswered && router.crashWatch().findRefused(traits).isPresent()) {
       refuseAsCrashing();
     }
@@ -303,7 +293,7 @@
   }
 
   private void send(TargetEntry target) {
-    currentAttempt = new Attempt(target);
+    currentAttempt = new Attempt(this, router, target, eventSplitter);
     sentAfterMs = ageMs();
     lastTargetId = target.id();
     long version = adapter == null ? 0 : router.view().declaredVersion(adapter);
@@ -324,10 +314,10 @@
    * target if there is one.
    */
   private void onHeadTimeout(Attempt attempt) {
-    if (attempt.closed || attempt.head != null) {
+    if (attempt.isClosed() || attempt.hasHead()) {
       return;
     }
-    if (hasOtherTarget(attempt.target) && tryTakeRetry(runs + 1)) {
+    if (hasOtherTarget(attempt.target()) && tryTakeRetry()) {
       attempt.cancel();
       onAttemptLost(attempt, new SendFailure.Silent("no answer in time"), true);
     }
@@ -338,15 +328,19 @@
         .anyMatch(other -> !other.id().equals(target.id()) && !isExcluded(other));
   }
 
-  /** Takes a retry from the budget if the route allows another run after the given number. */
+  /** Takes a retry from the budget if the route allows another run after one more. */
+  boolean tryTakeRetry() {
+    return tryTakeRetry(runs + 1);
+  }
+
   private boolean tryTakeRetry(int runsSoFar) {
     boolean mayRunAgain = route.isIdempotent() || route.resumable();
     return mayRunAgain && runsSoFar < route.maxAttempts() && router.tryRetry(service);
   }
 
-  private void onRejected(Attempt attempt, int status) {
+  void onRejected(Attempt attempt, int status) {
     rejections++;
-    recordRejection(attempt.target, status);
+    recordRejection(attempt.target(), status);
     if (rejections < MAX_REJECTIONS && router.tryRetry(service)) {
       dispatch();
     } else {
@@ -371,14 +365,14 @@
     }
   }
 
-  private void onAttemptLost(Attempt attempt, SendFailure failure, boolean retryAlreadyGranted) {
+  void onAttemptLost(Attempt attempt, SendFailure failure, boolean retryAlreadyGranted) {
     long nowMs = ControlThread.nowMs();
     LOG.info(
         "attempt_lost",
         "request",
         requestId,
         "target",
-        attempt.target.id(),
+        attempt.target().id(),
         "failure",
         failure.getClass().getSimpleName(),
         "detail",
@@ -386,13 +380,13 @@
         "answering",
         answerStarted,
         "begun",
-        attempt.firstByteReceived,
+        attempt.hasFirstByte(),
         "traits",
         traits.shared().stream().map(Trait::encode).toList());
     if (failure instanceof SendFailure.NotSent) {
       connectFailures++;
-      router.health().recordUnreachable(attempt.target.id(), nowMs);
-      excludedTargetIds.add(attempt.target.id());
+      router.health().recordUnreachable(attempt.target().id(), nowMs);
+      excludedTargetIds.add(attempt.target().id());
       if (connectFailures < MAX_CONNECT_FAILURES) {
         dispatch();
       } else {
@@ -401,15 +395,15 @@
       return;
     }
     runs++;
-    router.health().recordFailure(attempt.target.id(), nowMs);
+    router.health().recordFailure(attempt.target().id(), nowMs);
     if (failure instanceof SendFailure.ConnectionLost) {
-      router.crashWatch().onAttemptLost(attempt.target, traits, attempt.answerConfirmed);
+      router.crashWatch().onAttemptLost(attempt.target(), traits, attempt.isAnswerConfirmed());
     }
     if (retryAlreadyGranted || tryTakeRetry(runs)) {
       if (eventSplitter != null) {
         eventSplitter.takeIncomplete();
       }
-      excludedTargetIds.add(attempt.target.id());
+      excludedTargetIds.add(attempt.target().id());
       dispatch();
     } else {
       abort(answerStarted ? "broken_off" : "answer_lost");
@@ -496,200 +490,57 @@
 
   @Override
   public void onCallerWritable() {
-    if (currentAttempt != null && currentAttempt.connection != null) {
-      currentAttempt.connection.setReading(true);
+    if (currentAttempt != null) {
+      currentAttempt.resumeReading();
     }
   }
 
-  /** One attempt to run the request at one target. */
-  private final class Attempt implements AnswerListener {
-
-    private final TargetEntry target;
-    private final long sentMs = ControlThread.nowMs();
-    private final AnswerBody body = new AnswerBody(router.answerLimits(), eventSplitter);
-    private TargetConnection connection;
-    private AnswerHead head;
-    private boolean discardAnswer;
-    private boolean retryGranted;
-    private boolean firstByteReceived;
-    private long confirmAnswerMs;
-    private boolean answerConfirmed;
-    private boolean closed;
-
-    Attempt(TargetEntry target) {
-      this.target = target;
-    }
-
-    boolean onConnected(TargetConnection newConnection) {
-      if (closed) {
-        return false;
-      }
-      connection = newConnection;
-      return true;
-    }
-
-    void cancel() {
-      close();
-      if (connection != null) {
-        connection.cancel();
-      }
-    }
-
-    private void close() {
-      if (!closed) {
-        closed = true;
-        currentAttempt = null;
-        router.loadTracker().recordEnd(target.id(), adapter, firstByteReceived);
-      }
-    }
-
-    @Override
-    public void onHead(HttpResponse answer) {
-      head = new AnswerHead(answer, router.headerNames());
-      router.pacer().onAnswer(target, head, sentMs);
-      if (head.isUnsignedSuccess()) {
-        giveUp("success without signature");
-        return;
-      }
-      retryGranted = !head.isNotExecuted() && head.isFailure() && tryTakeRetry(runs + 1);
-      discardAnswer = head.isNotExecuted() || retryGranted;
-      if (discardAnswer) {
-        return;
-      }
-      if (answerStarted) {
-        discardAnswer = answer.status().code() != 200;
-      } else if (isStreamed()) {
-        answerStarted = true;
-        reply.writeHead(answer);
-      }
-    }
-
-    /** Closes the connection of an answer that cannot be passed on; the request may have run. */
-    private void giveUp(String reason) {
-      TargetConnection brokenConnection = connection;
-      onFailure(new SendFailure.Malformed(reason));
-      brokenConnection.cancel();
-    }
-
-    private boolean isStreamed() {
-      return route.kind() == RequestKind.STREAM && head.status() == 200;
-    }
+  HttpMethod method() {
+    return request.method();
+  }
 
-    @Override
-    public void onPart(ByteBuf part) {
-      if (!firstByteReceived) {
-        firstByteReceived = true;
-        firstByteAfterMs = ageMs();
-        confirmAnswerMs = ControlThread.nowMs() + CRASH_AFTER_FIRST_BYTE_MS;
-        router.loadTracker().recordFirstByte(target.id());
-      } else if (ControlThread.nowMs() >= confirmAnswerMs) {
-        confirmAnswer();
-      }
-      ByteBuf passedOn = body.add(part, use());
-      if (passedOn.isReadable()) {
-        reply.writePart(passedOn);
-      }
-      passedOn.release();
-      if (body.exceedsLimits()) {
-        giveUp("answer without end");
-      } else if (answerStarted && !reply.isWritable()) {
-        connection.setReading(false);
-      }
-    }
+  Reply reply() {
+    return reply;
+  }
 
-    /** Clears the traits of the request, since the target answers it and has not crashed. */
-    private void confirmAnswer() {
-      if (!answerConfirmed) {
-        answerConfirmed = true;
-        router.crashWatch().onAnswer(traits);
-      }
-    }
+  boolean isStream() {
+    return route.kind() == RequestKind.STREAM;
+  }
 
-    private AnswerBody.Use use() {
-      if (discardAnswer) {
-        return AnswerBody.Use.DISCARD;
-      }
-      return isStreamed() ? AnswerBody.Use.STREAM : AnswerBody.Use.BUFFER;
-    }
+  /** Returns whether the caller has got the head of an answer. */
+  boolean isAnswerStarted() {
+    return answerStarted;
+  }
 
-    @Override
-    public void onEnd() {
-      if (closed) {
-        return;
-      }
-      if (isBrokenOff()) {
-        onFailure(new SendFailure.ConnectionLost("ended_inside_stream"));
-        return;
-      }
-      close();
-      if (discardAnswer) {
-        onDiscardedAnswer();
-        return;
-      }
-      runs++;
-      long nowMs = ControlThread.nowMs();
-      if (head.isFailure()) {
-        router.health().recordFailure(target.id(), nowMs);
-      } else {
-        router.health().recordSuccess(target.id(), nowMs);
-        confirmAnswer();
-      }
-      finish("answered", head.status());
-      ByteBuf rest = body.takeRest();
-      if (!isStreamed()) {
-        // The whole body is buffered, so it is sent with its length, however the target framed it.
-        HttpHeaders headers = head.response().headers();
-        if (!head.isBodiless()) {
-          headers.set(HttpHeaderNames.CONTENT_LENGTH, bodyLength(rest.readableBytes()));
-        }
-        headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
-        reply.writeHead(head.response());
-      }
-      if (rest.isReadable()) {
-        reply.writePart(rest);
-      }
-      reply.end();
-    }
+  /** Passes the head of a streamed answer on; from now on the request cannot be refused. */
+  void startAnswer(HttpResponse head) {
+    answerStarted = true;
+    reply.writeHead(head);
+  }
 
-    private boolean isBrokenOff() {
-      return !discardAnswer
-          && isStreamed()
-          && head.hasEvents()
-          && body.isBrokenOff(head.endsWithConnection());
-    }
+  void onAttemptClosed() {
+    currentAttempt = null;
+  }
 
-    private String bodyLength(int receivedBytes) {
-      String declared = head.response().headers().get(HttpHeaderNames.CONTENT_LENGTH);
-      boolean isHeadRequest = HttpMethod.HEAD.equals(request.method());
-      return isHeadRequest && declared != null ? declared : Integer.toString(receivedBytes);
-    }
+  void onFirstByte() {
+    firstByteAfterMs = ageMs();
+  }
 
-    private void onDiscardedAnswer() {
-      if (head.isNotExecuted()) {
-        onRejected(this, head.status());
-        return;
-      }
-      runs++;
-      router.health().recordFailure(target.id(), ControlThread.nowMs());
-      excludedTargetIds.add(target.id());
-      if (retryGranted || tryTakeRetry(runs)) {
-        dispatch();
-      } else {
-        abort("resume_failed");
-      }
-    }
+  /** Ends the request, whose answer is complete; the attempt then passes the rest of it on. */
+  void onAnswered(int status) {
+    runs++;
+    finish("answered", status);
+  }
 
-    @Override
-    public void onFailure(SendFailure failure) {
-      if (closed) {
-        return;
-      }
-      close();
-      if (discardAnswer && head.isNotExecuted()) {
-        onRejected(this, head.status());
-      } else {
-        onAttemptLost(this, failure, false);
-      }
+  /** Sends the request again after an answer that is not passed on, unless it may not run again. */
+  void onAnswerDiscarded(TargetEntry target, boolean retryGranted) {
+    runs++;
+    router.health().recordFailure(target.id(), ControlThread.nowMs());
+    excludedTargetIds.add(target.id());
+    if (retryGranted || tryTakeRetry(runs)) {
+      dispatch();
+    } else {
+      abort("resume_failed");
     }
   }
 }
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -24,6 +24,7 @@
 import org.apricotstand.front.CallHandler;
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.front.Reply;
+import org.apricotstand.limit.HeldBytes;
 import org.apricotstand.limit.WindowedRetryBudget;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
@@ -64,6 +65,7 @@
   private final Random random;
   private final CrashWatch crashWatch;
   private final TargetPacer pacer;
+  private final HeldBytes<HeldAnswer> heldBytes;
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final Set<RequestFlow> activeFlows = new LinkedHashSet<>();
@@ -94,6 +96,7 @@
     this.connections =
         new TargetConnectionPool(
             loop, headerNames.requestId(), settings.answerLimits().maxSkippedBytes());
+    this.heldBytes = new HeldBytes<>(settings.answerLimits().maxHeldTotalBytes());
     this.loadTracker = loadTracker;
     this.fleetNotifier = fleetNotifier;
     this.metrics = metrics;
@@ -331,6 +334,11 @@
     return settings.answerLimits();
   }
 
+  /** Returns the bytes of all answers that are kept until they are complete. */
+  HeldBytes<HeldAnswer> heldBytes() {
+    return heldBytes;
+  }
+
   EventLoop loop() {
     return loop;
   }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -62,7 +62,7 @@
   static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
   static final long TEST_TIMEOUT_MS = 20_000;
 
-  static final AnswerLimits LIMITS = new AnswerLimits(65_536, 16_384);
+  static final AnswerLimits LIMITS = new AnswerLimits(65_536, 16_384, 131_072);
 
   final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
