Check the range of what an entry of a target says

Callers saw: orders ended with a closed connection and no answer while an entry of another writer named port 70000 for their service (reported by other operators as processes that end or stop following the list). Cause: fields of entries were checked for their type at most; the network library throws on such a port in the middle of the dispatch, and the caller's connection is closed. Evidence: 19 of 37 odd entries were listed as targets; nested ones and huge numbers end in the parser's own bounds.

--- a/core/src/main/java/org/apricotstand/dispatch/TargetEntry.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetEntry.java
@@ -1,5 +1,7 @@
 package org.apricotstand.dispatch;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import java.util.Map;
 import org.apricotstand.residency.AdapterKey;
 
@@ -9,9 +11,9 @@
  * @param id identifier of the target
  * @param service service that it belongs to
  * @param host IP address
- * @param port TCP port
+ * @param port TCP port, from 1 to 65535
  * @param domain failure domain
- * @param maxConcurrentRequests requests that it runs concurrently
+ * @param maxConcurrentRequests requests that it runs concurrently, at least 1
  * @param leaving whether it is draining and gets no new requests
  * @param startedUnixMs Unix time of its start in ms; distinguishes restarts under the same id
  * @param resident versions of the models and adapters that it reported as loaded
@@ -27,8 +29,12 @@
     long startedUnixMs,
     Map<AdapterKey, Long> resident) {
 
-  /** Makes an immutable copy of the resident versions. */
+  private static final int MAX_PORT = 65_535;
+
+  /** Checks that requests can be sent to the target, and copies the resident versions. */
   public TargetEntry {
+    checkArgument(port > 0 && port <= MAX_PORT, "port %s is out of range", port);
+    checkArgument(maxConcurrentRequests > 0, "target runs no requests: %s", maxConcurrentRequests);
     resident = Map.copyOf(resident);
   }
 
