Follow a table after a listener has failed on what it holds

Cause: the next read of a table was scheduled after its content had been handled, so a failure there ended the watch for good (reported by other operators as machines that stop following the list).

--- a/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
+++ b/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
@@ -118,15 +118,16 @@
   }
 
   private void handleRows(List<Row> rows, Throwable failure) {
+    // Scheduled first, so that the table is read again even if the listener fails.
+    long delayMs = failure == null ? refreshPeriodMs : RETRY_DELAY_MS;
+    refreshPeriodMs = Math.min(MAX_REFRESH_PERIOD_MS, 2 * refreshPeriodMs);
+    control.executeAt(ControlThread.nowMs() + delayMs, this::refresh);
     if (failure == null) {
       rows.forEach(this::updateRecord);
       listener.accept(records.values().stream().map(InstanceRecord::toOverlayInstance).toList());
     } else {
       LOG.warn("instances_not_read", "error", failure.toString());
     }
-    long delayMs = failure == null ? refreshPeriodMs : RETRY_DELAY_MS;
-    refreshPeriodMs = Math.min(MAX_REFRESH_PERIOD_MS, 2 * refreshPeriodMs);
-    control.executeAt(ControlThread.nowMs() + delayMs, this::refresh);
   }
 
   /**
--- a/node/src/test/java/org/apricotstand/fleet/InstanceRecordTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/InstanceRecordTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 class InstanceRecordTest {
@@ -29,4 +30,16 @@
     byte[] content = "{}".getBytes(StandardCharsets.UTF_8);
     assertThrows(IllegalArgumentException.class, () -> InstanceRecord.decode("n1", content));
   }
+
+  // Guards against a row of another writer that keeps an instance from following the list, because
+  // nothing can be connected to its address.
+  @Test
+  void rejectsAddressesToWhichNothingCanBeSent() {
+    for (String content :
+        List.of("d 10.0.0.1 70000 4", "d 10.0.0.1 0", "d 10.0.0.1 -1", "d x 80")) {
+      assertThrows(
+          IllegalArgumentException.class,
+          () -> InstanceRecord.decode("n", content.getBytes(StandardCharsets.UTF_8)));
+    }
+  }
 }
