Leave targets alone that say so: leaving, or busy for a time

Change: TargetPauses (core) holds both for each target and TargetPacer joins them with the limits, so that first attempts, repeats, orders, resumed streams and requests that wait for their turn all see one time at which a target may be sent to. After a pause requests return one by one. Unreadable times are ignored, years ahead count as ten minutes, a target that has restarted starts clean. Not done: telling the other instances, and a Retry-After to callers that fits the pause.

--- a/node/src/main/java/org/apricotstand/port/HeaderNames.java
+++ b/node/src/main/java/org/apricotstand/port/HeaderNames.java
@@ -18,6 +18,7 @@
  *     belongs to the request alone
  * @param rateLimit in an answer: requests a second that the target takes from all instances
  *     together, for as long as its answers say so
+ * @param leaving in an answer: {@code 1} if the target leaves and wants no further requests
  * @param lastEventId id of the event after which an interrupted stream is resumed
  * @param reserved names in lower case of headers that callers may not set
  */
@@ -32,5 +33,6 @@
     String signature,
     String promptParts,
     String rateLimit,
+    String leaving,
     String lastEventId,
     Set<String> reserved) {}
--- a/node/src/main/java/org/apricotstand/request/AnswerHead.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerHead.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.OptionalDouble;
+import java.util.OptionalLong;
 import org.apricotstand.front.ResponseFraming;
 import org.apricotstand.port.HeaderNames;
 import org.apricotstand.upstream.TargetConnection;
@@ -63,6 +64,21 @@
     return contentType.startsWith(EVENT_STREAM) || endsWithConnection();
   }
 
+  /** Returns whether the target says that it leaves. */
+  boolean isFromLeavingTarget() {
+    return response.headers().containsValue(names.leaving(), "1", true);
+  }
+
+  /**
+   * Returns for how many milliseconds a target that refuses wants no further request; empty if it
+   * does not say.
+   */
+  OptionalLong pauseMs() {
+    return status() == 503
+        ? RetryAfterHeader.delayMs(response.headers().getAll(HttpHeaderNames.RETRY_AFTER))
+        : OptionalLong.empty();
+  }
+
   /** Returns the requests a second that the target takes; empty if it names no limit. */
   OptionalDouble limitPerSecond() {
     return RateLimitHeader.perSecond(response.headers().get(names.rateLimit()));
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -246,7 +246,7 @@
 
   private void onTurn(TargetEntry target) {
     boolean isRefused = router.crashWatch().findRefused(traits).isPresent();
-    if (!isRefused && router.isResident(target, this)) {
+    if (!isRefused && !router.pacer().isPaused(target) && router.isResident(target, this)) {
       send(target);
     } else {
       dispatch();
--- a/node/src/main/java/org/apricotstand/request/TargetPacer.java
+++ b/node/src/main/java/org/apricotstand/request/TargetPacer.java
@@ -6,11 +6,12 @@
 import java.util.function.LongSupplier;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.limit.TargetLimits;
+import org.apricotstand.limit.TargetPauses;
 import org.apricotstand.observe.EventLog;
 
 /**
- * Keeps to the limits that targets name in their answers, and tells the fleet of them. Belongs to
- * the traffic thread.
+ * Keeps to what targets ask for in their answers: a limit, a pause, or no further request because
+ * they leave. Tells the fleet of limits. Belongs to the traffic thread.
  */
 final class TargetPacer {
 
@@ -19,9 +20,10 @@
   private final LongSupplier clock;
   private final FleetNotifier fleetNotifier;
   private final TargetLimits limits;
+  private final TargetPauses pauses = new TargetPauses();
 
   /**
-   * Creates a pacer that knows of no limit.
+   * Creates a pacer to which no target has said anything.
    *
    * @param instance name of this instance
    * @param clock monotonic time in milliseconds
@@ -38,12 +40,31 @@
   }
 
   /**
-   * Records what an answer says of the limit of its target. Only a success shows that a limit has
-   * ended; a failure may come from a part of the target that does not know of it.
+   * Records what an answer says of its target.
    *
    * @param sentMs time at which the request was sent
    */
   void onAnswer(TargetEntry target, AnswerHead head, long sentMs) {
+    recordLimitOf(target, head, sentMs);
+    String incarnation = target.incarnation();
+    if (head.isFromLeavingTarget() && pauses.leave(incarnation)) {
+      LOG.info("target_leaving", "target", incarnation);
+    }
+    head.pauseMs().ifPresent(pauseMs -> recordPause(incarnation, pauseMs));
+  }
+
+  private void recordPause(String incarnation, long pauseMs) {
+    long nowMs = clock.getAsLong();
+    if (pauses.pause(incarnation, nowMs + pauseMs, nowMs)) {
+      LOG.info("target_paused", "target", incarnation, "pause_ms", pauseMs);
+    }
+  }
+
+  /**
+   * Records what an answer says of the limit of its target. Only a success shows that a limit has
+   * ended; a failure may come from a part of the target that does not know of it.
+   */
+  private void recordLimitOf(TargetEntry target, AnswerHead head, long sentMs) {
     String incarnation = target.incarnation();
     OptionalDouble limitPerSecond = head.limitPerSecond();
     if (limitPerSecond.isPresent()) {
@@ -73,14 +94,27 @@
 
   /** Returns the time until a request may be sent to a target; empty if none may be sent. */
   OptionalLong delayMs(TargetEntry target) {
-    return limits.isEmpty()
-        ? OptionalLong.of(0)
-        : limits.delayMs(target.incarnation(), clock.getAsLong());
+    if (limits.isEmpty() && pauses.isEmpty()) {
+      return OptionalLong.of(0);
+    }
+    long nowMs = clock.getAsLong();
+    OptionalLong byLimitMs = limits.delayMs(target.incarnation(), nowMs);
+    OptionalLong byPauseMs = pauses.delayMs(target.incarnation(), nowMs);
+    return byLimitMs.isPresent() && byPauseMs.isPresent()
+        ? OptionalLong.of(Math.max(byLimitMs.getAsLong(), byPauseMs.getAsLong()))
+        : OptionalLong.empty();
+  }
+
+  /** Returns whether a target wants no request now, whatever places are reserved at it. */
+  boolean isPaused(TargetEntry target) {
+    return pauses.isPaused(target.incarnation(), clock.getAsLong());
   }
 
   /** Reserves the next place for a request at a target, and returns its time. */
   long reserve(TargetEntry target) {
-    return limits.reserve(target.incarnation(), clock.getAsLong());
+    long nowMs = clock.getAsLong();
+    long afterPauseMs = pauses.reserve(target.incarnation(), nowMs);
+    return Math.max(afterPauseMs, limits.reserve(target.incarnation(), nowMs));
   }
 
   /** Gives back a place that is not used. */
@@ -88,8 +122,9 @@
     limits.release(target.incarnation(), sendAtMs);
   }
 
-  /** Forgets the limits of all targets but those with the given incarnations. */
+  /** Forgets what all targets have said but those with the given incarnations. */
   void retain(Set<String> incarnations) {
     limits.retain(incarnations);
+    pauses.retain(incarnations, clock.getAsLong());
   }
 }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -57,6 +57,7 @@
           "x-seal",
           "x-prompt",
           "x-limit",
+          "x-leaving",
           "last-event-id",
           Set.of("x-expect-target", "x-reserved"));
   static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
