Don't reuse a connection for the next attempt of a rejected request

Change: a connection is closed after an answer that is not passed on. Measured: anExtraAnswerToARejectedRequestIsNotThatOfTheNextAttempt failed before ("extra" in place of "done") and passes.

--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -108,6 +108,7 @@
     retryGranted = !head.isNotExecuted() && head.isFailure() && flow.tryTakeRetry();
     discardAnswer = head.isNotExecuted() || retryGranted;
     if (discardAnswer) {
+      connection.closeAfterAnswer();
       return;
     }
     if (flow.isAnswerStarted()) {
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -78,6 +78,14 @@
     channel.close();
   }
 
+  /**
+   * Closes the connection after the current answer. The next attempt of a rejected request bears
+   * the same id, so that a second answer to this one could be taken for its answer.
+   */
+  public void closeAfterAnswer() {
+    reusable = false;
+  }
+
   /** Pauses or resumes reading from the target, so that a slow caller does not fill the buffers. */
   public void setReading(boolean reading) {
     channel.config().setAutoRead(reading);
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -5,6 +5,7 @@
 import static org.apricotstand.request.ScriptedTarget.write;
 
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
@@ -318,6 +320,54 @@
     }
   }
 
+  // Guards against an order that runs twice: a faulty target answers it once more after it has
+  // rejected it, and that answer is taken for the one to the second attempt on the same connection.
+  @Test
+  void anExtraAnswerToARejectedRequestIsNotThatOfTheNextAttempt() throws Exception {
+    ScriptedTarget.Script answersTwice =
+        (id, number, out) -> {
+          if (number == 1) {
+            write(out, "HTTP/1.1 421 Other\r\nX-Id: " + id + "\r\nContent-Length: 0\r\n\r\n");
+            group.schedule(() -> writeQuietly(out, ok(id, "extra")), 50, TimeUnit.MILLISECONDS);
+          } else {
+            pause(400);
+            write(out, ok(id, "done"));
+          }
+          return true;
+        };
+    EngineSpec spec = new EngineSpec(8, 100, 4, List.of(new ModelSpec("m", 50, 100, 10)));
+    Map<String, Residency> residency =
+        Map.of("t1", Residency.of(Map.of(new AdapterKey("m", ""), 1L, ADAPTER, 1L)));
+    TargetEntry target = target("t1", answersTwice);
+    view = view(RequestKind.NON_IDEMPOTENT, 1, false, Optional.of(spec), residency, target);
+    CompletableFuture<String> answer =
+        CompletableFuture.supplyAsync(() -> callUnchecked("X-Model: m/a1\r\n"));
+    awaitHeads(1);
+    awaitFleetCall();
+    // The owner reports that the engine has the adapter, so that it is asked again.
+    Map<String, Residency> reported =
+        Map.of("t1", Residency.of(Map.of(new AdapterKey("m", ""), 1L, ADAPTER, 1L)));
+    view = view(RequestKind.NON_IDEMPOTENT, 1, false, Optional.of(spec), reported, target);
+    group.next().execute(router::onViewChanged);
+    assertThat(answer.get()).endsWith("done");
+  }
+
+  private static void pause(long durationMs) {
+    try {
+      Thread.sleep(durationMs);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void writeQuietly(OutputStream out, String text) {
+    try {
+      write(out, text);
+    } catch (IOException e) {
+      // The connection was closed, as it should be.
+    }
+  }
+
   // Guards against an idempotent request that waits for a silent target until its deadline.
   @Test
   void anIdempotentRequestIsRetriedWhenTheTargetIsSilent() throws IOException {
