--- /dev/null
+++ b/node/src/main/java/org/apricotstand/request/PlanWait.java
@@ -0,0 +1,75 @@
+package org.apricotstand.request;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.front.CallHandler;
+
+/**
+ * A call that came before the instance knew its configuration and targets, which it reads within a
+ * second of its start. Belongs to the traffic thread.
+ */
+final class PlanWait implements CallHandler.ActiveCall {
+
+  private final Supplier<CallHandler.ActiveCall> start;
+  private final Runnable refusal;
+  private final ScheduledFuture<?> timer;
+  private CallHandler.ActiveCall call;
+  private boolean ended;
+
+  /**
+   * Starts to wait.
+   *
+   * @param untilMs monotonic time at which the call is refused
+   * @param start starts the call
+   * @param refusal refuses the call
+   */
+  PlanWait(EventLoop loop, long untilMs, Supplier<CallHandler.ActiveCall> start, Runnable refusal) {
+    this.start = start;
+    this.refusal = refusal;
+    long delayMs = Math.max(0, untilMs - ControlThread.nowMs());
+    this.timer = loop.schedule(this::refuse, delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  /** Starts the call, since the instance can serve it now. */
+  void startCall() {
+    if (!ended) {
+      end();
+      call = start.get();
+    }
+  }
+
+  /** Refuses the call if it still waits. */
+  void refuse() {
+    if (!ended) {
+      end();
+      refusal.run();
+    }
+  }
+
+  boolean isEnded() {
+    return ended;
+  }
+
+  private void end() {
+    ended = true;
+    timer.cancel(false);
+  }
+
+  @Override
+  public void onCallerDisconnected() {
+    end();
+    if (call != null) {
+      call.onCallerDisconnected();
+    }
+  }
+
+  @Override
+  public void onCallerWritable() {
+    if (call != null) {
+      call.onCallerWritable();
+    }
+  }
+}
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apricotstand.control.ControlThread;
@@ -48,6 +49,9 @@
   private static final long CLEANUP_INTERVAL_MS = 500;
   private static final long NO_PLAN_RETRY_MS = 500;
 
+  /** Time after the start in which the configuration and the list of targets usually arrive. */
+  private static final long PLAN_WAIT_MS = 1_000;
+
   /** Code of requests that are refused or ended because the instance stops. */
   static final String SHUTTING_DOWN = "shutting_down";
 
@@ -70,6 +74,8 @@
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final Set<RequestFlow> activeFlows = new LinkedHashSet<>();
   private final Set<RequestFlow> waitingFlows = new LinkedHashSet<>();
+  private final Set<PlanWait> planWaits = new LinkedHashSet<>();
+  private final long planWaitEndMs = ControlThread.nowMs() + PLAN_WAIT_MS;
 
   /** Reported residency of each engine at the time when it lacked the adapter. */
   private final Map<MissingAdapter, Residency> missingAdapters = new HashMap<>();
@@ -112,11 +118,45 @@
   @Override
   public ActiveCall handle(CallerRequest request, Reply reply) {
     FleetView fleetView = view.get();
-    if (fleetView.plan() == null) {
+    if (!canServe(fleetView)) {
+      return awaitPlan(request, reply);
+    }
+    return handleBy(fleetView, request, reply);
+  }
+
+  private static boolean canServe(FleetView fleetView) {
+    return fleetView.plan() != null && !fleetView.targets().isEmpty();
+  }
+
+  private ActiveCall awaitPlan(CallerRequest request, Reply reply) {
+    PlanWait wait =
+        new PlanWait(
+            loop,
+            planWaitEndMs,
+            () -> handleBy(view.get(), request, reply),
+            () -> refuseWithoutPlan(request, reply));
+    planWaits.add(wait);
+    return wait;
+  }
+
+  /** Ends all waits for the configuration in the given way. */
+  private void endPlanWaits(Consumer<PlanWait> end) {
+    List<PlanWait> ended = List.copyOf(planWaits);
+    planWaits.clear();
+    ended.forEach(end);
+  }
+
+  private void refuseWithoutPlan(CallerRequest request, Reply reply) {
+    planWaits.removeIf(PlanWait::isEnded);
+    if (view.get().plan() == null) {
       recordRefusal(request, 503, "no_configuration");
       reply.fail(503, "no_configuration", NO_PLAN_RETRY_MS);
-      return new EndedCall();
+    } else {
+      handleBy(view.get(), request, reply);
     }
+  }
+
+  private ActiveCall handleBy(FleetView fleetView, CallerRequest request, Reply reply) {
     Optional<Route> route = fleetView.plan().find(request.headers().get("host"), request.uri());
     if (route.isEmpty()) {
       recordRefusal(request, 404, "no_route");
@@ -152,6 +192,9 @@
     if (fleetView.instances().contains(settings.name())) {
       pacer.setInstances(fleetView.instances());
     }
+    if (canServe(fleetView)) {
+      endPlanWaits(PlanWait::startCall);
+    }
     List.copyOf(waitingFlows).forEach(RequestFlow::onViewChanged);
   }
 
@@ -169,6 +212,7 @@
 
   /** Gives each request in progress its final answer, since the process is about to end. */
   public void endRequests() {
+    endPlanWaits(PlanWait::refuse);
     List.copyOf(activeFlows).forEach(RequestFlow::onShutdown);
   }
 
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -287,6 +287,28 @@
     assertThat(answer.get()).contains("shutting_down");
   }
 
+  // Guards against refusing what comes in the moment between the start of an instance and its
+  // configuration, which callers meet when instances are restarted in turn.
+  @Test
+  void aRequestWaitsForTheConfigurationOfAStartingInstance() throws Exception {
+    CompletableFuture<String> answer = CompletableFuture.supplyAsync(this::callUnchecked);
+    while (group.next().submit(server::openRequests).get() == 0) {
+      Thread.onSpinWait();
+    }
+    serve(RequestKind.NON_IDEMPOTENT, 1, false, target("t1", ANSWERS_DONE));
+    group.next().execute(router::onViewChanged);
+    assertThat(answer.get()).endsWith("done");
+  }
+
+  // Guards against requests that wait for a configuration that does not come.
+  @Test
+  void anInstanceWithoutConfigurationRefusesAsNotRun() throws IOException {
+    String answer = call("");
+    assertThat(answer).startsWith("HTTP/1.1 503 ");
+    assertThat(answer).contains("no_configuration");
+    assertThat(call("")).contains("no_configuration");
+  }
+
   // Guards against requests that wait for an adapter and are cut without an answer when the process
   // ends.
   @Test
