--- a/core/src/main/java/org/apricotstand/drain/Drain.java
+++ b/core/src/main/java/org/apricotstand/drain/Drain.java
@@ -7,11 +7,9 @@
  * Decides when a stopping instance takes no more requests and when its process may end.
  *
  * <p>Callers go on sending for seconds after the stop was requested, until their balancer has asked
- * twice whether the instance is ready. Connections that come after that are refused: a caller
- * without a connection turns to another instance at once, and the sooner the process ends, the
- * sooner it is back. Requests on the connections that are left are answered. The instance stops
- * reading at the first moment without an open request, in the same step that found none, so nothing
- * that an engine or service runs can lose its answer to the end of the process.
+ * twice whether the instance is ready. The instance stops accepting at the first moment after that
+ * at which no request is open, in the same step that found none. What comes later is not read, so
+ * nothing that an engine or service runs can lose its answer to the end of the process.
  *
  * <pre>{@code
  * actions = drain.handle(new DrainEvent.StopRequested(nowMs + graceMs), nowMs);
@@ -41,7 +39,6 @@
 
   private Phase phase = Phase.SERVING;
   private long leftRotationMs;
-  private boolean refusesConnections;
   private long endMs;
   private long exitMs;
 
@@ -72,7 +69,7 @@
     boolean isQuiet = nowMs > leftRotationMs && openRequests == 0;
     boolean isOver = nowMs >= endMs;
     if (!isQuiet && !isOver) {
-      return refuseConnectionsWhenLeft(nowMs);
+      return List.of();
     }
     phase = Phase.CLOSED;
     exitMs = nowMs + RELEASE_TIMEOUT_MS;
@@ -85,14 +82,6 @@
     return actions;
   }
 
-  private List<DrainAction> refuseConnectionsWhenLeft(long nowMs) {
-    if (refusesConnections || nowMs <= leftRotationMs) {
-      return List.of();
-    }
-    refusesConnections = true;
-    return List.of(new DrainAction.RefuseConnections());
-  }
-
   private List<DrainAction> exitWhenDone(DrainEvent.Tick tick, long nowMs) {
     boolean isDone = tick.released() && tick.openRequests() == 0 && tick.openConnections() == 0;
     if (!isDone && nowMs < exitMs) {
--- a/core/src/main/java/org/apricotstand/drain/DrainAction.java
+++ b/core/src/main/java/org/apricotstand/drain/DrainAction.java
@@ -15,9 +15,6 @@
    */
   record Leave(long refuseFromMs, long endMs) implements DrainAction {}
 
-  /** Takes no more connections, and closes those without a request. */
-  record RefuseConnections() implements DrainAction {}
-
   /** Gives each open request its final answer now. */
   record EndRequests() implements DrainAction {}
 
--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -212,17 +212,12 @@
     return !ignoringInput && firstByteMs != 0;
   }
 
-  /** Closes the connection if no request is being received or answered. */
-  void closeIfIdle() {
-    if (!hasOpenRequest() && !ignoringInput) {
-      channel.close();
-    }
-  }
-
   /** Reads nothing more and closes the connection after what is being answered. */
   void stopReading() {
-    if (hasPartOfRequest() && reply == null) {
+    if (hasPartOfRequest()) {
       refuse(503, "shutting_down");
+    } else if (reply == null && !ignoringInput) {
+      channel.close();
     }
     ignoringInput = true;
   }
--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -100,20 +100,14 @@
     drainingSinceMs = ControlThread.nowMs();
   }
 
-  /** Accepts no more connections, and closes those without a request. Runs on the loop. */
-  public void refuseConnections() {
-    if (listener != null) {
-      listener.close();
-    }
-    callerConnections().forEach(CallerConnection::closeIfIdle);
-  }
-
   /**
    * Accepts no more connections and requests. Closes the open connections: after their last answer,
    * or after a refusal if a request has arrived in part. Runs on the loop.
    */
   public void stopAccepting() {
-    refuseConnections();
+    if (listener != null) {
+      listener.close();
+    }
     callerConnections().forEach(CallerConnection::stopReading);
   }
 
--- a/node/src/main/java/org/apricotstand/serve/DrainRunner.java
+++ b/node/src/main/java/org/apricotstand/serve/DrainRunner.java
@@ -90,7 +90,6 @@
           callers.drain();
           router.drain(refuseFromMs, endMs);
         }
-        case DrainAction.RefuseConnections refuse -> callers.refuseConnections();
         case DrainAction.EndRequests end -> router.endRequests();
         case DrainAction.StopAccepting stop -> callers.stopAccepting();
         case DrainAction.ReleaseEngines release -> fleet.releaseEngines();
