Cancel requests that were started at the end of the wait for a plan

Cause: the call that is started when the wait for the first configuration ends by its time was dropped, so that its caller's leaving was not told to it. Change: one way out of the wait, which keeps the call.

--- a/node/src/main/java/org/apricotstand/request/PlanWait.java
+++ b/node/src/main/java/org/apricotstand/request/PlanWait.java
@@ -14,7 +14,6 @@
 final class PlanWait implements CallHandler.ActiveCall {
 
   private final Supplier<CallHandler.ActiveCall> start;
-  private final Runnable refusal;
   private final ScheduledFuture<?> timer;
   private CallHandler.ActiveCall call;
   private boolean ended;
@@ -22,33 +21,23 @@
   /**
    * Starts to wait.
    *
-   * @param untilMs monotonic time at which the call is refused
-   * @param start starts the call
-   * @param refusal refuses the call
+   * @param untilMs monotonic time at which the wait ends
+   * @param start starts the call, or refuses it if the instance still can't serve it
    */
-  PlanWait(EventLoop loop, long untilMs, Supplier<CallHandler.ActiveCall> start, Runnable refusal) {
+  PlanWait(EventLoop loop, long untilMs, Supplier<CallHandler.ActiveCall> start) {
     this.start = start;
-    this.refusal = refusal;
     long delayMs = Math.max(0, untilMs - ControlThread.nowMs());
-    this.timer = loop.schedule(this::refuse, delayMs, TimeUnit.MILLISECONDS);
+    this.timer = loop.schedule(this::endWait, delayMs, TimeUnit.MILLISECONDS);
   }
 
-  /** Starts the call, since the instance can serve it now. */
-  void startCall() {
+  /** Ends the wait; called when the instance can serve the call, or when it waits no longer. */
+  void endWait() {
     if (!ended) {
       end();
       call = start.get();
     }
   }
 
-  /** Refuses the call if it still waits. */
-  void refuse() {
-    if (!ended) {
-      end();
-      refusal.run();
-    }
-  }
-
   boolean isEnded() {
     return ended;
   }
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -9,7 +9,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.apricotstand.control.ControlThread;
@@ -129,31 +128,25 @@
   }
 
   private ActiveCall awaitPlan(CallerRequest request, Reply reply) {
-    PlanWait wait =
-        new PlanWait(
-            loop,
-            planWaitEndMs,
-            () -> handleBy(view.get(), request, reply),
-            () -> refuseWithoutPlan(request, reply));
+    PlanWait wait = new PlanWait(loop, planWaitEndMs, () -> handleAfterWait(request, reply));
     planWaits.add(wait);
     return wait;
   }
 
-  /** Ends all waits for the configuration in the given way. */
-  private void endPlanWaits(Consumer<PlanWait> end) {
-    List<PlanWait> ended = List.copyOf(planWaits);
+  private void endPlanWaits() {
+    List<PlanWait> waits = List.copyOf(planWaits);
     planWaits.clear();
-    ended.forEach(end);
+    waits.forEach(PlanWait::endWait);
   }
 
-  private void refuseWithoutPlan(CallerRequest request, Reply reply) {
+  private ActiveCall handleAfterWait(CallerRequest request, Reply reply) {
     planWaits.removeIf(PlanWait::isEnded);
-    if (view.get().plan() == null) {
-      recordRefusal(request, 503, "no_configuration");
-      reply.fail(503, "no_configuration", NO_PLAN_RETRY_MS);
-    } else {
-      handleBy(view.get(), request, reply);
+    if (view.get().plan() != null) {
+      return handleBy(view.get(), request, reply);
     }
+    recordRefusal(request, 503, "no_configuration");
+    reply.fail(503, "no_configuration", NO_PLAN_RETRY_MS);
+    return new EndedCall();
   }
 
   private ActiveCall handleBy(FleetView fleetView, CallerRequest request, Reply reply) {
@@ -193,7 +186,7 @@
       pacer.setInstances(fleetView.instances());
     }
     if (canServe(fleetView)) {
-      endPlanWaits(PlanWait::startCall);
+      endPlanWaits();
     }
     List.copyOf(waitingFlows).forEach(RequestFlow::onViewChanged);
   }
@@ -212,7 +205,7 @@
 
   /** Gives each request in progress its final answer, since the process is about to end. */
   public void endRequests() {
-    endPlanWaits(PlanWait::refuse);
+    endPlanWaits();
     List.copyOf(activeFlows).forEach(RequestFlow::onShutdown);
   }
 
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.front.CallHandler;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
 import org.apricotstand.route.EngineSpec;
@@ -300,6 +301,31 @@
     assertThat(answer.get()).endsWith("done");
   }
 
+  // Guards against a target that works for a caller who has left: the caller of a request that
+  // waited
+  // for the configuration and was started at the end of that wait.
+  @Test
+  void aCallerThatLeavesAfterTheWaitCancelsItsRequest() throws Exception {
+    CompletableFuture<Void> cancelled = new CompletableFuture<>();
+    CallHandler.ActiveCall started =
+        new CallHandler.ActiveCall() {
+          @Override
+          public void onCallerDisconnected() {
+            cancelled.complete(null);
+          }
+
+          @Override
+          public void onCallerWritable() {}
+        };
+    PlanWait wait = new PlanWait(group.next(), System.nanoTime() / 1_000_000, () -> started);
+    long endMs = System.nanoTime() / 1_000_000 + TEST_TIMEOUT_MS;
+    while (!group.next().submit(wait::isEnded).get() && System.nanoTime() / 1_000_000 < endMs) {
+      Thread.onSpinWait();
+    }
+    group.next().submit(wait::onCallerDisconnected).sync();
+    assertThat(cancelled.isDone()).isTrue();
+  }
+
   // Guards against requests that wait for a configuration that does not come.
   @Test
   void anInstanceWithoutConfigurationRefusesAsNotRun() throws IOException {
