Don't join a part of a late answer to the next answer

Cause: a target that answers a request twice can stop inside the head of the second answer. A connection was closed when an idle one received a whole message, but a part of a head is no message: the connection stayed in the pool, and the head of the next answer was read as the rest of the late one. The status was that of the late answer; id, signature and body were those of the next one. Change: bytes that arrive while no answer is due are not decoded; they close the connection, also when they follow an answer in the same read. A head that holds a second status line or different ids or signatures is no answer, and neither is one without id where an answer to another request can come. Requests without id go out on new connections. The new event unasked_bytes_dropped names the target. Whether the reported targets did this isn't known. Why it works: nothing that arrives before a request was sent can become part of its answer, and what arrives later can't hide its status line.

--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -99,8 +99,7 @@
     this.headerNames = headerNames;
     this.view = view;
     this.connections =
-        new TargetConnectionPool(
-            loop, headerNames.requestId(), settings.answerLimits().maxSkippedBytes());
+        new TargetConnectionPool(loop, headerNames, settings.answerLimits().maxSkippedBytes());
     this.heldBytes = new HeldBytes<>(settings.answerLimits().maxHeldTotalBytes());
     this.loadTracker = loadTracker;
     this.fleetNotifier = fleetNotifier;
--- a/node/src/main/java/org/apricotstand/upstream/AnswerDecoder.java
+++ b/node/src/main/java/org/apricotstand/upstream/AnswerDecoder.java
@@ -1,20 +1,28 @@
 package org.apricotstand.upstream;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
 
 /**
  * Decodes the answers of targets. An answer to a HEAD request has no body, whatever its headers
- * say.
+ * say. Bytes that arrive while no answer is expected are dropped and reported as {@link
+ * UnaskedBytes}: decoded, they could become the beginning of the next answer.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
 
   private static final int MAX_LINE_BYTES = 8_192;
   private static final int MAX_HEADER_BYTES = 65_536;
 
+  /** Event of the pipeline: a target sent this many bytes while no answer was expected. */
+  record UnaskedBytes(int count) {}
+
   private HttpMethod method;
+  private boolean answerExpected;
 
   AnswerDecoder() {
     super(
@@ -26,6 +34,37 @@
   /** Sets the method of the request to which the next answer belongs. */
   void expect(HttpMethod requestMethod) {
     method = requestMethod;
+    answerExpected = true;
+  }
+
+  /** Expects no answer until the next request. */
+  void expectNothing() {
+    answerExpected = false;
+  }
+
+  /** Returns whether bytes have arrived behind the last message. */
+  boolean hasUnreadBytes() {
+    return actualReadableBytes() > 0;
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+      throws Exception {
+    if (answerExpected) {
+      super.decode(context, in, out);
+      return;
+    }
+    int count = in.readableBytes();
+    in.skipBytes(count);
+    context.fireUserEventTriggered(new UnaskedBytes(count));
+  }
+
+  @Override
+  protected HttpMessage createMessage(String[] statusLine) {
+    if (!HeadCheck.isStatusLine(statusLine[0], statusLine[1], statusLine[2])) {
+      throw new IllegalArgumentException("malformed status line: " + String.join(" ", statusLine));
+    }
+    return super.createMessage(statusLine);
   }
 
   @Override
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -14,12 +14,14 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Optional;
 import org.apricotstand.control.ControlThread;
 
 /**
  * A connection to a target that carries one request at a time. An answer that echoes the id of
  * another request is dropped: a target may send it late, in place of the answer to the current
- * request. A connection that receives bytes while it is idle is closed.
+ * request. An answer without id counts only where no other can come, as the first of a connection.
+ * A connection that receives bytes while it is idle is closed.
  */
 public final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -31,6 +33,7 @@
   private Channel channel;
   private TargetRequest request;
   private AnswerListener listener;
+  private boolean otherAnswerPossible;
   private boolean headReceived;
   private boolean skippingAnswer;
   private long skippedBytes;
@@ -54,6 +57,7 @@
    * by {@link AnswerListener#onEnd} or {@link AnswerListener#onFailure}.
    */
   void send(TargetRequest newRequest, AnswerListener newListener) {
+    otherAnswerPossible = request != null;
     request = newRequest;
     listener = newListener;
     headReceived = false;
@@ -123,18 +127,28 @@
   }
 
   private void readHead(HttpResponse head) {
-    String echoed = head.headers().get(pool.requestIdHeader());
+    Optional<String> fault = HeadCheck.findFault(head, pool.headerNames());
+    if (fault.isPresent()) {
+      fail(new SendFailure.Malformed(fault.get()));
+      return;
+    }
+    String echoed = head.headers().get(pool.headerNames().requestId());
     boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     boolean belongsToOtherRequest =
         request.id() != null && echoed != null && !echoed.equals(request.id());
     skippingAnswer = informational || belongsToOtherRequest;
     if (skippingAnswer) {
       if (!informational) {
+        otherAnswerPossible = true;
         pool.logDroppedAnswer(request, echoed, head.status().code());
       }
       recordSkipped(SKIPPED_HEAD_BYTES);
       return;
     }
+    if (echoed == null && otherAnswerPossible) {
+      fail(new SendFailure.Malformed("answer without request id on a kept connection"));
+      return;
+    }
     headReceived = true;
     reusable = HttpUtil.isKeepAlive(head) && hasLength(head);
     idleUntilMs = ControlThread.nowMs() + KeepAlive.timeoutMs(head.headers());
@@ -180,7 +194,10 @@
   private void complete() {
     AnswerListener endedListener = listener;
     listener = null;
-    if (reusable && channel.isActive()) {
+    decoder.expectNothing();
+    if (decoder.hasUnreadBytes()) {
+      channel.close();
+    } else if (reusable && channel.isActive()) {
       channel.config().setAutoRead(true);
       pool.release(this);
     } else {
@@ -189,6 +206,16 @@
     endedListener.onEnd();
   }
 
+  @Override
+  public void userEventTriggered(ChannelHandlerContext context, Object event) {
+    if (event instanceof AnswerDecoder.UnaskedBytes bytes) {
+      pool.logUnaskedBytes(this, request, bytes.count());
+      channel.close();
+    } else {
+      context.fireUserEventTriggered(event);
+    }
+  }
+
   private void fail(SendFailure failure) {
     AnswerListener endedListener = listener;
     listener = null;
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
@@ -22,6 +22,7 @@
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.observe.EventLog;
+import org.apricotstand.port.HeaderNames;
 
 /**
  * Pools connections to targets; used on the traffic thread only.
@@ -42,7 +43,7 @@
   private static final int KEEPALIVE_PROBES = 3;
 
   private final EventLoop loop;
-  private final String requestIdHeader;
+  private final HeaderNames headerNames;
   private final int maxSkippedBytes;
   private final Map<String, Deque<TargetConnection>> idleByIncarnation = new HashMap<>();
   private final Map<TargetConnection, String> incarnations = new HashMap<>();
@@ -51,17 +52,18 @@
    * Creates an empty pool.
    *
    * @param loop event loop of the traffic thread
-   * @param requestIdHeader header in which targets echo the id of a request
+   * @param headerNames names of the headers in which targets echo the id and sign their answers
    * @param maxSkippedBytes bytes that a target may send before the answer to a request
    */
-  public TargetConnectionPool(EventLoop loop, String requestIdHeader, int maxSkippedBytes) {
+  public TargetConnectionPool(EventLoop loop, HeaderNames headerNames, int maxSkippedBytes) {
     this.loop = loop;
-    this.requestIdHeader = requestIdHeader;
+    this.headerNames = headerNames;
     this.maxSkippedBytes = maxSkippedBytes;
   }
 
   /**
-   * Sends a request on an idle connection, or on a new one when none is idle.
+   * Sends a request on an idle connection, or on a new one when none is idle or when the request
+   * has no id, by which its answer could be told from a late one to another request.
    *
    * @param beforeSend receives the connection before any byte is sent, and returns whether the
    *     request is still to be sent
@@ -71,7 +73,7 @@
       TargetRequest request,
       AnswerListener listener,
       Predicate<TargetConnection> beforeSend) {
-    TargetConnection pooled = takeIdle(target.incarnation());
+    TargetConnection pooled = request.id() == null ? null : takeIdle(target.incarnation());
     if (pooled != null) {
       if (beforeSend.test(pooled)) {
         pooled.send(request, listener);
@@ -156,8 +158,8 @@
     return maxSkippedBytes;
   }
 
-  String requestIdHeader() {
-    return requestIdHeader;
+  HeaderNames headerNames() {
+    return headerNames;
   }
 
   void logDroppedAnswer(TargetRequest expected, String echoed, int status) {
@@ -165,6 +167,17 @@
         "foreign_answer_dropped", "request", expected.id(), "echoed", echoed, "status", status);
   }
 
+  void logUnaskedBytes(TargetConnection connection, TargetRequest last, int count) {
+    LOG.info(
+        "unasked_bytes_dropped",
+        "target",
+        incarnations.get(connection),
+        "request",
+        last == null ? null : last.id(),
+        "bytes",
+        count);
+  }
+
   void release(TargetConnection connection) {
     String incarnation = incarnations.get(connection);
     if (incarnation == null) {
--- a/node/src/test/java/org/apricotstand/request/ScriptedTarget.java
+++ b/node/src/test/java/org/apricotstand/request/ScriptedTarget.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** A target on a loopback socket that answers each request by a script. */
 final class ScriptedTarget implements AutoCloseable {
@@ -34,6 +35,7 @@
   private final Thread acceptor;
   private final Script script;
   private final List<String> heads = new CopyOnWriteArrayList<>();
+  private final AtomicInteger connectionCount = new AtomicInteger();
 
   ScriptedTarget(Script script) throws IOException {
     this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -50,6 +52,10 @@
     return heads;
   }
 
+  int connectionCount() {
+    return connectionCount.get();
+  }
+
   static void write(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(StandardCharsets.UTF_8));
     out.flush();
@@ -68,6 +74,7 @@
     try {
       while (true) {
         Socket socket = listener.accept();
+        connectionCount.incrementAndGet();
         Thread.ofPlatform().daemon().start(() -> serve(socket));
       }
     } catch (IOException e) {
