Don't join a part of a late answer to the next one in the HTTP client

No such case was reported from this path. Cause: the same as on the platform's path. The client's pooled connections keep a part of a head in the decoder, and the next answer is read as the rest of it. Change: LateAnswerGuard closes a connection that receives bytes while no answer is due, and fails an answer whose head holds a second status line. Both paths use StatusLine for the check. Evidence: the eight cases of HttpClientLateAnswerTest with a part of an answer failed before (a 200 in place of a 500, or no failure) and pass. Known red: aWholeLateAnswerIsNotThatOfTheNextCall fails. Engines and plain services echo no request id, so that a whole late answer that arrives after the next call was sent passes for its answer.

--- a/node/src/main/java/org/apricotstand/http/HttpClient.java
+++ b/node/src/main/java/org/apricotstand/http/HttpClient.java
@@ -47,6 +47,7 @@
             .setPooledConnectionIdleTimeout(POOLED_IDLE_TIMEOUT)
             .setCookieStore(null)
             .setSslEngineFactory(HttpClient::refuseTls)
+            .setHttpAdditionalChannelInitializer(LateAnswerGuard::addTo)
             .build();
     this.client = new DefaultAsyncHttpClient(config);
   }
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/http/LateAnswerGuard.java
@@ -0,0 +1,81 @@
+package org.apricotstand.http;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import java.util.Optional;
+import org.asynchttpclient.netty.channel.ChannelManager;
+
+/**
+ * Keeps parts of a late answer from becoming the beginning of the next one on a pooled connection.
+ * Closes a connection that receives bytes while no answer is due, and fails an answer whose head
+ * contains a second status line.
+ */
+final class LateAnswerGuard extends ChannelDuplexHandler {
+
+  private boolean answerDue;
+
+  private LateAnswerGuard() {}
+
+  /** Adds a guard to the pipeline of a client's connection. */
+  static void addTo(Channel channel) {
+    LateAnswerGuard guard = new LateAnswerGuard();
+    ChannelPipeline pipeline = channel.pipeline();
+    pipeline.addFirst(guard);
+    pipeline.addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, guard.new HeadHandler());
+  }
+
+  @Override
+  public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+    answerDue = true;
+    context.write(message, promise);
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) {
+    if (answerDue) {
+      context.fireChannelRead(message);
+    } else {
+      ReferenceCountUtil.release(message);
+      context.close();
+    }
+  }
+
+  /** Checks decoded heads and notes the end of an answer. */
+  private final class HeadHandler extends ChannelInboundHandlerAdapter {
+
+    private boolean interim;
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (message instanceof HttpResponse head) {
+        interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+        check(head);
+      }
+      if (message instanceof LastHttpContent && !interim) {
+        answerDue = false;
+      }
+      context.fireChannelRead(message);
+    }
+
+    private static void check(HttpResponse head) {
+      Optional<String> place =
+          StatusLine.isContainedIn(head.status().reasonPhrase())
+              ? Optional.of("the reason phrase")
+              : StatusLine.findIn(head.headers()).map(name -> "header " + name);
+      place.ifPresent(
+          name -> {
+            String detail = "second status line in " + name;
+            head.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(detail)));
+          });
+    }
+  }
+}
--- a/node/src/main/java/org/apricotstand/upstream/AnswerDecoder.java
+++ b/node/src/main/java/org/apricotstand/upstream/AnswerDecoder.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
+import org.apricotstand.http.StatusLine;
 
 /**
  * Decodes the answers of targets. An answer to a HEAD request has no body, whatever its headers
@@ -61,7 +62,7 @@
 
   @Override
   protected HttpMessage createMessage(String[] statusLine) {
-    if (!HeadCheck.isStatusLine(statusLine[0], statusLine[1], statusLine[2])) {
+    if (!StatusLine.isValid(statusLine[0], statusLine[1], statusLine[2])) {
       throw new IllegalArgumentException("malformed status line: " + String.join(" ", statusLine));
     }
     return super.createMessage(statusLine);
