--- a/node/src/test/java/org/apricotstand/http/HttpClientLateAnswerTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpClientLateAnswerTest.java
@@ -36,6 +36,7 @@
   private final HttpClient client = new HttpClient(group);
   private final AtomicInteger requestCount = new AtomicInteger();
   private ServerSocket listener;
+  private volatile String afterFirst = "";
   private volatile String lateWhileIdle = "";
   private volatile String lateBeforeNextAnswer = "";
 
@@ -77,6 +78,19 @@
     assertThat(((HttpClient.CallException) thrown.getCause()).failure().maybeSent()).isTrue();
   }
 
+  // Guards against the same when the part follows the first answer in the same read, so that it is
+  // in
+  // the decoder before the connection is pooled.
+  @ParameterizedTest
+  @ValueSource(
+      strings = {"H", "HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nx-a: b"})
+  void aPartThatFollowsAnAnswerAtOnceIsNotJoinedToTheNextAnswer(String part) {
+    afterFirst = part;
+    assertThat(client.send(call()).join().text()).isEqualTo("first");
+    int status = client.send(call()).handle((reply, e) -> e == null ? reply.status() : -1).join();
+    assertThat(status).isNotEqualTo(200);
+  }
+
   // Guards against a whole late answer that is taken for that to the next call.
   @Test
   void aWholeLateAnswerIsNotThatOfTheNextCall() {
@@ -123,7 +137,7 @@
       write(out, lateBeforeNextAnswer + FAILURE);
       return;
     }
-    write(out, FIRST);
+    write(out, FIRST + afterFirst);
     group.schedule(() -> writeQuietly(out), 100, TimeUnit.MILLISECONDS);
   }
 
