Bound the retries of all instances over partitions and restarts

Cause: each instance divided the allowance by the number of live instances as it saw it. A group that is cut off took the whole allowance, a process that had just started knew only itself and took all of it, and the share of a process that ended was taken over while its retries were still in the window. Class of fault: a global limit divided by a local view that shrinks.

AllowanceShare divides by all registered instances, live or not, and takes nothing in the first window of a process; a share grows one window after the number has fallen. Every instance that can use a share in a window was thus counted by all others at its start, so that the shares add up to one allowance without any message. A starting process retries in proportion to its requests (which needs 8 requests for the first retry at a ratio of 0.2), and with instances lost for good their part of the allowance is not used.

A retry is also counted when it is sent, not when it is granted: one that waits for an adapter in between could meet others in a later window. This part follows from reading; no run shows it.

The fixture of RequestRouterTest gets a higher ratio, since its new routers have no allowance; its tests are about targets, not the budget. The log tells the divisor with event=retry_share_changed, the metrics count request.retry.granted and request.retry.refused.

--- a/core/src/main/java/org/apricotstand/limit/WindowedRetryBudget.java
+++ b/core/src/main/java/org/apricotstand/limit/WindowedRetryBudget.java
@@ -1,17 +1,21 @@
 package org.apricotstand.limit;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkState;
 
 import java.util.ArrayDeque;
 import java.util.Deque;
 
 /**
  * Limits retries to a fraction of the requests in a sliding window, plus this instance's share of a
- * fixed allowance for all instances.
+ * fixed allowance for all instances. A retry is reserved first and counts in the window in which it
+ * is sent, however long it waits in between.
  *
  * <pre>{@code
  * budget.recordRequest(nowMs);
- * if (budget.tryRetry(instances, nowMs)) { ... }
+ * if (budget.tryReserveRetry(share.fraction(nowMs), nowMs)) {
+ *   // later budget.recordRetry(nowMs), or budget.releaseRetry()
+ * }
  * }</pre>
  */
 public final class WindowedRetryBudget {
@@ -27,6 +31,7 @@
   private final long windowMs;
   private final Deque<Long> requestTimesMs = new ArrayDeque<>();
   private final Deque<Long> retryTimesMs = new ArrayDeque<>();
+  private int reservedRetries;
 
   /**
    * Creates an unused budget.
@@ -49,22 +54,33 @@
   }
 
   /**
-   * Takes one retry from the budget; returns false when the budget is exhausted.
+   * Reserves one retry; returns false when the budget is exhausted.
    *
-   * @param instances number of live instances, which share the allowance
+   * @param share fraction of the allowance that this instance may use
    */
-  public boolean tryRetry(int instances, long nowMs) {
+  public boolean tryReserveRetry(double share, long nowMs) {
     removeExpired(requestTimesMs, nowMs);
     removeExpired(retryTimesMs, nowMs);
-    double maxRetries =
-        USABLE_FRACTION * (ratio * requestTimesMs.size() + allowance / Math.max(1, instances));
-    if (retryTimesMs.size() + 1 > maxRetries) {
+    double maxRetries = USABLE_FRACTION * (ratio * requestTimesMs.size() + allowance * share);
+    if (reservedRetries + retryTimesMs.size() + 1 > maxRetries) {
       return false;
     }
-    retryTimesMs.add(nowMs);
+    reservedRetries++;
     return true;
   }
 
+  /** Records that a reserved retry is sent. */
+  public void recordRetry(long nowMs) {
+    releaseRetry();
+    retryTimesMs.add(nowMs);
+  }
+
+  /** Gives back a reserved retry that is not sent. */
+  public void releaseRetry() {
+    checkState(reservedRetries > 0, "no retry is reserved");
+    reservedRetries--;
+  }
+
   private void removeExpired(Deque<Long> times, long nowMs) {
     while (!times.isEmpty() && times.peekFirst() < nowMs - windowMs) {
       times.removeFirst();
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -78,6 +78,7 @@
   private final FleetExchange exchange;
   private final EngineOwner engineOwner;
   private final RefusalTable refusalTable;
+  private final KnownInstances knownInstances;
   private final TargetRegistry targetRegistry = new TargetRegistry();
   private final AdapterUsageTracker usageTracker = new AdapterUsageTracker();
   private final Map<AdapterKey, Long> declaredVersions = new HashMap<>();
@@ -115,6 +116,7 @@
     this.targetSource = targetSource;
     this.peers = peers;
     this.directory = directory;
+    this.knownInstances = new KnownInstances(settings.name());
     this.exchange =
         new FleetExchange(
             ControlThread::nowMs,
@@ -175,7 +177,9 @@
 
   private void onInstancesRegistered(List<OverlayInstance> instances) {
     exchange.setInstances(instances);
+    knownInstances.setRegistered(instances);
     updateInstances();
+    schedulePublish();
   }
 
   private String ownerOf(String engine) {
@@ -605,7 +609,8 @@
             publishedEnginesWithOwner,
             Map.copyOf(declaredVersions),
             exchange.peerLoads(),
-            allInstances());
+            allInstances(),
+            knownInstances.count(exchange.liveInstances()));
     viewListener.run();
   }
 }
--- a/node/src/main/java/org/apricotstand/fleet/FleetView.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetView.java
@@ -19,6 +19,8 @@
  * @param declaredVersions declared versions of models and adapters
  * @param peerLoads requests of the other instances at each target, by target id
  * @param instances names of all live instances, including this one and those that are leaving
+ * @param knownInstances number of all registered instances, whether they are live or not; 0 before
+ *     they are known
  */
 public record FleetView(
     RoutingPlan plan,
@@ -27,11 +29,12 @@
     Set<String> enginesWithOwner,
     Map<AdapterKey, Long> declaredVersions,
     Map<String, TargetLoad> peerLoads,
-    Set<String> instances) {
+    Set<String> instances,
+    int knownInstances) {
 
   /** View before anything is known. */
   public static final FleetView EMPTY =
-      new FleetView(null, Map.of(), Map.of(), Set.of(), Map.of(), Map.of(), Set.of());
+      new FleetView(null, Map.of(), Map.of(), Set.of(), Map.of(), Map.of(), Set.of(), 0);
 
   /** Returns the targets of a service that accept requests. */
   public List<TargetEntry> targetsOf(String service) {
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -81,6 +81,7 @@
   private int connectFailures;
   private long sentAfterMs = NOT_REACHED;
   private long firstByteAfterMs = NOT_REACHED;
+  private boolean retryReserved;
   private boolean answerStarted;
   private boolean ended;
 
@@ -293,6 +294,10 @@
   }
 
   private void send(TargetEntry target) {
+    if (retryReserved) {
+      retryReserved = false;
+      router.retryBudget(service).recordRetry(ControlThread.nowMs());
+    }
     currentAttempt = new Attempt(this, router, target, eventSplitter);
     sentAfterMs = ageMs();
     lastTargetId = target.id();
@@ -335,13 +340,19 @@
 
   private boolean tryTakeRetry(int runsSoFar) {
     boolean mayRunAgain = route.isIdempotent() || route.resumable();
-    return mayRunAgain && runsSoFar < route.maxAttempts() && router.tryRetry(service);
+    return mayRunAgain && runsSoFar < route.maxAttempts() && tryReserveRetry();
+  }
+
+  /** Reserves the retry that the next {@link #send} uses, unless one is reserved already. */
+  private boolean tryReserveRetry() {
+    retryReserved = retryReserved || router.tryReserveRetry(service);
+    return retryReserved;
   }
 
   void onRejected(Attempt attempt, int status) {
     rejections++;
     recordRejection(attempt.target(), status);
-    if (rejections < MAX_REJECTIONS && router.tryRetry(service)) {
+    if (rejections < MAX_REJECTIONS && tryReserveRetry()) {
       dispatch();
     } else {
       refuseOrAbort("rejected_by_targets", RetryAdvice.Cause.TARGETS_BUSY);
@@ -421,6 +432,10 @@
   private void finish(String code, int status) {
     ended = true;
     turnWait.giveUp();
+    if (retryReserved) {
+      retryReserved = false;
+      router.retryBudget(service).releaseRetry();
+    }
     router.activeFlows().remove(this);
     deadlineTimer.cancel(false);
     if (refusalTimer != null) {
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -24,6 +24,7 @@
 import org.apricotstand.front.CallHandler;
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.front.Reply;
+import org.apricotstand.limit.AllowanceShare;
 import org.apricotstand.limit.HeldBytes;
 import org.apricotstand.limit.WindowedRetryBudget;
 import org.apricotstand.observe.EventLog;
@@ -71,6 +72,7 @@
   private final HeldBytes<HeldAnswer> heldBytes;
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
+  private final AllowanceShare retryShare;
   private final Set<RequestFlow> activeFlows = new LinkedHashSet<>();
   private final Set<RequestFlow> waitingFlows = new LinkedHashSet<>();
   private final Set<PlanWait> planWaits = new LinkedHashSet<>();
@@ -102,6 +104,7 @@
         new TargetConnectionPool(
             loop, headerNames.requestId(), settings.answerLimits().maxSkippedBytes());
     this.heldBytes = new HeldBytes<>(settings.answerLimits().maxHeldTotalBytes());
+    this.retryShare = new AllowanceShare(settings.retryWindowMs());
     this.loadTracker = loadTracker;
     this.fleetNotifier = fleetNotifier;
     this.metrics = metrics;
@@ -185,6 +188,10 @@
     if (fleetView.instances().contains(settings.name())) {
       pacer.setInstances(fleetView.instances());
     }
+    if (fleetView.knownInstances() > 0
+        && retryShare.setInstances(fleetView.knownInstances(), ControlThread.nowMs())) {
+      LOG.info("retry_share_changed", "instances", fleetView.knownInstances());
+    }
     if (canServe(fleetView)) {
       endPlanWaits();
     }
@@ -344,12 +351,15 @@
     return crashWatch;
   }
 
-  boolean tryRetry(String service) {
-    return retryBudget(service)
-        .tryRetry(Math.max(1, view.get().instances().size()), ControlThread.nowMs());
+  /** Reserves a retry at a service; returns false when the budget of the service is exhausted. */
+  boolean tryReserveRetry(String service) {
+    long nowMs = ControlThread.nowMs();
+    boolean isReserved = retryBudget(service).tryReserveRetry(retryShare.fraction(nowMs), nowMs);
+    metrics.count(isReserved ? "request.retry.granted" : "request.retry.refused");
+    return isReserved;
   }
 
-  private WindowedRetryBudget retryBudget(String service) {
+  WindowedRetryBudget retryBudget(String service) {
     return retryBudgets.computeIfAbsent(
         service,
         name ->
--- a/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
+++ b/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
@@ -79,6 +79,7 @@
     final Set<String> links = new HashSet<>();
     LocalLoadTracker load = new LocalLoadTracker();
     FleetExchange exchange;
+    KnownInstances known;
     boolean running;
     boolean leaving;
     long suspendedUntilMs;
@@ -95,6 +96,7 @@
       incarnation = nowMs;
       running = true;
       load = new LocalLoadTracker();
+      known = new KnownInstances(identity.name());
       holdings.clear();
       leases.clear();
       links.clear();
@@ -111,8 +113,10 @@
 
     private void readRegistered(long started, long pauseMs) {
       if (running && incarnation == started) {
-        exchange.setInstances(
-            registered.stream().filter(other -> !other.equals(identity)).toList());
+        List<OverlayInstance> others =
+            registered.stream().filter(other -> !other.equals(identity)).toList();
+        exchange.setInstances(others);
+        known.setRegistered(others);
         at(nowMs + pauseMs, () -> readRegistered(started, Math.min(10_000, 2 * pauseMs)));
       }
     }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -73,6 +73,10 @@
   final LocalLoadTracker loadTracker = new LocalLoadTracker();
   volatile FleetView view = FleetView.EMPTY;
   long firstByteTimeoutMs = 2_000;
+
+  /** Large enough for the retries of a single request, since a new router has no allowance. */
+  double retryRatio = 5;
+
   CallerServer server;
   RequestRouter router;
 
@@ -118,7 +122,18 @@
     InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     ServingSettings settings =
         new ServingSettings(
-            "n", "d", anyPort, anyPort, anyPort, anyPort, 8_000, 3_000, 0.2, 50, 10_000, 100,
+            "n",
+            "d",
+            anyPort,
+            anyPort,
+            anyPort,
+            anyPort,
+            8_000,
+            3_000,
+            retryRatio,
+            50,
+            10_000,
+            100,
             LIMITS);
     EventLoop loop = group.next();
     Metrics metrics = new Metrics();
@@ -201,7 +216,8 @@
         Set.of("t1"),
         Map.of(),
         Map.of(),
-        Set.of("n"));
+        Set.of("n"),
+        1);
   }
 
   /** Sends one request on a new connection and returns everything that is received on it. */
