Count a crash inside the head of an answer as a lost connection

A target that crashes while it writes the head of its answer was taken for one that answers with bytes that are no HTTP: the decoder reports the end of the connection as an invalid message. CrashWatch was not told, so that a request which crashes targets in this way is never refused, and its callers' repeats crash further targets.

The end of the connection in the head is now ConnectionLost; bytes that are no HTTP remain Malformed. BrokenHeadTest failed on the code before: no crash was reported within 20 s.

--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.PrematureChannelClosureException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
@@ -111,7 +112,7 @@
       return;
     }
     if (message.decoderResult().isFailure()) {
-      fail(new SendFailure.Malformed(String.valueOf(message.decoderResult().cause())));
+      failByDecoder(message.decoderResult().cause());
       return;
     }
     if (message instanceof HttpResponse head) {
@@ -122,6 +123,14 @@
     }
   }
 
+  private void failByDecoder(Throwable cause) {
+    boolean endedInHead = cause instanceof PrematureChannelClosureException;
+    fail(
+        endedInHead
+            ? new SendFailure.ConnectionLost("closed_in_head")
+            : new SendFailure.Malformed(String.valueOf(cause)));
+  }
+
   private void readHead(HttpResponse head) {
     String echoed = head.headers().get(pool.requestIdHeader());
     boolean informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
