Keep a part of the retry allowance for new processes

A new process had no share of the allowance in its first window, so that a lone one didn't repeat an order that a target had refused, nor continue a stream whose engine had crashed: two cases of ServingProcessesTest failed (aTargetThatNamesATimeIsLeftAlone, aResumableStreamGoesOnAtAnotherEngine).

A fifth of the allowance is now kept for processes in their first window, divided by all registered instances; the others share the rest. This bounds the sum as before for one new life of each instance in a window, and with the existing margin of 30 % for three. RetryBudgetOfFleetTest still holds, also with two common restarts within a window, and both cases of ServingProcessesTest pass.

--- a/core/src/main/java/org/apricotstand/limit/AllowanceShare.java
+++ b/core/src/main/java/org/apricotstand/limit/AllowanceShare.java
@@ -7,11 +7,11 @@
  * of all instances add up to at most 1 in each window. The instances do not have to reach each
  * other.
  *
- * <p>All instances that can use the allowance in a window have known each other at its start: a new
- * process waits for one window, since its previous life may have used its share, and since the
- * others may not know it yet. Instances that are out of reach keep their share, since they may be
- * serving requests on the other side of a partition. A share grows one window after the number of
- * instances has fallen.
+ * <p>All instances with a full share in a window have known each other at its start. A new process
+ * has a smaller share for one window, from a part of the allowance that is kept for new processes:
+ * its previous life may have used the full one, and the others may not know it yet. Instances that
+ * are out of reach keep their share, since they may be serving requests on the other side of a
+ * partition. A share grows one window after the number of instances has fallen.
  *
  * <pre>{@code
  * share.setInstances(instances, nowMs);
@@ -20,13 +20,16 @@
  */
 public final class AllowanceShare {
 
+  /** Part of the allowance for processes in their first window; the others share the rest. */
+  static final double NEW_PROCESS_FRACTION = 0.2;
+
   private static final long NEVER = Long.MAX_VALUE;
 
   private final long windowMs;
   private int instances;
   private int fewerInstances;
   private long fewerFromMs = NEVER;
-  private long usableFromMs = NEVER;
+  private long fullFromMs = NEVER;
 
   /**
    * Creates a share of 0, which it remains until the number of instances is known.
@@ -49,8 +52,8 @@
     if (newInstances == before) {
       return false;
     }
-    if (usableFromMs == NEVER) {
-      usableFromMs = nowMs + windowMs;
+    if (fullFromMs == NEVER) {
+      fullFromMs = nowMs + windowMs;
     }
     applyFewer(nowMs);
     if (newInstances >= instances) {
@@ -66,7 +69,11 @@
   /** Returns the fraction of the allowance that this instance may use in a window. */
   public double fraction(long nowMs) {
     applyFewer(nowMs);
-    return nowMs < usableFromMs ? 0 : 1.0 / instances;
+    if (instances == 0) {
+      return 0;
+    }
+    boolean isNew = nowMs < fullFromMs;
+    return (isNew ? NEW_PROCESS_FRACTION : 1 - NEW_PROCESS_FRACTION) / instances;
   }
 
   private void applyFewer(long nowMs) {
--- a/node/src/test/java/org/apricotstand/fleet/RetryBudgetOfFleetTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/RetryBudgetOfFleetTest.java
@@ -148,4 +148,17 @@
     play(fleet, 30_000);
     assertEachWindowIsWithinTheBudget("common restart");
   }
+
+  // Guards against processes that start again and again and use a new share in each life.
+  @Test
+  void processesThatRestartTwiceInAWindowStayWithinTheBudgetOfTheFleet() {
+    SimulatedFleet fleet = startedFleet(7, 3);
+    fleet.run(40_000);
+    play(fleet, 20_000);
+    fleet.all().forEach(fleet::restart);
+    play(fleet, 3_000);
+    fleet.all().forEach(fleet::restart);
+    play(fleet, 20_000);
+    assertEachWindowIsWithinTheBudget("repeated restarts");
+  }
 }
