Create the wait of a test on its event loop

RequestRouterTest#aCallerThatLeavesAfterTheWaitCancelsItsRequest failed once beside other load (line 326). The test created PlanWait on its own thread with a timer that is due at once; when the loop ran it before the constructor had stored the timer, the call was never started. The router creates waits on the loop only, so that this can't happen to callers.

The test now does so too; what it checks is unchanged.

--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -4,6 +4,7 @@
 import static org.apricotstand.request.ScriptedTarget.ok;
 import static org.apricotstand.request.ScriptedTarget.write;
 
+import io.netty.channel.EventLoop;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
@@ -317,7 +318,9 @@
           @Override
           public void onCallerWritable() {}
         };
-    PlanWait wait = new PlanWait(group.next(), System.nanoTime() / 1_000_000, () -> started);
+    EventLoop loop = group.next();
+    long untilMs = System.nanoTime() / 1_000_000;
+    PlanWait wait = loop.submit(() -> new PlanWait(loop, untilMs, () -> started)).get();
     long endMs = System.nanoTime() / 1_000_000 + TEST_TIMEOUT_MS;
     while (!group.next().submit(wait::isEnded).get() && System.nanoTime() / 1_000_000 < endMs) {
       Thread.onSpinWait();
