Pass only what continues a stream into the answer of another target

Cause: each signed 200 counted as the rest of the stream. Nothing compared it with what the caller had; only half an event at its end was noticed, and only in an answer of type text/event-stream. Change: the answer to a resumption has to be of the same content type and encoding as the first one. Each of its events needs an id that can follow the last one: a greater one, or the next number if all ids so far rose by one. It has to bring at least one event and to end behind one. Anything else counts as a lost attempt: the stream goes on at another target after the last whole event, or breaks off. Connections of answers that are dropped during a resumption are closed, as those of rejections are. Answers of any framing that go on properly still complete the stream.

--- a/node/src/main/java/org/apricotstand/request/AnswerBody.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerBody.java
@@ -54,6 +54,21 @@
     };
   }
 
+  /** Requires that the body goes on behind the last whole event that the caller has. */
+  void beginContinuation() {
+    eventSplitter.beginContinuation();
+  }
+
+  /** Returns whether an event does not continue the stream that the caller has. */
+  boolean isDiscontinued() {
+    return eventSplitter != null && eventSplitter.isDiscontinued();
+  }
+
+  /** Returns whether a body that ends here adds whole events to those that the caller has. */
+  boolean isContinuation() {
+    return eventSplitter.hasContinued() && !eventBoundary.isInsideEvent();
+  }
+
   /** Removes and returns the bytes that were kept until the answer is complete. */
   ByteBuf takeRest() {
     byte[] incompleteEvent = eventSplitter == null ? new byte[0] : eventSplitter.takeIncomplete();
--- a/node/src/main/java/org/apricotstand/request/AnswerHead.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerHead.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import java.util.Objects;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.apricotstand.front.ResponseFraming;
@@ -64,6 +66,18 @@
     return contentType.startsWith(EVENT_STREAM) || endsWithConnection();
   }
 
+  /**
+   * Returns whether the body is of the same kind as that of another answer, and may continue it.
+   */
+  boolean isOfSameKind(HttpResponse other) {
+    return Objects.equals(HttpUtil.getMimeType(response), HttpUtil.getMimeType(other))
+        && Objects.equals(encodingOf(response), encodingOf(other));
+  }
+
+  private static String encodingOf(HttpResponse answer) {
+    return answer.headers().get(HttpHeaderNames.CONTENT_ENCODING);
+  }
+
   /** Returns whether the target says that it leaves. */
   boolean isFromLeavingTarget() {
     return response.headers().containsValue(names.leaving(), "1", true);
--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -28,6 +28,7 @@
   private TargetConnection connection;
   private AnswerHead head;
   private boolean discardAnswer;
+  private boolean continuation;
   private boolean retryGranted;
   private boolean firstByteReceived;
   private long confirmAnswerMs;
@@ -112,12 +113,27 @@
       return;
     }
     if (flow.isAnswerStarted()) {
-      discardAnswer = answer.status().code() != 200;
+      continueAnswer();
     } else if (isStreamed()) {
       flow.startAnswer(answer);
     }
   }
 
+  /**
+   * Takes the answer as the rest of the stream that the caller has, unless it is something else.
+   */
+  private void continueAnswer() {
+    if (!isStreamed()) {
+      discardAnswer = true;
+      connection.closeAfterAnswer();
+    } else if (head.isOfSameKind(flow.answerHead())) {
+      continuation = true;
+      body.beginContinuation();
+    } else {
+      giveUp("answer of another kind than the stream");
+    }
+  }
+
   /** Closes the connection of an answer that cannot be passed on; the request may have run. */
   @Override
   public void giveUp(String reason) {
@@ -152,7 +168,9 @@
     if (closed) {
       return;
     }
-    if (body.exceedsLimits()) {
+    if (body.isDiscontinued()) {
+      giveUp("event that does not continue the stream");
+    } else if (body.exceedsLimits()) {
       giveUp("answer without end");
     } else if (flow.isAnswerStarted() && !flow.reply().isWritable()) {
       connection.setReading(false);
@@ -183,6 +201,11 @@
       onFailure(new SendFailure.ConnectionLost("ended_inside_stream"));
       return;
     }
+    if (continuation && !body.isContinuation()) {
+      // The run may have ended behind the last event, or the target sends nothing of it.
+      onFailure(new SendFailure.Malformed("continuation without whole events"));
+      return;
+    }
     close();
     if (discardAnswer) {
       onDiscardedAnswer();
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -81,7 +81,7 @@
   private int connectFailures;
   private long sentAfterMs = NOT_REACHED;
   private long firstByteAfterMs = NOT_REACHED;
-  private boolean answerStarted;
+  private HttpResponse answerHead;
   private boolean ended;
 
   RequestFlow(
@@ -193,7 +193,7 @@
     if (isSent) {
       currentAttempt.cancel();
     }
-    if (isSent || answerStarted || runs > 0) {
+    if (isSent || isAnswerStarted() || runs > 0) {
       abort(code);
     } else {
       fail(503, code, retryAfterMs);
@@ -258,7 +258,7 @@
    * {@link #abort} if it may have run.
    */
   private void refuseOrAbort(String code, RetryAdvice.Cause cause) {
-    if (answerStarted || runs > 0) {
+    if (isAnswerStarted() || runs > 0) {
       abort(code);
     } else {
       long leftMs = Math.max(0, callerDeadlineMs - ControlThread.nowMs());
@@ -271,7 +271,7 @@
    * leaves the outcome unknown.
    */
   private void abort(String code) {
-    if (answerStarted) {
+    if (isAnswerStarted()) {
       finish(code, 0);
       reply.abort();
     } else {
@@ -378,7 +378,7 @@
         "detail",
         failure.detail(),
         "answering",
-        answerStarted,
+        isAnswerStarted(),
         "begun",
         attempt.hasFirstByte(),
         "traits",
@@ -406,7 +406,7 @@
       excludedTargetIds.add(attempt.target().id());
       dispatch();
     } else {
-      abort(answerStarted ? "broken_off" : "answer_lost");
+      abort(isAnswerStarted() ? "broken_off" : "answer_lost");
     }
   }
 
@@ -468,7 +468,7 @@
     if (current != null) {
       current.cancel();
     }
-    if (answerStarted) {
+    if (isAnswerStarted()) {
       abort("deadline");
     } else if (current != null || runs > 0) {
       fail(504, "deadline", 0);
@@ -509,12 +509,17 @@
 
   /** Returns whether the caller has got the head of an answer. */
   boolean isAnswerStarted() {
-    return answerStarted;
+    return answerHead != null;
+  }
+
+  /** Returns the head that the caller has got; null before that. */
+  HttpResponse answerHead() {
+    return answerHead;
   }
 
   /** Passes the head of a streamed answer on; from now on the request cannot be refused. */
   void startAnswer(HttpResponse head) {
-    answerStarted = true;
+    answerHead = head;
     reply.writeHead(head);
   }
 
