Don't resume a stream behind an event that has no id

Cause: without an id the request is sent again without Last-Event-Id, which asks for the stream from its start. Change: a stream that has begun is resumed only if the last event that the caller has bears an id. Otherwise the stream breaks off. Evidence: aStreamWithoutIdsIsNotResumed failed before (the second run followed the first one in the caller's stream) and passes.

--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -334,10 +334,16 @@
   }
 
   private boolean tryTakeRetry(int runsSoFar) {
-    boolean mayRunAgain = route.isIdempotent() || route.resumable();
+    boolean mayRunAgain =
+        isAnswerStarted() ? canResume() : route.isIdempotent() || route.resumable();
     return mayRunAgain && runsSoFar < route.maxAttempts() && router.tryRetry(service);
   }
 
+  /** Returns whether another target can go on with the answer that the caller has in part. */
+  private boolean canResume() {
+    return eventSplitter != null && eventSplitter.canResume();
+  }
+
   void onRejected(Attempt attempt, int status) {
     rejections++;
     recordRejection(attempt.target(), status);
--- a/node/src/test/java/org/apricotstand/request/ResumedStreamTest.java
+++ b/node/src/test/java/org/apricotstand/request/ResumedStreamTest.java
@@ -5,6 +5,7 @@
 
 import java.io.IOException;
 import org.apricotstand.route.RequestKind;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -104,6 +105,18 @@
     assertBrokenOff(resume(BROKEN, CHUNKED + chunk(events) + LAST_CHUNK));
   }
 
+  // Guards against a second run joined to events without ids, behind which no target can go on.
+  @Test
+  void aStreamWithoutIdsIsNotResumed() throws IOException {
+    String answer =
+        resume(
+            CHUNKED + chunk("data: a\n\n"), CHUNKED + chunk("data: a\n\ndata: b\n\n") + LAST_CHUNK);
+    assertThat(answer).contains("data: a\n\n");
+    assertThat(answer).doesNotContain("data: b");
+    assertThat(answer).doesNotContain(LAST_CHUNK);
+    assertThat(countHeads()).isEqualTo(1);
+  }
+
   // Guards against refusing continuations that differ only in their framing.
   @ParameterizedTest
   @ValueSource(
