Don't promise the length of a stream that may go on at another target

Cause: the head of the first answer went to the caller with the length of that answer; the continuation may have another one. Change: answers on resumable routes whose target states a length go to the caller in chunks. The end of the stream is marked when it is complete.

--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.List;
@@ -526,6 +527,11 @@
   /** Passes the head of a streamed answer on; from now on the request cannot be refused. */
   void startAnswer(HttpResponse head) {
     answerHead = head;
+    boolean hasBody = !HttpMethod.HEAD.equals(method());
+    if (eventSplitter != null && hasBody && HttpUtil.isContentLengthSet(head)) {
+      // Another target may continue the stream with an answer of another length.
+      HttpUtil.setTransferEncodingChunked(head, true);
+    }
     reply.writeHead(head);
   }
 
--- a/node/src/test/java/org/apricotstand/request/ResumedStreamTest.java
+++ b/node/src/test/java/org/apricotstand/request/ResumedStreamTest.java
@@ -117,6 +117,18 @@
     assertThat(countHeads()).isEqualTo(1);
   }
 
+  // Guards against a length that was promised for the first answer and is not that of the stream:
+  // the caller would wait for more bytes or read bytes behind the answer.
+  @ParameterizedTest
+  @ValueSource(strings = {"id: 3\ndata: c\n\n", "id: 3\ndata: c\n\nid: 4\ndata: long event\n\n"})
+  void aResumedStreamDoesNotKeepTheLengthOfItsFirstAnswer(String rest) throws IOException {
+    String broken = EVENTS + "Content-Length: 60\r\n\r\n" + FIRST_EVENTS;
+    String answer = resume(broken, CHUNKED + chunk(rest) + LAST_CHUNK);
+    assertThat(answer).contains(rest);
+    assertThat(answer.toLowerCase(java.util.Locale.ROOT)).doesNotContain("content-length: 60");
+    assertThat(answer).endsWith(LAST_CHUNK);
+  }
+
   // Guards against refusing continuations that differ only in their framing.
   @ParameterizedTest
   @ValueSource(
