Break off a stream of events that holds other bytes

Cause: the body of a stream was passed on without a look at its lines. The part of the body that has another line is not passed on; the attempt counts as lost, so a resumable stream goes on at another target, any other breaks off. The check looks at single bytes, in any split. Evidence: both cases of theHeadOfAnErrorInsideABodyIsNotPassedOn failed before (two heads in the caller's stream) and pass. Remains: bytes inside the data of an event, and the bytes of the part of a line that arrived before the rest of it, cannot be told from the event.

--- a/node/src/main/java/org/apricotstand/request/AnswerBody.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerBody.java
@@ -15,7 +15,9 @@
     /** They are kept until the answer is complete. */
     BUFFER,
     /** They are passed on as they arrive, or event by event if the stream may be resumed. */
-    STREAM
+    STREAM,
+    /** Like STREAM, but only as long as they form events. */
+    EVENTS
   }
 
   private final AnswerLimits limits;
@@ -47,13 +49,26 @@
       }
       case STREAM -> {
         eventBoundary.feed(part);
-        yield eventSplitter == null
-            ? part.retainedSlice()
-            : Unpooled.wrappedBuffer(eventSplitter.feed(ByteBufUtil.getBytes(part)));
+        yield passOn(part);
+      }
+      case EVENTS -> {
+        eventBoundary.feed(part);
+        yield eventBoundary.hasForeignLine() ? Unpooled.EMPTY_BUFFER : passOn(part);
       }
     };
   }
 
+  private ByteBuf passOn(ByteBuf part) {
+    return eventSplitter == null
+        ? part.retainedSlice()
+        : Unpooled.wrappedBuffer(eventSplitter.feed(ByteBufUtil.getBytes(part)));
+  }
+
+  /** Returns whether a stream of events holds something else. */
+  boolean hasForeignLine() {
+    return eventBoundary.hasForeignLine();
+  }
+
   /** Requires that the body goes on behind the last whole event that the caller has. */
   void beginContinuation() {
     eventSplitter.beginContinuation();
--- a/node/src/main/java/org/apricotstand/request/AnswerHead.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerHead.java
@@ -62,8 +62,12 @@
 
   /** Returns whether the body consists of events, as far as the head tells. */
   boolean hasEvents() {
-    String contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-    return contentType.startsWith(EVENT_STREAM) || endsWithConnection();
+    return declaresEvents() || endsWithConnection();
+  }
+
+  /** Returns whether the head says that the body consists of events. */
+  boolean declaresEvents() {
+    return response.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
   }
 
   /**
--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -170,6 +170,8 @@
     }
     if (body.isDiscontinued()) {
       giveUp("event that does not continue the stream");
+    } else if (use() == AnswerBody.Use.EVENTS && body.hasForeignLine()) {
+      giveUp("bytes that are no event in a stream of events");
     } else if (body.exceedsLimits()) {
       giveUp("answer without end");
     } else if (flow.isAnswerStarted() && !flow.reply().isWritable()) {
@@ -189,7 +191,10 @@
     if (discardAnswer) {
       return AnswerBody.Use.DISCARD;
     }
-    return isStreamed() ? AnswerBody.Use.STREAM : AnswerBody.Use.BUFFER;
+    if (!isStreamed()) {
+      return AnswerBody.Use.BUFFER;
+    }
+    return head.declaresEvents() ? AnswerBody.Use.EVENTS : AnswerBody.Use.STREAM;
   }
 
   @Override
--- a/node/src/main/java/org/apricotstand/request/EventBoundary.java
+++ b/node/src/main/java/org/apricotstand/request/EventBoundary.java
@@ -4,14 +4,19 @@
 
 /**
  * Tracks whether a stream of server-sent events is inside an event, from the bytes that have
- * passed. An empty line ends an event.
+ * passed, and whether all its lines are fields or comments. An empty line ends an event.
  */
 final class EventBoundary {
 
   private static final byte CARRIAGE_RETURN = '\r';
   private static final byte LINE_FEED = '\n';
 
-  private boolean empty = true;
+  private static final byte COLON = ':';
+  private static final int BYTE_ORDER_MARK_BYTES = 3;
+
+  private long passedBytes;
+  private boolean insideName = true;
+  private boolean foreign;
   private boolean lineEmpty = true;
   private boolean insideEvent;
 
@@ -25,7 +30,8 @@
   }
 
   private void record(byte next) {
-    empty = false;
+    passedBytes++;
+    recordName(next);
     if (next == LINE_FEED) {
       insideEvent = insideEvent && !lineEmpty;
       lineEmpty = true;
@@ -35,6 +41,37 @@
     }
   }
 
+  /** Checks the part of a line before its colon, which holds the name of a field. */
+  private void recordName(byte next) {
+    if (next == LINE_FEED) {
+      insideName = true;
+    } else if (next == COLON) {
+      insideName = false;
+    } else if (insideName && next != CARRIAGE_RETURN) {
+      foreign = foreign || !(isNameByte(next) || isByteOrderMark(next));
+    }
+  }
+
+  private static boolean isNameByte(byte next) {
+    return (next >= 'a' && next <= 'z')
+        || (next >= '0' && next <= '9')
+        || next == '-'
+        || next == '_';
+  }
+
+  /** Returns whether the byte can belong to the mark with which a stream may begin. */
+  private boolean isByteOrderMark(byte next) {
+    return next < 0 && passedBytes <= BYTE_ORDER_MARK_BYTES;
+  }
+
+  /**
+   * Returns whether a line is no part of an event, such as the head of an answer or the text of an
+   * error. Names of fields consist of lower-case letters, digits and hyphens.
+   */
+  boolean hasForeignLine() {
+    return foreign;
+  }
+
   /** Returns whether the event that began last has not ended. */
   boolean isInsideEvent() {
     return insideEvent;
@@ -42,6 +79,6 @@
 
   /** Returns whether no byte has passed. */
   boolean isEmpty() {
-    return empty;
+    return passedBytes == 0;
   }
 }
--- a/node/src/test/java/org/apricotstand/request/ResumedStreamTest.java
+++ b/node/src/test/java/org/apricotstand/request/ResumedStreamTest.java
@@ -4,6 +4,7 @@
 import static org.apricotstand.request.ScriptedTarget.write;
 
 import java.io.IOException;
+import java.util.Locale;
 import org.apricotstand.route.RequestKind;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -125,7 +126,7 @@
     String broken = EVENTS + "Content-Length: 60\r\n\r\n" + FIRST_EVENTS;
     String answer = resume(broken, CHUNKED + chunk(rest) + LAST_CHUNK);
     assertThat(answer).contains(rest);
-    assertThat(answer.toLowerCase(java.util.Locale.ROOT)).doesNotContain("content-length: 60");
+    assertThat(answer.toLowerCase(Locale.ROOT)).doesNotContain("content-length: 60");
     assertThat(answer).endsWith(LAST_CHUNK);
   }
 
@@ -142,4 +143,15 @@
     assertThat(answer).contains("id: 3\ndata: c\n\n");
     assertThat(answer).endsWith(LAST_CHUNK);
   }
+
+  // Guards against the head of an error in the body of a stream that was not resumed at all.
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void theHeadOfAnErrorInsideABodyIsNotPassedOn(boolean resumable) throws IOException {
+    String body = FIRST_EVENTS + "id: 3\ndaHTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops\n\n";
+    ScriptedTarget.Script script =
+        always(CHUNKED + chunk(FIRST_EVENTS) + chunk(body.substring(FIRST_EVENTS.length())), false);
+    serve(RequestKind.STREAM, 1, resumable, target("t1", script));
+    assertBrokenOff(call(""));
+  }
 }
