Don't make an empty success of a head without length and a close

Cause: without a length the close of the connection ends the body, so no byte at all passed for a whole body. Streams were already broken off. Change: a signed success without length and without a byte counts as a lost connection: 502, or another attempt where the route allows it. A target that has nothing to send says so by a length of 0, 204 or 304. Evidence: aCloseRightBehindAHeadWithoutLengthIsNoEmptyBody failed before (200, content-length: 0) and passes. Remains: a body without length that is cut short and closed without a reset cannot be told from a whole one.

--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -206,6 +206,10 @@
       onFailure(new SendFailure.ConnectionLost("ended_inside_stream"));
       return;
     }
+    if (isEndedByClose()) {
+      onFailure(new SendFailure.ConnectionLost("closed_behind_head"));
+      return;
+    }
     if (continuation && !body.isContinuation()) {
       // The run may have ended behind the last event, or the target sends nothing of it.
       onFailure(new SendFailure.Malformed("continuation without whole events"));
@@ -247,6 +251,18 @@
         && body.isBrokenOff(head.endsWithConnection());
   }
 
+  /**
+   * Returns whether a success has neither a length nor a body. A target that has nothing to send
+   * says so by its length; without one the head is not whole, or the target closed behind it.
+   */
+  private boolean isEndedByClose() {
+    return !firstByteReceived
+        && !discardAnswer
+        && head.isSignedSuccess()
+        && head.endsWithConnection()
+        && !HttpMethod.HEAD.equals(flow.method());
+  }
+
   private String bodyLength(int receivedBytes) {
     String declared = head.response().headers().get(HttpHeaderNames.CONTENT_LENGTH);
     boolean isHeadRequest = HttpMethod.HEAD.equals(flow.method());
