Don't take a reset or an empty success as the end of a called answer

Cause: the library completes a body without length whenever its connection ends, also by a reset. It does not report a head without headers at all, so the status of such an answer was 0. Change: ResetRecorder notes the failure of a connection; an answer that its connection ended counts as connection_lost if the connection was reset, or if a success has no byte. A head without headers is passed on. Evidence: failsOnABodyWithoutLengthThatIsReset, failsOnACloseRightBehindAHeadWithoutLength and returnsTheStatusOfAHeadWithoutHeaders failed before and pass. Heads that break off at 6 points, and a Content-Length without value, failed the call before too (failsOnAHeadThatBreaksOff).

--- a/node/src/main/java/org/apricotstand/http/HttpClient.java
+++ b/node/src/main/java/org/apricotstand/http/HttpClient.java
@@ -46,6 +46,8 @@
             .setReadTimeout(Duration.ofMillis(-1))
             .setPooledConnectionIdleTimeout(POOLED_IDLE_TIMEOUT)
             .setCookieStore(null)
+            .setHttpAdditionalChannelInitializer(
+                channel -> channel.pipeline().addFirst(new ResetRecorder()))
             .setSslEngineFactory(HttpClient::refuseTls)
             .build();
     this.client = new DefaultAsyncHttpClient(config);
--- a/node/src/main/java/org/apricotstand/http/ReplyListenerAdapter.java
+++ b/node/src/main/java/org/apricotstand/http/ReplyListenerAdapter.java
@@ -1,7 +1,11 @@
 package org.apricotstand.http;
 
 import io.netty.channel.Channel;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeoutException;
@@ -13,10 +17,17 @@
 /** Passes the events of one AsyncHttpClient call to a {@link ReplyListener}. */
 final class ReplyListenerAdapter implements AsyncHandler<Void> {
 
+  private static final int NO_CONTENT = 204;
+  private static final int NOT_MODIFIED = 304;
+
   private final ReplyListener listener;
   private volatile Channel channel;
   private volatile boolean maybeSent;
+  private volatile boolean isHead;
   private int status;
+  private boolean headPassed;
+  private boolean endsWithConnection;
+  private boolean empty = true;
   private boolean finished;
 
   ReplyListenerAdapter(ReplyListener listener) {
@@ -36,6 +47,7 @@
   @Override
   public void onRequestSend(NettyRequest request) {
     maybeSent = true;
+    isHead = HttpMethod.HEAD.equals(request.getHttpRequest().method());
   }
 
   @Override
@@ -46,13 +58,28 @@
 
   @Override
   public State onHeadersReceived(HttpHeaders headers) {
-    listener.onHead(status, headers, new ChannelControl(channel));
+    passHead(headers);
     return State.CONTINUE;
   }
 
+  private void passHead(HttpHeaders headers) {
+    headPassed = true;
+    endsWithConnection = !isHead && !hasLength(headers);
+    listener.onHead(status, headers, new ChannelControl(channel));
+  }
+
+  /** Passes a head without headers, which the HTTP library does not report. */
+  private void passMissingHead() {
+    if (!headPassed) {
+      passHead(EmptyHttpHeaders.INSTANCE);
+    }
+  }
+
   @Override
   public State onBodyPartReceived(HttpResponseBodyPart part) {
+    passMissingHead();
     if (part.length() > 0) {
+      empty = false;
       listener.onPart(part.getBodyPartBytes());
     }
     return State.CONTINUE;
@@ -70,13 +97,37 @@
 
   @Override
   public Void onCompleted() {
-    if (!finished) {
-      finished = true;
+    if (finished) {
+      return null;
+    }
+    finished = true;
+    passMissingHead();
+    if (isBrokenOff()) {
+      listener.onFailure(
+          new CallFailure(true, CallFailure.CONNECTION_LOST, "the connection ended the answer"));
+    } else {
       listener.onEnd();
     }
     return null;
   }
 
+  /** Returns whether the head tells where the body ends; if not, it ends with the connection. */
+  private boolean hasLength(HttpHeaders headers) {
+    return headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+        || headers.containsValue(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED, true)
+        || status == NO_CONTENT
+        || status == NOT_MODIFIED;
+  }
+
+  /**
+   * Returns whether a body that ended with its connection is incomplete: the connection was reset,
+   * or a success has no byte. A server that has nothing to send says so by its length.
+   */
+  private boolean isBrokenOff() {
+    boolean isSuccess = status / 100 == 2;
+    return endsWithConnection && (ResetRecorder.isReset(channel) || (empty && isSuccess));
+  }
+
   private String codeOf(Throwable cause) {
     return switch (cause) {
       case TimeoutException timeout -> CallFailure.TIMEOUT;
--- a/node/src/test/java/org/apricotstand/http/HttpClientTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpClientTest.java
@@ -1,17 +1,24 @@
 package org.apricotstand.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import org.apricotstand.control.ControlThread;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class HttpClientTest {
 
@@ -76,6 +83,58 @@
     }
   }
 
+  /** Guards against an empty success made of a head that lost its length and a close. */
+  @Test
+  void failsOnACloseRightBehindAHeadWithoutLength() throws IOException {
+    try (ScriptedServer server = new ScriptedServer("HTTP/1.1 200 OK\r\nx: y\r\n\r\n")) {
+      assertThat(failureOf(get(server.url())).maybeSent()).isTrue();
+    }
+  }
+
+  /** Guards against a success with an empty body in place of an answer whose head broke off. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "HTTP/1.1 200 OK",
+        "HTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\nx: y\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length:",
+        "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length:\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length:\r\n\r\nhalf"
+      })
+  void failsOnAHeadThatBreaksOff(String head) throws IOException {
+    try (ScriptedServer server = new ScriptedServer(head)) {
+      assertThat(failureOf(get(server.url())).maybeSent()).isTrue();
+    }
+  }
+
+  /** Guards against taking a body that only its connection ends as complete after a reset. */
+  @Test
+  void failsOnABodyWithoutLengthThatIsReset() throws Exception {
+    try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      CompletableFuture<HttpReply> reply =
+          client.send(get("http://127.0.0.1:" + listener.getLocalPort()));
+      try (Socket connection = listener.accept()) {
+        connection.setSoLinger(true, 0);
+        connection.getOutputStream().write("HTTP/1.1 200 OK\r\n\r\nhalf".getBytes(US_ASCII));
+        Thread.sleep(200);
+      }
+      assertThrows(CompletionException.class, reply::join);
+    }
+  }
+
+  /** Guards against an answer without status because its head has no headers. */
+  @Test
+  void returnsTheStatusOfAHeadWithoutHeaders() throws IOException {
+    try (ScriptedServer server = new ScriptedServer("HTTP/1.1 200 OK\r\n\r\nwhole")) {
+      HttpReply reply = client.send(get(server.url())).join();
+      assertThat(reply.status()).isEqualTo(200);
+      assertThat(reply.text()).isEqualTo("whole");
+    }
+  }
+
   /** Guards against answers that exhaust the memory of the instance. */
   @Test
   void failsOnAnswerOverTheLimit() throws IOException {
