Close the connection of a refused call to an engine or a service

Cause: the connection of a refused request went back to the pool, and the library takes the next bytes on it for the answer to the next request. Change: a call states which connection it may use (ConnectionUse). Calls to engines and repeatable calls to plain services give a connection back only if they were not refused (status under 400); calls to plain services that may not run twice had a connection of their own already. Evidence: aRepeatedRefusalIsNotTheAnswerToTheNextRequest failed before (409 for the second request) and passes.

--- a/cli/src/main/java/org/apricotstand/cli/OperatorClient.java
+++ b/cli/src/main/java/org/apricotstand/cli/OperatorClient.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletionException;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.declaration.Addresses;
+import org.apricotstand.http.ConnectionUse;
 import org.apricotstand.http.HttpCall;
 import org.apricotstand.http.HttpReply;
 
@@ -71,7 +72,7 @@
             java.util.Map.of(),
             new byte[0],
             ControlThread.nowMs() + CALL_TIMEOUT_MS,
-            false);
+            ConnectionUse.OWN);
     String token = token();
     try {
       HttpReply reply =
--- a/node/src/main/java/org/apricotstand/engine/EngineClient.java
+++ b/node/src/main/java/org/apricotstand/engine/EngineClient.java
@@ -51,7 +51,8 @@
             .withHeader(EngineHeaders.REQUEST_ID, request.scheduled().id().value())
             .withHeader(EngineHeaders.ATTEMPT, Integer.toString(request.scheduled().attempt()))
             .withHeader(EngineHeaders.FENCING, Long.toString(fencing))
-            .withHeader(EngineHeaders.PRIORITY, request.scheduled().requestClass().name());
+            .withHeader(EngineHeaders.PRIORITY, request.scheduled().requestClass().name())
+            .withoutReuseAfterRefusal();
     String traceparent = request.traceparent();
     http.stream(
         traceparent.isEmpty() ? call : call.withHeader(EngineHeaders.TRACEPARENT, traceparent),
@@ -106,7 +107,8 @@
     byte[] body = encode(Map.of("lora_name", adapterVersion.toString()));
     HttpCall call =
         HttpCall.json("POST", url(address, path), body, deadlineMs)
-            .withHeader(EngineHeaders.FENCING, Long.toString(fencing));
+            .withHeader(EngineHeaders.FENCING, Long.toString(fencing))
+            .withoutReuseAfterRefusal();
     return http.send(call).handle((reply, error) -> resultOf(address, reply, error));
   }
 
--- a/node/src/main/java/org/apricotstand/entry/ServiceCallSender.java
+++ b/node/src/main/java/org/apricotstand/entry/ServiceCallSender.java
@@ -5,6 +5,7 @@
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.declaration.DeclarationSet.Target;
 import org.apricotstand.engine.EngineHeaders;
+import org.apricotstand.http.ConnectionUse;
 import org.apricotstand.http.HttpCall;
 import org.apricotstand.http.HttpClient;
 import org.apricotstand.http.HttpReply;
@@ -122,7 +123,7 @@
               EndToEndHeaders.of(request.headers()),
               request.body(),
               deadlineMs,
-              true);
+              ConnectionUse.SHARED_UNTIL_REFUSAL);
       // The target may have just closed a pooled connection, and the outcome would be unknown.
       return retryPolicy == RetryPolicy.ALWAYS ? call : call.withNewConnection();
     }
--- a/node/src/main/java/org/apricotstand/http/HttpClient.java
+++ b/node/src/main/java/org/apricotstand/http/HttpClient.java
@@ -2,8 +2,11 @@
 
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import javax.net.ssl.SSLEngine;
@@ -14,6 +17,8 @@
 import org.asynchttpclient.DefaultAsyncHttpClientConfig;
 import org.asynchttpclient.Request;
 import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.channel.ChannelPoolPartitioning;
+import org.asynchttpclient.channel.DefaultKeepAliveStrategy;
 
 /**
  * HTTP client that sends each call at most once: it neither retries nor follows redirects.
@@ -46,6 +51,7 @@
             .setReadTimeout(Duration.ofMillis(-1))
             .setPooledConnectionIdleTimeout(POOLED_IDLE_TIMEOUT)
             .setCookieStore(null)
+            .setKeepAliveStrategy(new UntilRefusal())
             .setHttpAdditionalChannelInitializer(
                 channel -> channel.pipeline().addFirst(new ResetRecorder()))
             .setSslEngineFactory(HttpClient::refuseTls)
@@ -100,7 +106,9 @@
             .setUrl(call.url())
             .setRequestTimeout(Duration.ofMillis(remainingMs));
     call.headers().forEach(builder::setHeader);
-    if (!call.reuseConnection()) {
+    if (call.connectionUse() == ConnectionUse.SHARED_UNTIL_REFUSAL) {
+      builder.setChannelPoolPartitioning(UntilRefusal.PARTITION);
+    } else if (call.connectionUse() == ConnectionUse.OWN) {
       builder.setChannelPoolPartitioning(new UniquePartition());
       builder.setHeader("connection", "close");
     }
@@ -111,8 +119,7 @@
   }
 
   /** Pool partition of a single call: its key equals no other, so no pooled connection matches. */
-  private static final class UniquePartition
-      implements org.asynchttpclient.channel.ChannelPoolPartitioning {
+  private static final class UniquePartition implements ChannelPoolPartitioning {
     @Override
     public Object getPartitionKey(
         org.asynchttpclient.uri.Uri uri,
@@ -122,6 +129,22 @@
     }
   }
 
+  /** Marks calls whose connection is not used again after a refusal, and keeps to it. */
+  private static final class UntilRefusal extends DefaultKeepAliveStrategy {
+    private static final ChannelPoolPartitioning PARTITION =
+        ChannelPoolPartitioning.PerHostChannelPoolPartitioning.INSTANCE::getPartitionKey;
+    private static final int MIN_REFUSAL_STATUS = 400;
+
+    @Override
+    public boolean keepAlive(
+        InetSocketAddress remoteAddress, Request request, HttpRequest sent, HttpResponse answer) {
+      boolean isRefused =
+          request.getChannelPoolPartitioning() == PARTITION
+              && answer.status().code() >= MIN_REFUSAL_STATUS;
+      return !isRefused && super.keepAlive(remoteAddress, request, sent, answer);
+    }
+  }
+
   @Override
   public void close() {
     try {
--- a/node/src/test/java/org/apricotstand/engine/EngineClientTest.java
+++ b/node/src/test/java/org/apricotstand/engine/EngineClientTest.java
@@ -53,6 +53,31 @@
     }
   }
 
+  // Guards against a request that is told "not run", or runs at a second engine, because its engine
+  // writes the refusal of an earlier request once more on the connection.
+  @Test
+  void aRepeatedRefusalIsNotTheAnswerToTheNextRequest() throws Exception {
+    String refusal = "HTTP/1.1 409 Conflict\r\ncontent-length: 0\r\n\r\n";
+    KeepAliveServer.Script refusesFirstConnection =
+        (connection, number) -> connection == 1 ? refusal : KeepAliveServer.OK;
+    try (KeepAliveServer server = new KeepAliveServer(refusesFirstConnection)) {
+      assertThat(send(server)).isEqualTo(409);
+      assertThat(send(server)).isEqualTo(200);
+      assertThat(send(server)).isEqualTo(200);
+      assertThat(server.requests())
+          .containsExactly("1 /v1/completions", "2 /v1/completions", "2 /v1/completions")
+          .inOrder();
+    }
+  }
+
+  private int send(KeepAliveServer server) throws Exception {
+    EndOfReply end = new EndOfReply();
+    long deadlineMs = ControlThread.nowMs() + TIMEOUT_MS;
+    engineClient.sendRequest(server.address(), 1, request(deadlineMs), end);
+    end.future.get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    return end.status;
+  }
+
   private static EngineRequest request(long deadlineMs) {
     ScheduledRequest scheduled =
         new ScheduledRequest(
@@ -69,9 +94,12 @@
 
   private static final class EndOfReply implements ReplyListener {
     private final CompletableFuture<Void> future = new CompletableFuture<>();
+    private volatile int status;
 
     @Override
-    public void onHead(int status, HttpHeaders headers, ReplyControl control) {}
+    public void onHead(int answerStatus, HttpHeaders headers, ReplyControl control) {
+      status = answerStatus;
+    }
 
     @Override
     public void onPart(byte[] part) {}
--- a/node/src/test/java/org/apricotstand/engine/KeepAliveServer.java
+++ b/node/src/test/java/org/apricotstand/engine/KeepAliveServer.java
@@ -11,16 +11,34 @@
 import java.util.Locale;
 import java.util.concurrent.CopyOnWriteArrayList;
 
-/** Server that answers all requests, keeps connections open and records which of them it used. */
+/** Server that answers by a script, keeps connections open and records which of them it used. */
 final class KeepAliveServer implements AutoCloseable {
 
-  private static final String ANSWER = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+  /** Decides how a request is answered. */
+  interface Script {
+    /**
+     * Returns the bytes of the answer.
+     *
+     * @param connection number of the connection, from 1
+     * @param number number of the request on its connection, from 1
+     */
+    String answer(int connection, int number);
+  }
+
+  static final String OK = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
+
+  private final Script script;
 
   private final ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
   private final List<Socket> connections = new CopyOnWriteArrayList<>();
   private final List<String> requests = new CopyOnWriteArrayList<>();
 
   KeepAliveServer() throws IOException {
+    this((connection, number) -> OK);
+  }
+
+  KeepAliveServer(Script script) throws IOException {
+    this.script = script;
     startDaemon(this::acceptConnections);
   }
 
@@ -52,10 +70,13 @@
       BufferedReader reader =
           new BufferedReader(
               new InputStreamReader(connection.getInputStream(), StandardCharsets.ISO_8859_1));
+      int count = 0;
       for (String line = reader.readLine(); line != null; line = reader.readLine()) {
         skipHeadersAndBody(reader);
         requests.add(number + " " + line.split(" ")[1]);
-        connection.getOutputStream().write(ANSWER.getBytes(StandardCharsets.ISO_8859_1));
+        count++;
+        String answer = script.answer(number, count);
+        connection.getOutputStream().write(answer.getBytes(StandardCharsets.ISO_8859_1));
       }
     } catch (IOException e) {
       // The client disconnected, which ends only this connection.
--- a/node/src/test/java/org/apricotstand/operator/OperatorInterfaceTest.java
+++ b/node/src/test/java/org/apricotstand/operator/OperatorInterfaceTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.http.ConnectionUse;
 import org.apricotstand.http.HttpCall;
 import org.apricotstand.http.HttpClient;
 import org.apricotstand.http.HttpReply;
@@ -53,7 +54,7 @@
             Map.of(),
             new byte[0],
             ControlThread.nowMs() + 10_000,
-            true);
+            ConnectionUse.SHARED);
     return http.send(token == null ? call : call.withHeader("authorization", "Bearer " + token))
         .join();
   }
