Compare the request id of an engine's answer

Cause: only the adapter version was compared, not the id that engines echo, and the version of a refusal was not compared at all. Change: an answer with the id of another request ends as unknown with the code other_request, and its connection is closed. Answers without an id count as before, since refusals need not have one. Evidence: anAnswerToAnotherRequestIsNotForwarded failed before (the second request was queued again as not run) and passes.

--- a/node/src/main/java/org/apricotstand/owner/EngineAnswerHandler.java
+++ b/node/src/main/java/org/apricotstand/owner/EngineAnswerHandler.java
@@ -87,17 +87,22 @@
   public void onHead(int answerStatus, HttpHeaders headers, ReplyControl replyControl) {
     status = answerStatus;
     control = replyControl;
+    forwarding = false;
+    String requestId = request.scheduled().id().value();
+    String answeredId = headers.get(EngineHeaders.REQUEST_ID, requestId);
+    if (!requestId.equals(answeredId)) {
+      giveUp(outcomeUnknown("other_request", "the answer belongs to request " + answeredId));
+      return;
+    }
     if (status != OK) {
-      forwarding = false;
       return;
     }
     String requested = request.scheduled().adapterVersion().toString();
     String echoed = headers.get(EngineHeaders.ADAPTER_VERSION);
     if (!requested.equals(echoed)) {
-      failPossiblyRunning(
+      giveUp(
           outcomeUnknown(
               "wrong_adapter_version", "requested " + requested + ", answered by " + echoed));
-      control.cancel();
       return;
     }
     forwarding = true;
@@ -202,6 +207,12 @@
     }
   }
 
+  /** Closes the connection of an answer that cannot be forwarded; the engine may run the request. */
+  private void giveUp(Outcome outcome) {
+    failPossiblyRunning(outcome);
+    control.cancel();
+  }
+
   private void failPossiblyRunning(Outcome outcome) {
     if (!ended) {
       ended = true;
--- a/node/src/test/java/org/apricotstand/owner/EngineAnswerHandlerTest.java
+++ b/node/src/test/java/org/apricotstand/owner/EngineAnswerHandlerTest.java
@@ -106,6 +106,16 @@
         .inOrder();
   }
 
+  /** Guards against the late second answer of another request, among them its refusal. */
+  @Test
+  void anAnswerToAnotherRequestIsNotForwarded() {
+    HttpHeaders headers = new DefaultHttpHeaders().set(EngineHeaders.REQUEST_ID, "r0");
+    handler.onHead(409, headers, new RecordingControl());
+    handler.onPart(bytes("{\"error\":{\"code\":\"adapter_not_loaded\"}}"));
+    handler.onEnd();
+    assertThat(seen).containsExactly("OutcomeUnknown", "broken", "cancel").inOrder();
+  }
+
   /** Guards against resuming a stream that the caller has canceled. */
   @Test
   void doesNotResumeACanceledStream() {
