Break off a stream of an engine that goes on with something else

What callers saw, on the path through AsyncHttpClient: the text or the head of an error as events in the middle of their stream. Cause: any 200 with the right adapter version counted as the rest of a stream, and any bytes before an empty line as an event with a token. Change: the rest of a stream has to be of type text/event-stream, and each event has to begin with a comment or a field name. Other bytes are not forwarded; the outcome is unknown and the caller's stream is broken off. Evidence: aResumptionOfAnotherKindIsNotPartOfTheStream and theHeadOfAnErrorInsideAStreamIsNotForwarded failed before and pass. Remains: events of engines have no ids, so that a rest that begins with another token than the one asked for cannot be told.

--- a/node/src/main/java/org/apricotstand/owner/EngineAnswerHandler.java
+++ b/node/src/main/java/org/apricotstand/owner/EngineAnswerHandler.java
@@ -105,12 +105,17 @@
               "wrong_adapter_version", "requested " + requested + ", answered by " + echoed));
       return;
     }
+    boolean hasEvents = headers.get("content-type", "").startsWith(EVENT_STREAM);
+    if (resumed && !hasEvents) {
+      giveUp(resumeFailureOutcome);
+      return;
+    }
     forwarding = true;
     sink.setWritableListener(control::resume);
     if (resumed) {
       return;
     }
-    if (headers.get("content-type", "").startsWith(EVENT_STREAM)) {
+    if (hasEvents) {
       splitter = new TokenEventSplitter();
     }
     Map<String, String> forwardedHeaders = new LinkedHashMap<>();
@@ -126,7 +131,10 @@
       if (forwardable.length > 0) {
         sink.writePart(forwardable);
       }
-      if (!sink.isWritable()) {
+      if (splitter != null && splitter.hasForeignEvent()) {
+        forwarding = false;
+        giveUp(outcomeUnknown("answer_incomplete", "bytes that are no event in the stream"));
+      } else if (!sink.isWritable()) {
         control.suspend();
       }
     } else if (errorBody.size() < MAX_ERROR_BYTES) {
@@ -207,7 +215,9 @@
     }
   }
 
-  /** Closes the connection of an answer that cannot be forwarded; the engine may run the request. */
+  /**
+   * Closes the connection of an answer that cannot be forwarded; the engine may run the request.
+   */
   private void giveUp(Outcome outcome) {
     failPossiblyRunning(outcome);
     control.cancel();
--- a/node/src/main/java/org/apricotstand/owner/TokenEventSplitter.java
+++ b/node/src/main/java/org/apricotstand/owner/TokenEventSplitter.java
@@ -22,15 +22,19 @@
   private byte[] incomplete = EMPTY;
   private long tokenCount;
   private boolean done;
+  private boolean foreign;
 
-  /** Adds a part of the stream and returns all events that it completes, unchanged. */
+  /**
+   * Adds a part of the stream and returns all events that it completes, unchanged, up to bytes that
+   * are no event.
+   */
   byte[] feed(byte[] part) {
     byte[] joined = concat(incomplete, part);
     int end = 0;
-    for (int i = 1; i < joined.length; i++) {
+    for (int i = 1; i < joined.length && !foreign; i++) {
       if (joined[i] == '\n' && joined[i - 1] == '\n' && i > end) {
-        countEvent(joined, end);
-        end = i + 1;
+        foreign = !isEventStart(joined[end]);
+        end = foreign ? end : countEvent(joined, end, i + 1);
       }
     }
     incomplete = Arrays.copyOfRange(joined, end, joined.length);
@@ -47,12 +51,23 @@
     return tokenCount;
   }
 
+  /** Returns whether the stream holds bytes that are no event, such as the head of an error. */
+  boolean hasForeignEvent() {
+    return foreign;
+  }
+
   /** Returns whether the final event of the answer, {@code [DONE]}, has arrived. */
   boolean isDone() {
     return done;
   }
 
-  private void countEvent(byte[] bytes, int start) {
+  /** Returns whether an event can begin so: with a comment, a field name, or an empty line. */
+  private static boolean isEventStart(byte first) {
+    return first == ':' || first == '\n' || first == '\r' || (first >= 'a' && first <= 'z');
+  }
+
+  /** Counts an event and returns its end. */
+  private int countEvent(byte[] bytes, int start, int end) {
     boolean isDoneEvent =
         bytes.length >= start + DONE_EVENT.length
             && Arrays.equals(
@@ -63,6 +78,7 @@
       // An event that starts with a colon is a comment and carries no token.
       tokenCount++;
     }
+    return end;
   }
 
   private static byte[] concat(byte[] first, byte[] second) {
--- a/node/src/test/java/org/apricotstand/owner/EngineAnswerHandlerTest.java
+++ b/node/src/test/java/org/apricotstand/owner/EngineAnswerHandlerTest.java
@@ -106,6 +106,37 @@
         .inOrder();
   }
 
+  /** Guards against the text of an error as an event of the stream that it should continue. */
+  @Test
+  void aResumptionOfAnotherKindIsNotPartOfTheStream() {
+    startStream();
+    handler.onPart(bytes("data: 0\n\n"));
+    handler.onFailure(new CallFailure(true, "connection_lost", "test"));
+    HttpHeaders headers =
+        new DefaultHttpHeaders()
+            .set(EngineHeaders.ADAPTER_VERSION, "a@v1")
+            .set("content-type", "application/json");
+    handler.onHead(200, headers, new RecordingControl());
+    handler.onPart(bytes("{\"error\":\"oops\"}\n\n"));
+    handler.onEnd();
+    assertThat(seen)
+        .containsExactly(
+            "head", "part data: 0\n\n", "resume from 1", "OutcomeUnknown", "broken", "cancel")
+        .inOrder();
+  }
+
+  /** Guards against the head and the text of an error in the middle of a stream. */
+  @Test
+  void theHeadOfAnErrorInsideAStreamIsNotForwarded() {
+    startStream();
+    handler.onPart(bytes("data: 0\n\nHTTP/1.1 500 Oops\n\n"));
+    handler.onPart(bytes("{\"error\":\"oops\"}\n\ndata: [DONE]\n\n"));
+    handler.onEnd();
+    assertThat(seen)
+        .containsExactly("head", "part data: 0\n\n", "OutcomeUnknown", "broken", "cancel")
+        .inOrder();
+  }
+
   /** Guards against the late second answer of another request, among them its refusal. */
   @Test
   void anAnswerToAnotherRequestIsNotForwarded() {
