Show that a refusal without request id passes for that of the next order

A target writes a refusal without X-Id on a connection that has carried another request, and then the answer to the current one. TargetConnection.readHead drops only answers with another id; the fix belongs there: on a connection that has carried a request, a refusal without id proves nothing, and its outcome is unknown.

--- a/node/src/test/java/org/apricotstand/request/RepeatedRefusalTest.java
+++ b/node/src/test/java/org/apricotstand/request/RepeatedRefusalTest.java
@@ -58,4 +58,14 @@
     assertThat(callWithId("q1")).endsWith("done");
     assertThat(countHeads()).isEqualTo(2);
   }
+
+  // Guards against an order that runs at a second target, or is told "not run", because a refusal
+  // without request id passes for the answer to it.
+  @ParameterizedTest
+  @ValueSource(strings = {"421 Other\r\n", "503 Busy\r\nX-Not-Executed: 1\r\n", "429 Slow\r\n"})
+  void aRefusalWithoutIdOnAKeptConnectionDoesNotSayThatAnOrderHasNotRun(String refusal)
+      throws IOException {
+    String answer = answerBehind("HTTP/1.1 " + refusal + END);
+    assertThat(answer.contains("HTTP/1.1 502 ") || answer.endsWith("done q2")).isTrue();
+  }
 }
