--- a/node/src/main/java/org/apricotstand/owner/EngineAnswerHandler.java
+++ b/node/src/main/java/org/apricotstand/owner/EngineAnswerHandler.java
@@ -87,17 +87,27 @@
   public void onHead(int answerStatus, HttpHeaders headers, ReplyControl replyControl) {
     status = answerStatus;
     control = replyControl;
+    forwarding = false;
+    String requestId = request.scheduled().id().value();
+    String answeredId = headers.get(EngineHeaders.REQUEST_ID, requestId);
+    if (!requestId.equals(answeredId)) {
+      giveUp(outcomeUnknown("other_request", "the answer belongs to request " + answeredId));
+      return;
+    }
     if (status != OK) {
-      forwarding = false;
       return;
     }
     String requested = request.scheduled().adapterVersion().toString();
     String echoed = headers.get(EngineHeaders.ADAPTER_VERSION);
     if (!requested.equals(echoed)) {
-      failPossiblyRunning(
+      giveUp(
           outcomeUnknown(
               "wrong_adapter_version", "requested " + requested + ", answered by " + echoed));
-      control.cancel();
+      return;
+    }
+    boolean hasEvents = headers.get("content-type", "").startsWith(EVENT_STREAM);
+    if (resumed && !hasEvents) {
+      giveUp(resumeFailureOutcome);
       return;
     }
     forwarding = true;
@@ -105,7 +115,7 @@
     if (resumed) {
       return;
     }
-    if (headers.get("content-type", "").startsWith(EVENT_STREAM)) {
+    if (hasEvents) {
       splitter = new TokenEventSplitter();
     }
     Map<String, String> forwardedHeaders = new LinkedHashMap<>();
@@ -121,7 +131,10 @@
       if (forwardable.length > 0) {
         sink.writePart(forwardable);
       }
-      if (!sink.isWritable()) {
+      if (splitter != null && splitter.hasForeignEvent()) {
+        forwarding = false;
+        giveUp(outcomeUnknown("answer_incomplete", "bytes that are no event in the stream"));
+      } else if (!sink.isWritable()) {
         control.suspend();
       }
     } else if (errorBody.size() < MAX_ERROR_BYTES) {
@@ -202,6 +215,14 @@
     }
   }
 
+  /**
+   * Closes the connection of an answer that cannot be forwarded; the engine may run the request.
+   */
+  private void giveUp(Outcome outcome) {
+    failPossiblyRunning(outcome);
+    control.cancel();
+  }
+
   private void failPossiblyRunning(Outcome outcome) {
     if (!ended) {
       ended = true;
--- a/node/src/main/java/org/apricotstand/request/AnswerHead.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerHead.java
@@ -2,6 +2,8 @@
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import java.util.Objects;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.apricotstand.front.ResponseFraming;
@@ -60,8 +62,24 @@
 
   /** Returns whether the body consists of events, as far as the head tells. */
   boolean hasEvents() {
-    String contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
-    return contentType.startsWith(EVENT_STREAM) || endsWithConnection();
+    return declaresEvents() || endsWithConnection();
+  }
+
+  /** Returns whether the head says that the body consists of events. */
+  boolean declaresEvents() {
+    return response.headers().get(HttpHeaderNames.CONTENT_TYPE, "").startsWith(EVENT_STREAM);
+  }
+
+  /**
+   * Returns whether the body is of the same kind as that of another answer, and may continue it.
+   */
+  boolean isOfSameKind(HttpResponse other) {
+    return Objects.equals(HttpUtil.getMimeType(response), HttpUtil.getMimeType(other))
+        && Objects.equals(encodingOf(response), encodingOf(other));
+  }
+
+  private static String encodingOf(HttpResponse answer) {
+    return answer.headers().get(HttpHeaderNames.CONTENT_ENCODING);
   }
 
   /** Returns whether the target says that it leaves. */
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.List;
@@ -82,7 +83,7 @@
   private long sentAfterMs = NOT_REACHED;
   private long firstByteAfterMs = NOT_REACHED;
   private boolean retryReserved;
-  private boolean answerStarted;
+  private HttpResponse answerHead;
   private boolean ended;
 
   RequestFlow(
@@ -194,7 +195,7 @@
     if (isSent) {
       currentAttempt.cancel();
     }
-    if (isSent || answerStarted || runs > 0) {
+    if (isSent || isAnswerStarted() || runs > 0) {
       abort(code);
     } else {
       fail(503, code, retryAfterMs);
@@ -259,7 +260,7 @@
    * {@link #abort} if it may have run.
    */
   private void refuseOrAbort(String code, RetryAdvice.Cause cause) {
-    if (answerStarted || runs > 0) {
+    if (isAnswerStarted() || runs > 0) {
       abort(code);
     } else {
       long leftMs = Math.max(0, callerDeadlineMs - ControlThread.nowMs());
@@ -272,7 +273,7 @@
    * leaves the outcome unknown.
    */
   private void abort(String code) {
-    if (answerStarted) {
+    if (isAnswerStarted()) {
       finish(code, 0);
       reply.abort();
     } else {
@@ -339,7 +340,8 @@
   }
 
   private boolean tryTakeRetry(int runsSoFar) {
-    boolean mayRunAgain = route.isIdempotent() || route.resumable();
+    boolean mayRunAgain =
+        isAnswerStarted() ? canResume() : route.isIdempotent() || route.resumable();
     return mayRunAgain && runsSoFar < route.maxAttempts() && tryReserveRetry();
   }
 
@@ -349,6 +351,11 @@
     return retryReserved;
   }
 
+  /** Returns whether another target can go on with the answer that the caller has in part. */
+  private boolean canResume() {
+    return eventSplitter != null && eventSplitter.canResume();
+  }
+
   void onRejected(Attempt attempt, int status) {
     rejections++;
     recordRejection(attempt.target(), status);
@@ -389,7 +396,7 @@
         "detail",
         failure.detail(),
         "answering",
-        answerStarted,
+        isAnswerStarted(),
         "begun",
         attempt.hasFirstByte(),
         "traits",
@@ -417,7 +424,7 @@
       excludedTargetIds.add(attempt.target().id());
       dispatch();
     } else {
-      abort(answerStarted ? "broken_off" : "answer_lost");
+      abort(isAnswerStarted() ? "broken_off" : "answer_lost");
     }
   }
 
@@ -483,7 +490,7 @@
     if (current != null) {
       current.cancel();
     }
-    if (answerStarted) {
+    if (isAnswerStarted()) {
       abort("deadline");
     } else if (current != null || runs > 0) {
       fail(504, "deadline", 0);
@@ -524,12 +531,22 @@
 
   /** Returns whether the caller has got the head of an answer. */
   boolean isAnswerStarted() {
-    return answerStarted;
+    return answerHead != null;
+  }
+
+  /** Returns the head that the caller has got; null before that. */
+  HttpResponse answerHead() {
+    return answerHead;
   }
 
   /** Passes the head of a streamed answer on; from now on the request cannot be refused. */
   void startAnswer(HttpResponse head) {
-    answerStarted = true;
+    answerHead = head;
+    boolean hasBody = !HttpMethod.HEAD.equals(method());
+    if (eventSplitter != null && hasBody && HttpUtil.isContentLengthSet(head)) {
+      // Another target may continue the stream with an answer of another length.
+      HttpUtil.setTransferEncodingChunked(head, true);
+    }
     reply.writeHead(head);
   }
 
