Keep a connection until its answer has left

Callers that read slowly got only a part of their answer: the connection was closed as idle, or by a stop, while bytes of the answer still waited for the caller. Nothing was logged.

Cause: an answer counted as given when it was written to the channel. From then on the connection was idle: the idle timeout ran, the close of idle connections 2.6 s after SIGTERM and the end of accepting dropped the bytes that had not left, and the request counted no more as open, so that the process could end.

Now a request is open until the last write of its answer is done. Connections are closed after what they still send. A caller that takes no byte for the idle timeout is disconnected with a reset.

--- a/node/src/main/java/org/apricotstand/front/CallReply.java
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -71,8 +73,7 @@
       answer.content().clear();
     }
     setConnectionHeader(answer, true);
-    channel.writeAndFlush(answer, channel.voidPromise());
-    finish();
+    finish(channel.writeAndFlush(answer));
   }
 
   @Override
@@ -107,8 +108,7 @@
   @Override
   public void end() {
     if (!ended) {
-      channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT, channel.voidPromise());
-      finish();
+      finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
     }
   }
 
@@ -132,8 +132,9 @@
     }
   }
 
-  private void finish() {
+  private void finish(ChannelFuture lastWrite) {
     ended = true;
-    connection.onReplyCompleted(keepsAlive);
+    lastWrite.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    connection.onReplyCompleted(keepsAlive, lastWrite);
   }
 }
--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -4,9 +4,11 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -46,6 +48,8 @@
   private long firstByteMs;
   private CallReply reply;
   private long idleSinceMs = ControlThread.nowMs();
+  private ChannelFuture lastWrite;
+  private long unsentBytes;
 
   /** Refusal of an unreadable request, which waits for the answers to the requests before it. */
   private record Refusal(int status, String code) {}
@@ -165,10 +169,15 @@
   /**
    * Called when an answer is complete. Serves the next queued request, or closes the connection
    * unless it is kept alive.
+   *
+   * @param answerWrite write of the last part, which ends when the answer has left
    */
-  void onReplyCompleted(boolean keepAlive) {
+  void onReplyCompleted(boolean keepAlive, ChannelFuture answerWrite) {
     reply = null;
+    lastWrite = answerWrite;
+    unsentBytes = unsentBytes();
     idleSinceMs = ControlThread.nowMs();
+    answerWrite.addListener(done -> idleSinceMs = ControlThread.nowMs());
     server.onRequestEnded();
     PipelinedRequest next = pipelinedRequests.poll();
     if (!keepAlive) {
@@ -194,8 +203,7 @@
   void onReplyAborted() {
     reply = null;
     server.onRequestEnded();
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
-    channel.close();
+    reset();
   }
 
   /** Returns whether the next answer is the last one; requests that were read are answered. */
@@ -203,9 +211,13 @@
     return server.isDraining() && pipelinedRequests.isEmpty();
   }
 
-  /** Returns whether a request is being received or answered. */
+  /** Returns whether a request is being received or answered, or its answer is still leaving. */
   boolean hasOpenRequest() {
-    return reply != null || hasPartOfRequest();
+    return reply != null || hasPartOfRequest() || isSending();
+  }
+
+  private boolean isSending() {
+    return lastWrite != null && !lastWrite.isDone();
   }
 
   private boolean hasPartOfRequest() {
@@ -217,7 +229,7 @@
     if (hasPartOfRequest()) {
       refuse(503, "shutting_down");
     } else if (reply == null && !ignoringInput) {
-      channel.close();
+      closeAfterFlush();
     }
     ignoringInput = true;
   }
@@ -231,6 +243,10 @@
     if (reply != null) {
       return;
     }
+    if (isSending()) {
+      resetIfStalled(nowMs);
+      return;
+    }
     if (requestBegun && head == null && nowMs - firstByteMs > server.limits().headerTimeoutMs()) {
       refuse(408, "header_timeout");
     } else if (!requestBegun && nowMs - idleSinceMs > server.limits().idleTimeoutMs()) {
@@ -240,6 +256,28 @@
     }
   }
 
+  /** Gives up on a caller that has taken no byte of its answer for the idle timeout. */
+  private void resetIfStalled(long nowMs) {
+    long stillUnsentBytes = unsentBytes();
+    if (stillUnsentBytes != unsentBytes) {
+      unsentBytes = stillUnsentBytes;
+      idleSinceMs = nowMs;
+    } else if (nowMs - idleSinceMs > server.limits().idleTimeoutMs()) {
+      reset();
+    }
+  }
+
+  private long unsentBytes() {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
+  }
+
+  /** Closes the connection in a way that shows that an answer is incomplete. */
+  private void reset() {
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    channel.close();
+  }
+
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     if (reply != null && channel.isWritable()) {
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -3,13 +3,21 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -24,11 +32,17 @@
 
   private static final String REQUEST = "GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n";
   private static final long TEST_TIMEOUT_MS = 20_000;
+  private static final long IDLE_TIMEOUT_MS = 1_500;
+  private static final int LONG_ANSWER_BYTES = 48_000_000;
+  private static final int SLOW_READS = 40;
+  private static final int SLOW_READ_BYTES = 500_000;
+  private static final long SLOW_READ_PAUSE_MS = 90;
 
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
   private final BlockingQueue<Reply> replies = new LinkedBlockingQueue<>();
+  private volatile CallerLimits limits = new CallerLimits(16_384, 65_536, 3_000, 15_000);
   private CallerServer server;
 
   /** Leaves each request in progress until the test answers it. */
@@ -47,7 +61,6 @@
           replies.add(reply);
           return new UnfinishedCall();
         };
-    CallerLimits limits = new CallerLimits(16_384, 65_536, 3_000, 15_000);
     InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     server = new CallerServer(loop, anyPort, () -> limits, handler, new Metrics());
     server.start();
@@ -155,6 +168,109 @@
     }
   }
 
+  // Guards against answers that are cut off because their caller reads them slowly: the connection
+  // counted as idle from the moment at which the answer was written.
+  @Test
+  void aCallerThatReadsSlowlyGetsItsWholeAnswer() throws Exception {
+    limits = new CallerLimits(16_384, 65_536, 3_000, IDLE_TIMEOUT_MS);
+    try (Socket socket = connectWithSmallBuffer()) {
+      send(socket, REQUEST);
+      answerNextAtLength();
+      assertThat(readSlowly(socket)).isEqualTo(LONG_ANSWER_BYTES);
+    }
+  }
+
+  // Guards against answers that are cut off by the close of idle connections while an instance
+  // stops.
+  @Test
+  void aStoppingServerCutsOffNoAnswerThatIsStillRead() throws Exception {
+    try (Socket socket = connectWithSmallBuffer()) {
+      send(socket, REQUEST);
+      server.drain();
+      answerNextAtLength();
+      assertThat(readSlowly(socket)).isEqualTo(LONG_ANSWER_BYTES);
+    }
+  }
+
+  // Guards against answers that are cut off because the process ends, or closes all connections,
+  // while they are on their way.
+  @Test
+  void aRequestCountsAsOpenUntilItsAnswerHasLeft() throws Exception {
+    try (Socket socket = connectWithSmallBuffer()) {
+      send(socket, REQUEST);
+      awaitOpenRequests(1);
+      answerNextAtLength();
+      loop.submit(() -> {}).sync();
+      assertThat(openRequests()).isEqualTo(1);
+      loop.submit(() -> server.stopAccepting()).sync();
+      assertThat(readSlowly(socket)).isEqualTo(LONG_ANSWER_BYTES);
+      awaitOpenRequests(0);
+    }
+  }
+
+  // Guards against connections that are kept for callers that never read their answer.
+  @Test
+  void aCallerThatReadsNothingIsDisconnected() throws Exception {
+    limits = new CallerLimits(16_384, 65_536, 3_000, IDLE_TIMEOUT_MS);
+    try (Socket socket = connectWithSmallBuffer()) {
+      send(socket, REQUEST);
+      answerNextAtLength();
+      awaitOpenRequests(0);
+      assertThat(loop.submit(() -> server.openConnections()).get()).isEqualTo(0);
+    }
+  }
+
+  private Socket connectWithSmallBuffer() throws IOException {
+    Socket socket = new Socket();
+    socket.setReceiveBufferSize(4_096);
+    socket.setSoTimeout((int) TEST_TIMEOUT_MS);
+    socket.connect(server.address());
+    return socket;
+  }
+
+  private void answerNextAtLength() throws InterruptedException {
+    Reply reply = replies.poll(TEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, LONG_ANSWER_BYTES);
+    ByteBuf body = Unpooled.wrappedBuffer(new byte[LONG_ANSWER_BYTES]);
+    loop.submit(
+            () -> {
+              reply.writeHead(head);
+              reply.writePart(body);
+              reply.end();
+            })
+        .sync();
+  }
+
+  /** Reads an answer over more than three seconds and returns the length of its body. */
+  private static int readSlowly(Socket socket) throws IOException, InterruptedException {
+    InputStream in = socket.getInputStream();
+    String head = readHead(in);
+    assertThat(head).startsWith("HTTP/1.1 200 ");
+    int bytes = 0;
+    try {
+      for (int i = 0; i < SLOW_READS; i++) {
+        bytes += in.readNBytes(SLOW_READ_BYTES).length;
+        TimeUnit.MILLISECONDS.sleep(SLOW_READ_PAUSE_MS);
+      }
+      bytes += in.readNBytes(LONG_ANSWER_BYTES - bytes).length;
+    } catch (SocketException e) {
+      // The answer was cut off; the number of bytes shows it.
+      assertThat(e).hasMessageThat().contains("reset");
+    }
+    return bytes;
+  }
+
+  private static String readHead(InputStream in) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      assertThat(next).isAtLeast(0);
+      head.append((char) next);
+    }
+    return head.toString();
+  }
+
   private int openRequests() throws Exception {
     return loop.submit(() -> server.openRequests()).get();
   }
