Don't take a line break behind a request for the next one

Old callers send a line break behind a body. Such a caller got an answer with status 408 to no request, and its connection was closed, 3 s later; a request that it sent within these 3 s was given the arrival time of the line break, so that its deadline passed too early. A stopping instance waited for a request that never came.

Cause: any byte between two requests counted as the first byte of a request, also those that the decoder skips.

Bytes that are only line breaks are no longer recorded. The test failed before with status 408 (header_timeout) in place of the answer to the second request.

--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -1,5 +1,6 @@
 package org.apricotstand.front;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -81,7 +82,9 @@
             new ChannelInboundHandlerAdapter() {
               @Override
               public void channelRead(ChannelHandlerContext context, Object message) {
-                connection.recordFirstByte();
+                if (message instanceof ByteBuf bytes && !RequestDecoder.isSkipped(bytes)) {
+                  connection.recordFirstByte();
+                }
                 context.fireChannelRead(message);
               }
             },
--- a/node/src/main/java/org/apricotstand/front/RequestDecoder.java
+++ b/node/src/main/java/org/apricotstand/front/RequestDecoder.java
@@ -1,5 +1,6 @@
 package org.apricotstand.front;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -17,6 +18,14 @@
             .setMaxChunkSize(65_536));
   }
 
+  /**
+   * Returns whether bytes between two requests begin none: old callers send a line break behind a
+   * body.
+   */
+  static boolean isSkipped(ByteBuf bytes) {
+    return bytes.forEachByte(next -> next == '\r' || next == '\n') < 0;
+  }
+
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
     throw new IllegalArgumentException("both Content-Length and chunked Transfer-Encoding");
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import org.apricotstand.control.ControlThread;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.route.CallerLimits;
 import org.junit.jupiter.api.AfterEach;
@@ -42,6 +43,7 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
   private final BlockingQueue<Reply> replies = new LinkedBlockingQueue<>();
+  private final BlockingQueue<CallerRequest> requests = new LinkedBlockingQueue<>();
   private volatile CallerLimits limits = new CallerLimits(16_384, 65_536, 3_000, 15_000);
   private CallerServer server;
 
@@ -58,6 +60,7 @@
   void start() {
     CallHandler handler =
         (request, reply) -> {
+          requests.add(request);
           replies.add(reply);
           return new UnfinishedCall();
         };
@@ -271,6 +274,26 @@
     return head.toString();
   }
 
+  // Guards against a refusal that is sent, and a deadline that begins, because of the line break
+  // that old callers send behind a body.
+  @Test
+  void aLineBreakBehindARequestBeginsNoRequest() throws Exception {
+    limits = new CallerLimits(16_384, 65_536, 200, 15_000);
+    try (Socket socket = connect()) {
+      send(socket, REQUEST);
+      answerNext();
+      awaitOpenRequests(0);
+      send(socket, "\r\n");
+      TimeUnit.MILLISECONDS.sleep(1_500);
+      assertThat(openRequests()).isEqualTo(0);
+      long beforeMs = ControlThread.nowMs();
+      send(socket, REQUEST);
+      answerNext();
+      requests.remove();
+      assertThat(requests.remove().arrivedMs()).isAtLeast(beforeMs);
+    }
+  }
+
   private int openRequests() throws Exception {
     return loop.submit(() -> server.openRequests()).get();
   }
