Answer a request whose handling fails

A failure inside the handling of one request closed its caller's connection without an answer, or left the request until its deadline, and if the answer had been taken from the target already, for ever. Nothing named the request in the log.

Cause: exceptions on the traffic thread ended in the network library, which closes the connection, or drops them if a timer or a listener has thrown.

Each step of a request is guarded now, also those that timers, changes of the view and the end of an attempt start: the request ends with 502 (internal_error), or a reset if its answer has begun, and request_step_failed names it. The caller's connection does the same for what fails before the request has a flow.

--- a/node/src/main/java/org/apricotstand/front/CallReply.java
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -27,6 +27,7 @@
   private final boolean callerKeepsAlive;
   private CallHandler.ActiveCall call;
   private boolean keepsAlive;
+  private boolean begun;
   private boolean ended;
   private boolean disconnected;
 
@@ -95,6 +96,7 @@
     // end marker of our own would make a truncated answer look complete.
     boolean selfDelimited = bodiless || length != null || HttpUtil.isTransferEncodingChunked(head);
     setConnectionHeader(answer, selfDelimited);
+    begun = true;
     channel.write(answer, channel.voidPromise());
   }
 
@@ -120,6 +122,15 @@
     }
   }
 
+  /** Fails the request, or breaks its answer off if that has begun. */
+  void failOrAbort(int status, String code) {
+    if (begun) {
+      abort();
+    } else {
+      fail(status, code, 0);
+    }
+  }
+
   @Override
   public boolean isWritable() {
     return channel.isWritable();
--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Optional;
@@ -38,6 +39,9 @@
 
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
+  /** Promises nothing about the run of the request. */
+  private static final int BAD_GATEWAY = 502;
+
   private final CallerServer server;
   private final Queue<PipelinedRequest> pipelinedRequests = new ArrayDeque<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -146,8 +150,12 @@
     reply = new CallReply(this, channel, request, keepAlive);
     server.onRequestStarted();
     CallReply current = reply;
-    CallHandler.ActiveCall call = server.handler().handle(request, current);
-    current.setCall(call);
+    try {
+      current.setCall(server.handler().handle(request, current));
+    } catch (RuntimeException e) {
+      server.recordFailedHandling(e);
+      current.failOrAbort(BAD_GATEWAY, "internal_error");
+    }
   }
 
   /**
@@ -298,6 +306,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      server.recordFailedHandling(cause);
+    }
     channel.close();
   }
 }
--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -160,6 +160,11 @@
     LOG.info("request_unreadable", "status", status, "code", code);
   }
 
+  void recordFailedHandling(Throwable cause) {
+    metrics.count("caller.handling_failed");
+    LOG.warn("request_handling_failed", "error", cause.toString());
+  }
+
   private void sweep() {
     long nowMs = ControlThread.nowMs();
     callerConnections().forEach(connection -> connection.sweep(nowMs));
--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -176,6 +176,10 @@
 
   @Override
   public void onEnd() {
+    flow.guard(this::end);
+  }
+
+  private void end() {
     if (closed) {
       return;
     }
@@ -235,6 +239,10 @@
 
   @Override
   public void onFailure(SendFailure failure) {
+    flow.guard(() -> fail(failure));
+  }
+
+  private void fail(SendFailure failure) {
     if (closed) {
       return;
     }
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -40,6 +40,9 @@
   /** Code of requests that are refused because others like them crashed targets. */
   static final String CRASHES_TARGETS = "crashes_targets";
 
+  /** Code of requests that end because a step of this instance failed. */
+  static final String INTERNAL_ERROR = "internal_error";
+
   /** Time after which a caller may send a request again that was refused for crashing targets. */
   static final long CRASHING_REQUEST_RETRY_MS = 60_000;
 
@@ -143,14 +146,43 @@
   void start() {
     router.activeFlows().add(this);
     long leftMs = Math.max(0, deadlineMs - ControlThread.nowMs());
-    deadlineTimer = router.loop().schedule(this::onDeadline, leftMs, TimeUnit.MILLISECONDS);
+    deadlineTimer = schedule(this::onDeadline, leftMs);
     if (adapter != null) {
       router.loadTracker().recordArrival(adapter);
       long refuseAtMs = request.arrivedMs() + route.firstByteTimeoutMs() - REFUSAL_MARGIN_MS;
       long delayMs = Math.max(0, refuseAtMs - ControlThread.nowMs());
-      refusalTimer = router.loop().schedule(this::onRefusalTimer, delayMs, TimeUnit.MILLISECONDS);
+      refusalTimer = schedule(this::onRefusalTimer, delayMs);
+    }
+    guard(this::dispatch);
+  }
+
+  private ScheduledFuture<?> schedule(Runnable step, long delayMs) {
+    return router.loop().schedule(() -> guard(step), delayMs, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Runs a step of the request. If the step fails, the request is ended: nothing else would answer
+   * it, and other requests go on.
+   */
+  void guard(Runnable step) {
+    try {
+      step.run();
+    } catch (RuntimeException e) {
+      LOG.warn("request_step_failed", "request", requestId, "error", e.toString());
+      endAfterFailedStep();
+    }
+  }
+
+  private void endAfterFailedStep() {
+    if (ended) {
+      // Has no effect if the answer is complete.
+      reply.abort();
+      return;
     }
-    dispatch();
+    if (currentAttempt != null) {
+      currentAttempt.cancel();
+    }
+    abort(INTERNAL_ERROR);
   }
 
   /** Refuses the request if its adapter is not loaded shortly before the caller disconnects. */
@@ -163,7 +195,7 @@
   /** Chooses a target again after the view of the fleet has changed. */
   void onViewChanged() {
     if (!ended && currentAttempt == null && !turnWait.isWaiting()) {
-      dispatch();
+      guard(this::dispatch);
     }
   }
 
@@ -239,7 +271,7 @@
 
   /** Sends the request as soon as the limit of the target allows. */
   private void sendInTurn(TargetEntry target) {
-    if (turnWait.takeTurn(target, this::onTurn)) {
+    if (turnWait.takeTurn(target, next -> guard(() -> onTurn(next)))) {
       send(target);
     }
   }
@@ -305,7 +337,7 @@
     if (route.isIdempotent()) {
       long leftMs = deadlineMs - ControlThread.nowMs();
       long headTimeoutMs = Math.max(MIN_HEAD_TIMEOUT_MS, (long) (HEAD_TIMEOUT_FRACTION * leftMs));
-      router.loop().schedule(() -> onHeadTimeout(current), headTimeoutMs, TimeUnit.MILLISECONDS);
+      schedule(() -> onHeadTimeout(current), headTimeoutMs);
     }
   }
 
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -128,7 +128,7 @@
   }
 
   private ActiveCall awaitPlan(CallerRequest request, Reply reply) {
-    PlanWait wait = new PlanWait(loop, planWaitEndMs, () -> handleAfterWait(request, reply));
+    PlanWait wait = new PlanWait(loop, planWaitEndMs, () -> handleOrFail(request, reply));
     planWaits.add(wait);
     return wait;
   }
@@ -139,6 +139,22 @@
     waits.forEach(PlanWait::endWait);
   }
 
+  /** Handles a request outside the call that brought it, where nothing else would answer it. */
+  private ActiveCall handleOrFail(CallerRequest request, Reply reply) {
+    try {
+      return handleAfterWait(request, reply);
+    } catch (RuntimeException e) {
+      LOG.warn(
+          "request_step_failed",
+          "request",
+          request.headers().get(headerNames.requestId()),
+          "error",
+          e.toString());
+      reply.fail(502, RequestFlow.INTERNAL_ERROR, 0);
+      return new EndedCall();
+    }
+  }
+
   private ActiveCall handleAfterWait(CallerRequest request, Reply reply) {
     planWaits.removeIf(PlanWait::isEnded);
     if (view.get().plan() != null) {
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -44,6 +44,7 @@
   private final EventLoop loop = group.next();
   private final BlockingQueue<Reply> replies = new LinkedBlockingQueue<>();
   private final BlockingQueue<CallerRequest> requests = new LinkedBlockingQueue<>();
+  private volatile boolean handlingFails;
   private volatile CallerLimits limits = new CallerLimits(16_384, 65_536, 3_000, 15_000);
   private CallerServer server;
 
@@ -60,6 +61,9 @@
   void start() {
     CallHandler handler =
         (request, reply) -> {
+          if (handlingFails) {
+            throw new IllegalStateException("test");
+          }
           requests.add(request);
           replies.add(reply);
           return new UnfinishedCall();
@@ -294,6 +298,17 @@
     }
   }
 
+  // Guards against a request that is dropped without an answer, and without a word in the log,
+  // because its handling fails.
+  @Test
+  void aRequestWhoseHandlingFailsIsAnswered() throws Exception {
+    handlingFails = true;
+    try (Socket socket = connect()) {
+      send(socket, REQUEST);
+      assertThat(readHead(socket.getInputStream())).startsWith("HTTP/1.1 502 ");
+    }
+  }
+
   private int openRequests() throws Exception {
     return loop.submit(() -> server.openRequests()).get();
   }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -72,6 +72,7 @@
   final List<Trait> refusals = new CopyOnWriteArrayList<>();
   final LocalLoadTracker loadTracker = new LocalLoadTracker();
   volatile FleetView view = FleetView.EMPTY;
+  volatile boolean fleetFails;
   long firstByteTimeoutMs = 2_000;
   CallerServer server;
   RequestRouter router;
@@ -79,6 +80,7 @@
   final class RecordingFleet implements FleetNotifier {
     @Override
     public void requestLoad(String engine, SlotEvent.LoadRequested loadRequest) {
+      failIfTold();
       fleetCalls.add(engine + " " + loadRequest.key() + " " + loadRequest.version());
     }
 
@@ -107,8 +109,15 @@
       refusals.add(trait);
     }
 
+    private void failIfTold() {
+      if (fleetFails) {
+        throw new IllegalStateException("test");
+      }
+    }
+
     @Override
     public void reportMissing(String engine, AdapterKey key) {
+      failIfTold();
       fleetCalls.add("missing " + engine + " " + key);
     }
   }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -8,6 +8,7 @@
 import java.io.OutputStream;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -400,6 +401,34 @@
     assertThat(answer.get()).endsWith("done");
   }
 
+  // Guards against a request that is dropped without an answer, because a step of it fails.
+  @Test
+  void aRequestWhoseFirstStepFailsIsAnswered() throws IOException {
+    fleetFails = true;
+    serveEngine(Map.of(), ANSWERS_DONE);
+    assertThat(call("X-Model: m/a1\r\n")).contains("internal_error");
+  }
+
+  // Guards against a request that waits for its deadline, or for ever, because the step fails that
+  // follows a target's answer.
+  @Test
+  void aRequestWhoseStepAfterAnAnswerFailsIsAnswered() throws IOException {
+    fleetFails = true;
+    String rejection = "HTTP/1.1 421 Other\r\nX-Id: q1\r\nContent-Length: 0\r\n\r\n";
+    serveEngine(Map.of(ADAPTER, 1L), always(rejection, true));
+    assertThat(call("X-Model: m/a1\r\n")).contains("internal_error");
+  }
+
+  private void serveEngine(Map<AdapterKey, Long> adapters, ScriptedTarget.Script script)
+      throws IOException {
+    EngineSpec spec = new EngineSpec(8, 100, 4, List.of(new ModelSpec("m", 50, 100, 10)));
+    Map<AdapterKey, Long> resident = new HashMap<>(adapters);
+    resident.put(new AdapterKey("m", ""), 1L);
+    Map<String, Residency> residency = Map.of("t1", Residency.of(resident));
+    TargetEntry target = target("t1", script);
+    view = view(RequestKind.NON_IDEMPOTENT, 1, false, Optional.of(spec), residency, target);
+  }
+
   private static void pause(long durationMs) {
     try {
       Thread.sleep(durationMs);
