Read on before closing the connection of a caller that still sends

A caller whose body was refused while it was still sending it got a reset instead of the refusal (413), and with it could lose the answer to the request before.

Cause: the connection was closed with input that had not been read, on which the kernel resets it and the caller's side drops what it has not read yet.

After a refusal of what cannot be read, and after the answers to too many queued requests, the instance now ends only its own direction and discards what comes until the caller closes, for one second at most.

--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -28,6 +29,7 @@
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 import org.apricotstand.control.ControlThread;
 
 /**
@@ -39,6 +41,9 @@
 
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
+  /** Time in which a caller that has been refused may go on sending. */
+  private static final long MAX_CLOSE_MS = 1_000;
+
   /** Promises nothing about the run of the request. */
   private static final int BAD_GATEWAY = 502;
 
@@ -171,7 +176,25 @@
     FullHttpResponse answer = FailureAnswer.of(status, code);
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     server.recordUnreadableRequest(status, code);
-    channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+    lastWrite = channel.writeAndFlush(answer);
+    closeAfterInput(lastWrite);
+  }
+
+  /**
+   * Ends what is sent after a write, and closes the connection when the caller has done the same. A
+   * close before all input is read resets the connection, so that the caller may lose its answers.
+   */
+  private void closeAfterInput(ChannelFuture write) {
+    write.addListener(done -> shutDownOutput());
+  }
+
+  private void shutDownOutput() {
+    if (channel.isActive() && channel instanceof DuplexChannel duplex) {
+      duplex.shutdownOutput();
+      channel.eventLoop().schedule(() -> channel.close(), MAX_CLOSE_MS, TimeUnit.MILLISECONDS);
+    } else {
+      channel.close();
+    }
   }
 
   /**
@@ -188,14 +211,16 @@
     answerWrite.addListener(done -> idleSinceMs = ControlThread.nowMs());
     server.onRequestEnded();
     PipelinedRequest next = pipelinedRequests.poll();
-    if (!keepAlive) {
+    if (!keepAlive && !ignoringInput) {
       closeAfterFlush();
+    } else if (!keepAlive) {
+      closeAfterInput(answerWrite);
     } else if (next != null) {
       serve(next.request, next.keepAlive);
     } else if (pendingRefusal != null) {
       refuse(pendingRefusal.status, pendingRefusal.code);
     } else if (ignoringInput) {
-      closeAfterFlush();
+      closeAfterInput(answerWrite);
     }
   }
 
@@ -247,14 +272,18 @@
    * when the server closes idle connections.
    */
   void sweep(long nowMs) {
-    boolean requestBegun = firstByteMs != 0;
     if (reply != null) {
       return;
     }
     if (isSending()) {
       resetIfStalled(nowMs);
-      return;
+    } else if (!ignoringInput) {
+      closeIfIdle(nowMs);
     }
+  }
+
+  private void closeIfIdle(long nowMs) {
+    boolean requestBegun = firstByteMs != 0;
     if (requestBegun && head == null && nowMs - firstByteMs > server.limits().headerTimeoutMs()) {
       refuse(408, "header_timeout");
     } else if (!requestBegun && nowMs - idleSinceMs > server.limits().idleTimeoutMs()) {
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -309,6 +309,28 @@
     }
   }
 
+  // Guards against the loss of a refusal, and of the answer before it, because the caller still
+  // sends when the connection is closed.
+  @Test
+  void aCallerThatStillSendsGetsItsAnswers() throws Exception {
+    String tooLarge = "POST /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: 20000000\r\n\r\n";
+    try (Socket socket = connect()) {
+      send(socket, REQUEST + tooLarge);
+      awaitOpenRequests(1);
+      answerNext();
+      try {
+        for (int i = 0; i < 20; i++) {
+          socket.getOutputStream().write(new byte[100_000]);
+          TimeUnit.MILLISECONDS.sleep(10);
+        }
+      } finally {
+        String received = readAll(socket);
+        assertThat(received).contains("HTTP/1.1 504 ");
+        assertThat(received).contains("HTTP/1.1 413 ");
+      }
+    }
+  }
+
   private int openRequests() throws Exception {
     return loop.submit(() -> server.openRequests()).get();
   }
