Answer the requests before those that are too many on a connection

A caller of an entry instance that sent more than 17 requests at once lost all answers, also those to requests that ran.

Cause: the request beyond the queue closed the connection at once. The front of the platform's program was changed to read nothing more and close after the answers; the other request path was not.

--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -18,7 +18,10 @@
  */
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
 
-  /** Maximum number of queued pipelined requests; a caller that sends more is disconnected. */
+  /**
+   * Maximum number of queued pipelined requests. What a caller sends beyond that is not read, and the
+   * connection is closed after the answers to the others.
+   */
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
   /**
@@ -31,6 +34,7 @@
   private final Queue<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
   private NettyExchange currentExchange;
   private boolean inputClosed;
+  private boolean ignoringInput;
   private boolean draining;
   private ChannelHandlerContext channelContext;
 
@@ -62,12 +66,15 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+    if (ignoringInput) {
+      return;
+    }
     if (currentExchange == null) {
       serve(context, request);
     } else if (pipelinedRequests.size() < MAX_PIPELINED_REQUESTS) {
       pipelinedRequests.add(request.retain());
     } else {
-      context.close();
+      ignoringInput = true;
     }
   }
 
@@ -104,7 +111,7 @@
       } finally {
         next.release();
       }
-    } else if (!keepAlive || inputClosed || draining) {
+    } else if (!keepAlive || inputClosed || ignoringInput || draining) {
       context.close();
     }
   }
--- a/node/src/test/java/org/apricotstand/http/HttpServerTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerTest.java
@@ -19,6 +19,7 @@
 class HttpServerTest {
 
   private static final HttpLimits LIMITS = new HttpLimits(1_024, 2_048, 8, 60_000, 500);
+  private static final long SLOW_ANSWER_MS = 100;
   private static final String STREAMED_BODY = "firstsecond";
 
   private final EventLoopGroup group =
@@ -40,6 +41,9 @@
         exchange.write("first".getBytes(StandardCharsets.UTF_8));
         exchange.abort();
       }
+      case "/slow" ->
+          group.schedule(
+              () -> exchange.respondJson(200, "\"slow\""), SLOW_ANSWER_MS, TimeUnit.MILLISECONDS);
       case "/flood" -> {
         exchange.setCloseListener(callerDisconnected::countDown);
         exchange.begin(200, Map.of());
@@ -104,6 +108,15 @@
     }
   }
 
+  /** Guards against the loss of answers to requests that run, because their caller sends too many. */
+  @Test
+  void answersTheFirstOfTooManyPipelinedRequests() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET /slow HTTP/1.1\r\nx-name: a\r\n\r\n".repeat(40));
+      assertThat(caller.readAll().split("200 OK", -1)).hasLength(18);
+    }
+  }
+
   /** Guards against unbounded bodies, and against closing the connection after a refused one. */
   @Test
   void refusesTooLargeBodyAndKeepsConnection() throws IOException {
