Tell the caller of a queued request to send its body

A caller that waits for "100 Continue" before it sends a body got none if its request arrived while the one before was being answered. A strict one waits for ever, and the connection stays open with a request that never arrives.

Cause: the interim answer was skipped while an answer was in progress, and not made up for afterwards.

It is now sent after that answer. CallerConnectionTest failed before: nothing came within 20 s.

--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -110,7 +110,14 @@
       refuse(400, "malformed_" + reason.get());
     } else if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
       refuse(413, "body_too_large");
-    } else if (HttpUtil.is100ContinueExpected(request) && reply == null) {
+    } else if (reply == null) {
+      continueIfExpected();
+    }
+  }
+
+  /** Tells the caller to send the body of the request whose head was read, if it waits for that. */
+  private void continueIfExpected() {
+    if (HttpUtil.is100ContinueExpected(head) && body.size() == 0) {
       channel.writeAndFlush(
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -221,6 +228,8 @@
       refuse(pendingRefusal.status, pendingRefusal.code);
     } else if (ignoringInput) {
       closeAfterInput(answerWrite);
+    } else if (head != null) {
+      continueIfExpected();
     }
   }
 
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -331,6 +331,24 @@
     }
   }
 
+  // Guards against a caller that waits for leave to send a body which nobody gives it, because the
+  // answer before was not complete when its request arrived.
+  @Test
+  void aQueuedRequestIsToldToContinue() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, REQUEST);
+      awaitOpenRequests(1);
+      send(
+          socket,
+          "POST /p/ HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+      TimeUnit.MILLISECONDS.sleep(100);
+      answerNext();
+      assertThat(readHead(socket.getInputStream())).startsWith("HTTP/1.1 504 ");
+      socket.getInputStream().readNBytes("{\"error\":\"test\"}".length());
+      assertThat(readHead(socket.getInputStream())).startsWith("HTTP/1.1 100 ");
+    }
+  }
+
   private int openRequests() throws Exception {
     return loop.submit(() -> server.openRequests()).get();
   }
