Refuse a body that is too large after the answers before it

A caller of an entry instance that sent a second request before it had the answer to the first, with a body over the limit, got 413 first and took it for the answer to the first request, whose own answer it then took for the second.

Cause: the refusal was written as soon as the head was read, past the queue of answers on that connection.

The request is now passed on at once with a failed decoder result and refused when its turn comes; the rest of its body is still read and discarded. HttpServerTest failed before: 413 at index 9, the first answer at 219.

--- a/node/src/main/java/org/apricotstand/http/BodyCollector.java
+++ b/node/src/main/java/org/apricotstand/http/BodyCollector.java
@@ -2,18 +2,18 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpResponse;
-import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
-import java.nio.charset.StandardCharsets;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 
 /**
- * Collects the whole body of a request. A body over the limit is answered with status 413 and a
- * JSON error; the connection stays open for the next request.
+ * Collects the whole body of a request. A request whose body is over the limit is passed on at
+ * once, with a failure as its decoder result and without its body.
  */
 final class BodyCollector extends HttpObjectAggregator {
 
@@ -21,19 +21,25 @@
     super(maxBodyBytes);
   }
 
+  /**
+   * Passes on a request that is refused when its turn has come. The rest of its body is read and
+   * discarded: closing now would reset the connection while the caller is still sending, and the
+   * caller could lose the answer.
+   */
   @Override
   protected void handleOversizedMessage(ChannelHandlerContext context, HttpMessage oversized) {
-    byte[] body = notRun("body_too_large").getBytes(StandardCharsets.UTF_8);
-    FullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
-            Unpooled.wrappedBuffer(body));
-    response.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-    // The rest of the body is read and discarded. Closing now would reset the connection while the
-    // caller is still sending, and the caller could lose the answer.
-    context.writeAndFlush(response);
+    HttpRequest head = (HttpRequest) oversized;
+    FullHttpRequest refused =
+        new DefaultFullHttpRequest(
+            head.protocolVersion(),
+            head.method(),
+            head.uri(),
+            Unpooled.EMPTY_BUFFER,
+            head.headers(),
+            EmptyHttpHeaders.INSTANCE);
+    refused.setDecoderResult(
+        DecoderResult.failure(new TooLongHttpContentException("body too large")));
+    context.fireChannelRead(refused);
   }
 
   /** Returns the JSON body of an error that occurs before a request has been read. */
--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.timeout.IdleStateEvent;
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -19,8 +20,8 @@
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
 
   /**
-   * Maximum number of queued pipelined requests. What a caller sends beyond that is not read, and the
-   * connection is closed after the answers to the others.
+   * Maximum number of queued pipelined requests. What a caller sends beyond that is not read, and
+   * the connection is closed after the answers to the others.
    */
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
@@ -91,15 +92,38 @@
   }
 
   private void reject(ChannelHandlerContext context, FullHttpRequest request) {
-    boolean tooLarge = request.decoderResult().cause() instanceof TooLongFrameException;
-    HttpResponseStatus status =
-        tooLarge
-            ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-            : HttpResponseStatus.BAD_REQUEST;
-    HttpUtil.setKeepAlive(request, false);
+    Rejection rejection = Rejection.of(request.decoderResult().cause());
+    if (rejection.closesConnection) {
+      HttpUtil.setKeepAlive(request, false);
+    }
     currentExchange = new NettyExchange(context, request, this::onAnswerFinished);
-    String code = tooLarge ? "headers_too_large" : "malformed_request";
-    currentExchange.respondJson(status.code(), BodyCollector.notRun(code));
+    currentExchange.respondJson(rejection.status.code(), BodyCollector.notRun(rejection.code));
+  }
+
+  /** How a request that cannot be read is answered. */
+  private enum Rejection {
+    BODY_TOO_LARGE(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large", false),
+    HEADERS_TOO_LARGE(
+        HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers_too_large", true),
+    MALFORMED(HttpResponseStatus.BAD_REQUEST, "malformed_request", true);
+
+    private final HttpResponseStatus status;
+    private final String code;
+    private final boolean closesConnection;
+
+    Rejection(HttpResponseStatus status, String code, boolean closesConnection) {
+      this.status = status;
+      this.code = code;
+      this.closesConnection = closesConnection;
+    }
+
+    static Rejection of(Throwable cause) {
+      return switch (cause) {
+        case TooLongHttpContentException e -> BODY_TOO_LARGE;
+        case TooLongFrameException e -> HEADERS_TOO_LARGE;
+        default -> MALFORMED;
+      };
+    }
   }
 
   private void onAnswerFinished(ChannelHandlerContext context, boolean keepAlive) {
--- a/node/src/test/java/org/apricotstand/http/HttpServerTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerTest.java
@@ -20,6 +20,9 @@
 
   private static final HttpLimits LIMITS = new HttpLimits(1_024, 2_048, 8, 60_000, 500);
   private static final long SLOW_ANSWER_MS = 100;
+  private static final int TOO_LARGE_BYTES = 4_000;
+  private static final String TOO_LARGE_HEAD =
+      "POST / HTTP/1.1\r\nContent-Length: " + TOO_LARGE_BYTES + "\r\n\r\n";
   private static final String STREAMED_BODY = "firstsecond";
 
   private final EventLoopGroup group =
@@ -108,7 +111,9 @@
     }
   }
 
-  /** Guards against the loss of answers to requests that run, because their caller sends too many. */
+  /**
+   * Guards against the loss of answers to requests that run, because their caller sends too many.
+   */
   @Test
   void answersTheFirstOfTooManyPipelinedRequests() throws IOException {
     try (RawConnection caller = new RawConnection(server.address())) {
@@ -117,6 +122,17 @@
     }
   }
 
+  /** Guards against the refusal of one request that is taken for the answer to the one before. */
+  @Test
+  void refusesTooLargeBodyAfterTheAnswersBeforeIt() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET /slow HTTP/1.1\r\n\r\n" + TOO_LARGE_HEAD + "x".repeat(TOO_LARGE_BYTES));
+      caller.send("GET / HTTP/1.1\r\nx-name: Anna\r\n\r\n");
+      String received = caller.readUntil("\"Anna\"");
+      assertThat(received.indexOf("slow")).isLessThan(received.indexOf("413 "));
+    }
+  }
+
   /** Guards against unbounded bodies, and against closing the connection after a refused one. */
   @Test
   void refusesTooLargeBodyAndKeepsConnection() throws IOException {
