Don't send an interim answer inside another answer

A caller of an entry instance lost the rest of an answer that was being streamed to it when it sent its next request with "Expect: 100-continue".

Cause: the interim answer was written as soon as the head was read. The encoder refuses it within another answer, and the connection is closed on that failure.

HttpServerTest failed before: the stream ended before "second".

--- a/node/src/main/java/org/apricotstand/http/BodyCollector.java
+++ b/node/src/main/java/org/apricotstand/http/BodyCollector.java
@@ -2,13 +2,19 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 
 /**
@@ -17,10 +23,41 @@
  */
 final class BodyCollector extends HttpObjectAggregator {
 
+  private boolean isContinueDue;
+
   BodyCollector(int maxBodyBytes) {
     super(maxBodyBytes);
   }
 
+  /** Puts off the interim answer to a request that arrives while another one is answered. */
+  @Override
+  protected Object newContinueResponse(
+      HttpMessage start, int maxContentLength, ChannelPipeline pipeline) {
+    if (!pipeline.get(HttpConnection.class).isAnswering()) {
+      return super.newContinueResponse(start, maxContentLength, pipeline);
+    }
+    isContinueDue =
+        HttpUtil.is100ContinueExpected(start)
+            && HttpUtil.getContentLength(start, 0L) <= maxContentLength;
+    return null;
+  }
+
+  @Override
+  protected void finishAggregation(FullHttpMessage aggregated) throws Exception {
+    isContinueDue = false;
+    super.finishAggregation(aggregated);
+  }
+
+  /** Sends the interim answer that was put off, if the request still waits for it. */
+  void sendDueContinue(ChannelHandlerContext context) {
+    if (isContinueDue) {
+      isContinueDue = false;
+      context.writeAndFlush(
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
+    }
+  }
+
   /**
    * Passes on a request that is refused when its turn has come. The rest of its body is read and
    * discarded: closing now would reset the connection while the caller is still sending, and the
--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -59,6 +59,10 @@
     }
   }
 
+  boolean isAnswering() {
+    return currentExchange != null;
+  }
+
   private void closeIfIdle() {
     if (currentExchange == null) {
       channelContext.close();
@@ -137,6 +141,8 @@
       }
     } else if (!keepAlive || inputClosed || ignoringInput || draining) {
       context.close();
+    } else {
+      context.pipeline().get(BodyCollector.class).sendDueContinue(context);
     }
   }
 
--- a/node/src/test/java/org/apricotstand/http/HttpServerTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerTest.java
@@ -47,6 +47,11 @@
       case "/slow" ->
           group.schedule(
               () -> exchange.respondJson(200, "\"slow\""), SLOW_ANSWER_MS, TimeUnit.MILLISECONDS);
+      case "/slow-stream" -> {
+        exchange.begin(200, Map.of());
+        exchange.write("first".getBytes(StandardCharsets.UTF_8));
+        group.schedule(() -> endStream(exchange), SLOW_ANSWER_MS, TimeUnit.MILLISECONDS);
+      }
       case "/flood" -> {
         exchange.setCloseListener(callerDisconnected::countDown);
         exchange.begin(200, Map.of());
@@ -56,6 +61,11 @@
     }
   }
 
+  private static void endStream(HttpExchange exchange) {
+    exchange.write("second".getBytes(StandardCharsets.UTF_8));
+    exchange.end();
+  }
+
   private void writeUntilClosed(HttpExchange exchange) {
     exchange.write(new byte[1_024]);
     if (callerDisconnected.getCount() > 0) {
@@ -133,6 +143,19 @@
     }
   }
 
+  /** Guards against an answer that is cut off because the next request waits for leave to send. */
+  @Test
+  void anExpectingRequestDoesNotCutOffTheAnswerBeforeIt() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET /slow-stream HTTP/1.1\r\n\r\n");
+      caller.readUntil("first");
+      caller.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+      assertThat(caller.readUntil("0\r\n\r\n")).contains("second");
+      assertThat(caller.readUntil("\r\n\r\n")).startsWith("HTTP/1.1 100 ");
+      assertThat(caller.send("hi").readUntil("\"null\"")).startsWith("HTTP/1.1 200 ");
+    }
+  }
+
   /** Guards against unbounded bodies, and against closing the connection after a refused one. */
   @Test
   void refusesTooLargeBodyAndKeepsConnection() throws IOException {
