--- a/node/src/main/java/org/apricotstand/front/CallReply.java
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -2,6 +2,8 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -25,6 +27,7 @@
   private final boolean callerKeepsAlive;
   private CallHandler.ActiveCall call;
   private boolean keepsAlive;
+  private boolean begun;
   private boolean ended;
   private boolean disconnected;
 
@@ -71,8 +74,7 @@
       answer.content().clear();
     }
     setConnectionHeader(answer, true);
-    channel.writeAndFlush(answer, channel.voidPromise());
-    finish();
+    finish(channel.writeAndFlush(answer));
   }
 
   @Override
@@ -94,6 +96,7 @@
     // end marker of our own would make a truncated answer look complete.
     boolean selfDelimited = bodiless || length != null || HttpUtil.isTransferEncodingChunked(head);
     setConnectionHeader(answer, selfDelimited);
+    begun = true;
     channel.write(answer, channel.voidPromise());
   }
 
@@ -107,8 +110,7 @@
   @Override
   public void end() {
     if (!ended) {
-      channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT, channel.voidPromise());
-      finish();
+      finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
     }
   }
 
@@ -120,6 +122,15 @@
     }
   }
 
+  /** Fails the request, or breaks its answer off if that has begun. */
+  void failOrAbort(int status, String code) {
+    if (begun) {
+      abort();
+    } else {
+      fail(status, code, 0);
+    }
+  }
+
   @Override
   public boolean isWritable() {
     return channel.isWritable();
@@ -132,8 +143,9 @@
     }
   }
 
-  private void finish() {
+  private void finish(ChannelFuture lastWrite) {
     ended = true;
-    connection.onReplyCompleted(keepsAlive);
+    lastWrite.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    connection.onReplyCompleted(keepsAlive, lastWrite);
   }
 }
--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -4,10 +4,13 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -21,10 +24,12 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 import org.apricotstand.control.ControlThread;
 
 /**
@@ -36,6 +41,12 @@
 
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
+  /** Time in which a caller that has been refused may go on sending. */
+  private static final long MAX_CLOSE_MS = 1_000;
+
+  /** Promises nothing about the run of the request. */
+  private static final int BAD_GATEWAY = 502;
+
   private final CallerServer server;
   private final Queue<PipelinedRequest> pipelinedRequests = new ArrayDeque<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -46,6 +57,8 @@
   private long firstByteMs;
   private CallReply reply;
   private long idleSinceMs = ControlThread.nowMs();
+  private ChannelFuture lastWrite;
+  private long unsentBytes;
 
   /** Refusal of an unreadable request, which waits for the answers to the requests before it. */
   private record Refusal(int status, String code) {}
@@ -97,7 +110,14 @@
       refuse(400, "malformed_" + reason.get());
     } else if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
       refuse(413, "body_too_large");
-    } else if (HttpUtil.is100ContinueExpected(request) && reply == null) {
+    } else if (reply == null) {
+      continueIfExpected();
+    }
+  }
+
+  /** Tells the caller to send the body of the request whose head was read, if it waits for that. */
+  private void continueIfExpected() {
+    if (HttpUtil.is100ContinueExpected(head) && body.size() == 0) {
       channel.writeAndFlush(
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -142,8 +162,12 @@
     reply = new CallReply(this, channel, request, keepAlive);
     server.onRequestStarted();
     CallReply current = reply;
-    CallHandler.ActiveCall call = server.handler().handle(request, current);
-    current.setCall(call);
+    try {
+      current.setCall(server.handler().handle(request, current));
+    } catch (RuntimeException e) {
+      server.recordFailedHandling(e);
+      current.failOrAbort(BAD_GATEWAY, "internal_error");
+    }
   }
 
   /**
@@ -159,26 +183,53 @@
     FullHttpResponse answer = FailureAnswer.of(status, code);
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     server.recordUnreadableRequest(status, code);
-    channel.writeAndFlush(answer).addListener(ChannelFutureListener.CLOSE);
+    lastWrite = channel.writeAndFlush(answer);
+    closeAfterInput(lastWrite);
+  }
+
+  /**
+   * Ends what is sent after a write, and closes the connection when the caller has done the same. A
+   * close before all input is read resets the connection, so that the caller may lose its answers.
+   */
+  private void closeAfterInput(ChannelFuture write) {
+    write.addListener(done -> shutDownOutput());
+  }
+
+  private void shutDownOutput() {
+    if (channel.isActive() && channel instanceof DuplexChannel duplex) {
+      duplex.shutdownOutput();
+      channel.eventLoop().schedule(() -> channel.close(), MAX_CLOSE_MS, TimeUnit.MILLISECONDS);
+    } else {
+      channel.close();
+    }
   }
 
   /**
    * Called when an answer is complete. Serves the next queued request, or closes the connection
    * unless it is kept alive.
+   *
+   * @param answerWrite write of the last part, which ends when the answer has left
    */
-  void onReplyCompleted(boolean keepAlive) {
+  void onReplyCompleted(boolean keepAlive, ChannelFuture answerWrite) {
     reply = null;
+    lastWrite = answerWrite;
+    unsentBytes = unsentBytes();
     idleSinceMs = ControlThread.nowMs();
+    answerWrite.addListener(done -> idleSinceMs = ControlThread.nowMs());
     server.onRequestEnded();
     PipelinedRequest next = pipelinedRequests.poll();
-    if (!keepAlive) {
+    if (!keepAlive && !ignoringInput) {
       closeAfterFlush();
+    } else if (!keepAlive) {
+      closeAfterInput(answerWrite);
     } else if (next != null) {
       serve(next.request, next.keepAlive);
     } else if (pendingRefusal != null) {
       refuse(pendingRefusal.status, pendingRefusal.code);
     } else if (ignoringInput) {
-      closeAfterFlush();
+      closeAfterInput(answerWrite);
+    } else if (head != null) {
+      continueIfExpected();
     }
   }
 
@@ -194,8 +245,7 @@
   void onReplyAborted() {
     reply = null;
     server.onRequestEnded();
-    channel.config().setOption(ChannelOption.SO_LINGER, 0);
-    channel.close();
+    reset();
   }
 
   /** Returns whether the next answer is the last one; requests that were read are answered. */
@@ -203,9 +253,13 @@
     return server.isDraining() && pipelinedRequests.isEmpty();
   }
 
-  /** Returns whether a request is being received or answered. */
+  /** Returns whether a request is being received or answered, or its answer is still leaving. */
   boolean hasOpenRequest() {
-    return reply != null || hasPartOfRequest();
+    return reply != null || hasPartOfRequest() || isSending();
+  }
+
+  private boolean isSending() {
+    return lastWrite != null && !lastWrite.isDone();
   }
 
   private boolean hasPartOfRequest() {
@@ -217,7 +271,7 @@
     if (hasPartOfRequest()) {
       refuse(503, "shutting_down");
     } else if (reply == null && !ignoringInput) {
-      channel.close();
+      closeAfterFlush();
     }
     ignoringInput = true;
   }
@@ -227,10 +281,18 @@
    * when the server closes idle connections.
    */
   void sweep(long nowMs) {
-    boolean requestBegun = firstByteMs != 0;
     if (reply != null) {
       return;
     }
+    if (isSending()) {
+      resetIfStalled(nowMs);
+    } else if (!ignoringInput) {
+      closeIfIdle(nowMs);
+    }
+  }
+
+  private void closeIfIdle(long nowMs) {
+    boolean requestBegun = firstByteMs != 0;
     if (requestBegun && head == null && nowMs - firstByteMs > server.limits().headerTimeoutMs()) {
       refuse(408, "header_timeout");
     } else if (!requestBegun && nowMs - idleSinceMs > server.limits().idleTimeoutMs()) {
@@ -240,6 +302,28 @@
     }
   }
 
+  /** Gives up on a caller that has taken no byte of its answer for the idle timeout. */
+  private void resetIfStalled(long nowMs) {
+    long stillUnsentBytes = unsentBytes();
+    if (stillUnsentBytes != unsentBytes) {
+      unsentBytes = stillUnsentBytes;
+      idleSinceMs = nowMs;
+    } else if (nowMs - idleSinceMs > server.limits().idleTimeoutMs()) {
+      reset();
+    }
+  }
+
+  private long unsentBytes() {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
+  }
+
+  /** Closes the connection in a way that shows that an answer is incomplete. */
+  private void reset() {
+    channel.config().setOption(ChannelOption.SO_LINGER, 0);
+    channel.close();
+  }
+
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
     if (reply != null && channel.isWritable()) {
@@ -260,6 +344,9 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      server.recordFailedHandling(cause);
+    }
     channel.close();
   }
 }
--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -1,5 +1,6 @@
 package org.apricotstand.front;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -81,7 +82,9 @@
             new ChannelInboundHandlerAdapter() {
               @Override
               public void channelRead(ChannelHandlerContext context, Object message) {
-                connection.recordFirstByte();
+                if (message instanceof ByteBuf bytes && !RequestDecoder.isSkipped(bytes)) {
+                  connection.recordFirstByte();
+                }
                 context.fireChannelRead(message);
               }
             },
@@ -157,6 +160,11 @@
     LOG.info("request_unreadable", "status", status, "code", code);
   }
 
+  void recordFailedHandling(Throwable cause) {
+    metrics.count("caller.handling_failed");
+    LOG.warn("request_handling_failed", "error", cause.toString());
+  }
+
   private void sweep() {
     long nowMs = ControlThread.nowMs();
     callerConnections().forEach(connection -> connection.sweep(nowMs));
--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -199,6 +199,10 @@
 
   @Override
   public void onEnd() {
+    flow.guard(this::end);
+  }
+
+  private void end() {
     if (closed) {
       return;
     }
@@ -279,6 +283,10 @@
 
   @Override
   public void onFailure(SendFailure failure) {
+    flow.guard(() -> fail(failure));
+  }
+
+  private void fail(SendFailure failure) {
     if (closed) {
       return;
     }
--- a/node/src/test/java/org/apricotstand/http/HttpServerTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerTest.java
@@ -19,6 +19,10 @@
 class HttpServerTest {
 
   private static final HttpLimits LIMITS = new HttpLimits(1_024, 2_048, 8, 60_000, 500);
+  private static final long SLOW_ANSWER_MS = 100;
+  private static final int TOO_LARGE_BYTES = 4_000;
+  private static final String TOO_LARGE_HEAD =
+      "POST / HTTP/1.1\r\nContent-Length: " + TOO_LARGE_BYTES + "\r\n\r\n";
   private static final String STREAMED_BODY = "firstsecond";
 
   private final EventLoopGroup group =
@@ -40,6 +44,14 @@
         exchange.write("first".getBytes(StandardCharsets.UTF_8));
         exchange.abort();
       }
+      case "/slow" ->
+          group.schedule(
+              () -> exchange.respondJson(200, "\"slow\""), SLOW_ANSWER_MS, TimeUnit.MILLISECONDS);
+      case "/slow-stream" -> {
+        exchange.begin(200, Map.of());
+        exchange.write("first".getBytes(StandardCharsets.UTF_8));
+        group.schedule(() -> endStream(exchange), SLOW_ANSWER_MS, TimeUnit.MILLISECONDS);
+      }
       case "/flood" -> {
         exchange.setCloseListener(callerDisconnected::countDown);
         exchange.begin(200, Map.of());
@@ -49,6 +61,11 @@
     }
   }
 
+  private static void endStream(HttpExchange exchange) {
+    exchange.write("second".getBytes(StandardCharsets.UTF_8));
+    exchange.end();
+  }
+
   private void writeUntilClosed(HttpExchange exchange) {
     exchange.write(new byte[1_024]);
     if (callerDisconnected.getCount() > 0) {
@@ -104,6 +121,41 @@
     }
   }
 
+  /**
+   * Guards against the loss of answers to requests that run, because their caller sends too many.
+   */
+  @Test
+  void answersTheFirstOfTooManyPipelinedRequests() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET /slow HTTP/1.1\r\nx-name: a\r\n\r\n".repeat(40));
+      assertThat(caller.readAll().split("200 OK", -1)).hasLength(18);
+    }
+  }
+
+  /** Guards against the refusal of one request that is taken for the answer to the one before. */
+  @Test
+  void refusesTooLargeBodyAfterTheAnswersBeforeIt() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET /slow HTTP/1.1\r\n\r\n" + TOO_LARGE_HEAD + "x".repeat(TOO_LARGE_BYTES));
+      caller.send("GET / HTTP/1.1\r\nx-name: Anna\r\n\r\n");
+      String received = caller.readUntil("\"Anna\"");
+      assertThat(received.indexOf("slow")).isLessThan(received.indexOf("413 "));
+    }
+  }
+
+  /** Guards against an answer that is cut off because the next request waits for leave to send. */
+  @Test
+  void anExpectingRequestDoesNotCutOffTheAnswerBeforeIt() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET /slow-stream HTTP/1.1\r\n\r\n");
+      caller.readUntil("first");
+      caller.send("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+      assertThat(caller.readUntil("0\r\n\r\n")).contains("second");
+      assertThat(caller.readUntil("\r\n\r\n")).startsWith("HTTP/1.1 100 ");
+      assertThat(caller.send("hi").readUntil("\"null\"")).startsWith("HTTP/1.1 200 ");
+    }
+  }
+
   /** Guards against unbounded bodies, and against closing the connection after a refused one. */
   @Test
   void refusesTooLargeBodyAndKeepsConnection() throws IOException {
