--- a/standin/src/main/java/org/apricotstand/standin/process/ChildProcess.java
+++ b/standin/src/main/java/org/apricotstand/standin/process/ChildProcess.java
@@ -96,7 +96,8 @@
 
   /** Asks the process to stop gracefully (SIGTERM); does not wait. */
   public void terminate() {
-    process.destroy();
+    // Process.destroy() would close the output, and with it the log of the drain.
+    process.toHandle().destroy();
   }
 
   /** Waits for the end of the process and returns its exit code. */
