Count a request as open until its answer has left

Callers that read slowly lost the end of their answer when an instance stopped: a reply counted as complete once it was written, although most of it may still wait for the socket.

The class of fault is that of the requests lost at a stop: the drain decides on a count that says less than it takes it to say. A connection now counts as open while it has unsent bytes, and is closed only after them. A caller that reads nothing for the idle timeout is still disconnected; the time counts from the last progress instead of from the last write.

--- a/core/src/main/java/org/apricotstand/drain/DrainEvent.java
+++ b/core/src/main/java/org/apricotstand/drain/DrainEvent.java
@@ -13,7 +13,8 @@
   /**
    * Time has passed.
    *
-   * @param openRequests requests of callers that are being received, run or answered
+   * @param openRequests requests of callers that are being received, run or answered, until their
+   *     answers have left
    * @param openConnections connections of callers
    * @param released whether the instance commands no engine
    */
--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -46,6 +47,7 @@
   private long firstByteMs;
   private CallReply reply;
   private long idleSinceMs = ControlThread.nowMs();
+  private long unsentBytesAtSweep;
 
   /** Refusal of an unreadable request, which waits for the answers to the requests before it. */
   private record Refusal(int status, String code) {}
@@ -203,9 +205,15 @@
     return server.isDraining() && pipelinedRequests.isEmpty();
   }
 
-  /** Returns whether a request is being received or answered. */
+  /** Returns whether a request is being received or answered, or its answer has not left. */
   boolean hasOpenRequest() {
-    return reply != null || hasPartOfRequest();
+    return reply != null || hasPartOfRequest() || unsentBytes() > 0;
+  }
+
+  /** Returns the size of what is written and not yet taken over by the socket. */
+  private long unsentBytes() {
+    ChannelOutboundBuffer buffer = channel.unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
   }
 
   private boolean hasPartOfRequest() {
@@ -217,25 +225,30 @@
     if (hasPartOfRequest()) {
       refuse(503, "shutting_down");
     } else if (reply == null && !ignoringInput) {
-      channel.close();
+      closeAfterFlush();
     }
     ignoringInput = true;
   }
 
   /**
-   * Closes the connection when it has been idle or its request head incomplete for too long, or
-   * when the server closes idle connections.
+   * Closes the connection when it has been idle or its request head incomplete for too long, when
+   * the caller reads nothing of its answer for as long, or when the server closes idle connections.
    */
   void sweep(long nowMs) {
     boolean requestBegun = firstByteMs != 0;
     if (reply != null) {
       return;
     }
+    long unsent = unsentBytes();
+    if (unsent != unsentBytesAtSweep) {
+      unsentBytesAtSweep = unsent;
+      idleSinceMs = nowMs;
+    }
     if (requestBegun && head == null && nowMs - firstByteMs > server.limits().headerTimeoutMs()) {
       refuse(408, "header_timeout");
     } else if (!requestBegun && nowMs - idleSinceMs > server.limits().idleTimeoutMs()) {
       channel.close();
-    } else if (!requestBegun && server.closesIdleConnections()) {
+    } else if (!requestBegun && unsent == 0 && server.closesIdleConnections()) {
       channel.close();
     }
   }
--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -116,7 +116,9 @@
     return connections.size();
   }
 
-  /** Returns the number of connections with a request that is not answered; runs on the loop. */
+  /**
+   * Returns the number of connections with a request whose answer has not left; runs on the loop.
+   */
   public int openRequests() {
     return (int) callerConnections().stream().filter(CallerConnection::hasOpenRequest).count();
   }
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -3,10 +3,17 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -24,6 +31,10 @@
 
   private static final String REQUEST = "GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n";
   private static final long TEST_TIMEOUT_MS = 20_000;
+  private static final int LONG_ANSWER_BYTES = 32 * 1024 * 1024;
+
+  /** Time after the start of a drain within which idle connections are closed. */
+  private static final long IDLE_CLOSE_MS = 3_200;
 
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -155,6 +166,69 @@
     }
   }
 
+  // Guards against an answer that is cut off by the end of the process, because its request no
+  // longer counts as open although the caller has not read it.
+  @Test
+  void aRequestCountsAsOpenUntilItsAnswerHasLeft() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, REQUEST);
+      startLongAnswer().run();
+      assertThat(openRequests()).isEqualTo(1);
+      readLongAnswer(socket);
+      awaitOpenRequests(0);
+    }
+  }
+
+  // Guards against an answer that began before the instance was told to stop and whose end is
+  // dropped, because its kept connection counts as idle.
+  @Test
+  void aServerThatStopsAcceptingLetsTheLastAnswersLeave() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, REQUEST);
+      Runnable end = startLongAnswer();
+      server.drain();
+      end.run();
+      loop.submit(() -> server.stopAccepting()).sync();
+      readLongAnswer(socket);
+      assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+
+  // Guards against an answer whose end is dropped when the idle connections of a stopping instance
+  // are closed.
+  @Test
+  void idleConnectionsAreClosedOnlyOnceTheirAnswersHaveLeft() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, REQUEST);
+      Runnable end = startLongAnswer();
+      server.drain();
+      end.run();
+      TimeUnit.MILLISECONDS.sleep(IDLE_CLOSE_MS);
+      readLongAnswer(socket);
+      assertThat(socket.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+
+  /** Writes an answer that no socket buffer holds; returns what ends it. */
+  private Runnable startLongAnswer() throws Exception {
+    Reply reply = replies.poll(TEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, LONG_ANSWER_BYTES);
+    ByteBuf body = Unpooled.wrappedBuffer(new byte[LONG_ANSWER_BYTES]);
+    loop.submit(() -> reply.writeHead(head)).sync();
+    loop.submit(() -> reply.writePart(body)).sync();
+    return () -> loop.submit(reply::end).syncUninterruptibly();
+  }
+
+  private static void readLongAnswer(Socket socket) throws IOException {
+    InputStream in = socket.getInputStream();
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      head.append((char) in.read());
+    }
+    assertThat(in.readNBytes(LONG_ANSWER_BYTES)).hasLength(LONG_ANSWER_BYTES);
+  }
+
   private int openRequests() throws Exception {
     return loop.submit(() -> server.openRequests()).get();
   }
