Count a connection as open as soon as it is accepted

A stopping instance of the entry path could cut off a request: HttpServer added a connection to the open ones on the event loop of the connection, which may be busy, while the listener had accepted it on another one. A drain that looked in between found no open connection, and the instance closed. The connection also missed the order to drain and would have been kept open.

The listener now counts a connection when it accepts it, and a connection that is initialized after the start of a drain drains too. The class of fault is that of the requests lost at a stop: a decision rests on a count that another thread has yet to bring up to date. The platform's path accepts and counts on one loop.

HttpServerDrainTest failed before: isIdle() was true although a connection had been accepted whose loop was busy.

--- a/node/src/main/java/org/apricotstand/http/HttpServer.java
+++ b/node/src/main/java/org/apricotstand/http/HttpServer.java
@@ -1,6 +1,8 @@
 package org.apricotstand.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -25,40 +27,66 @@
 
   private static final int MAX_INITIAL_LINE_BYTES = 8_192;
 
-  private final Channel serverChannel;
-  private final ChannelGroup connections;
+  private final HttpLimits limits;
+  private final HttpHandler handler;
+  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private volatile boolean draining;
+  private Channel serverChannel;
 
-  private HttpServer(Channel serverChannel, ChannelGroup connections) {
-    this.serverChannel = serverChannel;
-    this.connections = connections;
+  private HttpServer(HttpLimits limits, HttpHandler handler) {
+    this.limits = limits;
+    this.handler = handler;
   }
 
   /** Starts a server that passes requests to the handler. Port 0 selects a free port. */
   public static HttpServer start(
       EventLoopGroup group, InetSocketAddress address, HttpLimits limits, HttpHandler handler) {
-    ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-    Channel serverChannel =
-        ServerBootstraps.create(group)
-            .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-            .childHandler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel channel) {
-                    if (connections.size() >= limits.maxConnections()) {
-                      channel.close();
-                      return;
-                    }
-                    connections.add(channel);
-                    addHandlers(channel, limits, handler);
-                  }
-                })
-            .bind(address)
-            .syncUninterruptibly()
-            .channel();
-    return new HttpServer(serverChannel, connections);
+    HttpServer server = new HttpServer(limits, handler);
+    server.serverChannel = server.bind(group, address);
+    return server;
   }
 
-  private static void addHandlers(Channel channel, HttpLimits limits, HttpHandler handler) {
+  private Channel bind(EventLoopGroup group, InetSocketAddress address) {
+    return ServerBootstraps.create(group)
+        .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+        .handler(new AcceptHandler())
+        .childHandler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel channel) {
+                initConnection(channel);
+              }
+            })
+        .bind(address)
+        .syncUninterruptibly()
+        .channel();
+  }
+
+  /**
+   * Counts each connection as open when it is accepted. Its own event loop, which initializes it,
+   * may be busy for some time.
+   */
+  private final class AcceptHandler extends ChannelInboundHandlerAdapter {
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      connections.add((Channel) message);
+      context.fireChannelRead(message);
+    }
+  }
+
+  private void initConnection(Channel channel) {
+    if (connections.size() > limits.maxConnections()) {
+      channel.close();
+      return;
+    }
+    HttpConnection connection = new HttpConnection(handler);
+    addHandlers(channel, connection);
+    if (draining) {
+      connection.drain();
+    }
+  }
+
+  private void addHandlers(Channel channel, HttpConnection connection) {
     HttpDecoderConfig decoder =
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
@@ -71,7 +99,7 @@
         .addLast(new HttpServerCodec(decoder))
         .addLast(new RequestEndHandler(readTimeout))
         .addLast(new BodyCollector(limits.maxBodyBytes()))
-        .addLast(new HttpConnection(handler));
+        .addLast(connection);
   }
 
   /** Returns the address that the server listens on. */
@@ -86,6 +114,7 @@
 
   /** Stops accepting connections; open ones are closed after the answer in progress. */
   public void drain() {
+    draining = true;
     stopAccepting();
     for (Channel channel : connections) {
       HttpConnection connection = channel.pipeline().get(HttpConnection.class);
