Answer the requests that a draining HTTP server has read

Only the last answer announces the close now. HttpServerDrainTest failed before: the third of three requests never reached the handler.

--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -44,8 +44,8 @@
   }
 
   /**
-   * Closes the connection after the answer in progress. An idle connection stays open for {@value
-   * #DRAIN_GRACE_MS} ms, because a request may be on its way.
+   * Closes the connection after the answers to the requests that were read. An idle connection
+   * stays open for {@value #DRAIN_GRACE_MS} ms, because a request may be on its way.
    */
   void drain() {
     draining = true;
@@ -76,7 +76,7 @@
       reject(context, request);
       return;
     }
-    if (draining) {
+    if (draining && pipelinedRequests.isEmpty()) {
       HttpUtil.setKeepAlive(request, false);
     }
     currentExchange = new NettyExchange(context, request, this::onAnswerFinished);
--- a/node/src/test/java/org/apricotstand/http/HttpServerDrainTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerDrainTest.java
@@ -66,6 +66,23 @@
     }
   }
 
+  // Guards against requests that were read and are dropped without an answer, because the answer
+  // before them closes the connection of a draining server.
+  @Test
+  void requestsThatWereReadAreAnswered() throws Exception {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send(REQUEST + REQUEST + REQUEST);
+      HttpExchange first = nextExchange();
+      server.drain();
+      first.respondJson(200, "{}");
+      nextExchange().respondJson(200, "{}");
+      HttpExchange third = nextExchange();
+      assertThat(third).isNotNull();
+      third.respondJson(200, "{}");
+      assertThat(caller.readAll().split("HTTP/1.1 200", -1)).hasLength(4);
+    }
+  }
+
   private static void awaitQuietly(CountDownLatch latch) {
     try {
       latch.await();
