Send what is written to peers before an instance stops

Callers of the entry path can get 502 peer_link_closed from an owner that stops in order: it counts a request as ended once the end of the answer is written to the link of the entry instance, and PeerNetwork.stop() closed the links and dropped what the sockets had not taken. Up to 8 MB of a frame and many frames can wait there, longer on a busy machine.

The links are now closed after what was written, within 1 s.

PeerNetworkTest failed before: the peer never got all of the 400 chunks of 32 KB that were written before the stop.

--- a/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
@@ -3,9 +3,11 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -39,6 +41,9 @@
  */
 public final class PeerNetwork implements Service, PeerLinks {
 
+  /** Time that a stop waits for peers to take what was written to them. */
+  private static final long FLUSH_TIMEOUT_MS = 1_000;
+
   /** Maximum length of a frame; a connection that sends a longer one is closed. */
   static final int MAX_FRAME_BYTES = 8 * 1024 * 1024;
 
@@ -279,6 +284,19 @@
     if (serverChannel != null) {
       serverChannel.close().syncUninterruptibly();
     }
+    channels.forEach(PeerNetwork::closeAfterFlush);
+    channels.newCloseFuture().awaitUninterruptibly(FLUSH_TIMEOUT_MS);
     channels.close().awaitUninterruptibly();
   }
+
+  /** Closes a connection after what was written to it, such as the end of an answer. */
+  private static void closeAfterFlush(Channel channel) {
+    ChannelHandlerContext first = channel.pipeline().firstContext();
+    if (first == null) {
+      channel.close();
+    } else {
+      // Starts at the first handler, since those behind it would encode the empty buffer.
+      first.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+  }
 }
--- a/node/src/test/java/org/apricotstand/peer/PeerNetworkTest.java
+++ b/node/src/test/java/org/apricotstand/peer/PeerNetworkTest.java
@@ -28,6 +28,11 @@
   private static final long TIMEOUT_S = 20;
   private static final int READ_TIMEOUT_MS = 20_000;
 
+  /** Together more than the buffers of a socket hold. */
+  private static final int CHUNKS = 400;
+
+  private static final int CHUNK_BYTES = 32 * 1024;
+
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
   private final ControlThread control = new ControlThread();
@@ -99,6 +104,25 @@
     assertThat(recorderA.next()).isEqualTo(new PeerMessage.RevisionWanted(3));
   }
 
+  /**
+   * Guards against the end of an answer that a stopping owner drops, so that its caller gets 502.
+   */
+  @Test
+  void sendsWhatIsWrittenBeforeItStops() throws Exception {
+    networkA.send(B, new PeerMessage.RevisionWanted(1));
+    recorderB.next();
+    PeerMessage.RouteChunk chunk = new PeerMessage.RouteChunk("r", 1, new byte[CHUNK_BYTES]);
+    for (int i = 0; i < CHUNKS; i++) {
+      networkA.send(B, chunk);
+    }
+    networkA.send(B, new PeerMessage.RevisionWanted(2));
+    networkA.stop();
+    for (int i = 0; i < CHUNKS; i++) {
+      assertThat(recorderB.next()).isInstanceOf(PeerMessage.RouteChunk.class);
+    }
+    assertThat(recorderB.next()).isEqualTo(new PeerMessage.RevisionWanted(2));
+  }
+
   /** Guards against messages of a process that a newer one with the same name has replaced. */
   @Test
   void disconnectsReplacedProcess() throws Exception {
