Don't keep the connection of an answer without id

What callers would see: 502 for every second request to a target that echoes no id, though the target answered it. Cause: the first answer without id counts, but its connection was kept for the next request, whose answer without id then left the outcome unknown. Change: a connection whose answer bears no id is closed after it. Why it works: a kept connection has carried only answers with id.

--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -20,8 +20,8 @@
 /**
  * A connection to a target that carries one request at a time. An answer that echoes the id of
  * another request is dropped: a target may send it late, in place of the answer to the current
- * request. An answer without id counts only where no other can come, as the first of a connection.
- * A connection that receives bytes while it is idle is closed.
+ * request. An answer without id counts only where no other can come, as the first of a connection,
+ * which is closed after it. A connection that receives bytes while it is idle is closed.
  */
 public final class TargetConnection extends SimpleChannelInboundHandler<HttpObject> {
 
@@ -150,7 +150,7 @@
       return;
     }
     headReceived = true;
-    reusable = HttpUtil.isKeepAlive(head) && hasLength(head);
+    reusable = echoed != null && HttpUtil.isKeepAlive(head) && hasLength(head);
     idleUntilMs = ControlThread.nowMs() + KeepAlive.timeoutMs(head.headers());
     listener.onHead(head);
   }
--- a/node/src/test/java/org/apricotstand/request/LateAnswerTest.java
+++ b/node/src/test/java/org/apricotstand/request/LateAnswerTest.java
@@ -97,6 +97,26 @@
     assertThat(callWithId("q2")).startsWith("HTTP/1.1 502 ");
   }
 
+  // Guards against failing every second request of a target that echoes no id: its connections are
+  // kept, and the next answer on them can't be told from a late one.
+  @Test
+  void aTargetThatEchoesNoIdGetsANewConnectionForEachRequest() throws Exception {
+    serveOnce(always(ok("q1", "done").replace("X-Id: q1\r\n", ""), true));
+    assertThat(callWithId("q1")).endsWith("done");
+    assertThat(callWithId("q2")).endsWith("done");
+    assertThat(callWithId("q3")).endsWith("done");
+  }
+
+  // Guards against connections that pile up: those of requests without id are used for no other
+  // such request, and the target accepts a limited number.
+  @Test
+  void theConnectionOfARequestWithoutIdIsClosedAfterItsAnswer() throws Exception {
+    serveOnce(always(ok("q1", "done").replace("X-Id: q1\r\n", ""), true));
+    sendRaw("GET /p/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    assertThat(callWithId("q1")).endsWith("done");
+    assertThat(targets.getFirst().connectionCount()).isEqualTo(2);
+  }
+
   // Guards against the report "not run" about a request that the target runs: the late rejection of
   // another request bears no id.
   @Test
