Keep the connections of orders apart from those of reports

What callers would see: as in, a late report taken for the answer to an order. Change: orders share connections only among themselves. A late answer to an order can still pass for that to the next order.

--- a/node/src/main/java/org/apricotstand/http/ConnectionUse.java
+++ b/node/src/main/java/org/apricotstand/http/ConnectionUse.java
@@ -9,6 +9,11 @@
    * may write a refusal once more, and it would pass for the answer to the next call.
    */
   SHARED_UNTIL_REFUSAL,
+  /**
+   * A pooled connection that only calls of this kind use, so that a late answer to another call
+   * can't pass for theirs.
+   */
+  SHARED_BY_COMMANDS,
   /** A new connection, which is closed afterwards. */
   OWN
 }
--- a/node/src/main/java/org/apricotstand/http/HttpCall.java
+++ b/node/src/main/java/org/apricotstand/http/HttpCall.java
@@ -48,6 +48,11 @@
     return new HttpCall(method, url, headers, body, deadlineMs, ConnectionUse.OWN);
   }
 
+  /** Returns a copy of this call that shares connections only with others of this kind. */
+  public HttpCall asCommand() {
+    return new HttpCall(method, url, headers, body, deadlineMs, ConnectionUse.SHARED_BY_COMMANDS);
+  }
+
   /** Returns a copy of this call whose connection is not used again after a refusal. */
   public HttpCall withoutReuseAfterRefusal() {
     return new HttpCall(method, url, headers, body, deadlineMs, ConnectionUse.SHARED_UNTIL_REFUSAL);
--- a/node/src/main/java/org/apricotstand/http/HttpClient.java
+++ b/node/src/main/java/org/apricotstand/http/HttpClient.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import javax.net.ssl.SSLEngine;
 import org.apricotstand.control.ControlThread;
@@ -111,10 +112,8 @@
             .setUrl(call.url())
             .setRequestTimeout(Duration.ofMillis(remainingMs));
     call.headers().forEach(builder::setHeader);
-    if (call.connectionUse() == ConnectionUse.SHARED_UNTIL_REFUSAL) {
-      builder.setChannelPoolPartitioning(UntilRefusal.PARTITION);
-    } else if (call.connectionUse() == ConnectionUse.OWN) {
-      builder.setChannelPoolPartitioning(new UniquePartition());
+    partitionOf(call.connectionUse()).ifPresent(builder::setChannelPoolPartitioning);
+    if (call.connectionUse() == ConnectionUse.OWN) {
       builder.setHeader("connection", "close");
     }
     if (call.body().length > 0) {
@@ -123,6 +122,30 @@
     return builder.build();
   }
 
+  private static Optional<ChannelPoolPartitioning> partitionOf(ConnectionUse use) {
+    return switch (use) {
+      case SHARED -> Optional.empty();
+      case SHARED_UNTIL_REFUSAL -> Optional.of(UntilRefusal.PARTITION);
+      case SHARED_BY_COMMANDS -> Optional.of(new CommandPartition());
+      case OWN -> Optional.of(new UniquePartition());
+    };
+  }
+
+  /** Pool partition of the commands to a host. */
+  private static final class CommandPartition implements ChannelPoolPartitioning {
+
+    private record Key(Object host) {}
+
+    @Override
+    public Object getPartitionKey(
+        org.asynchttpclient.uri.Uri uri,
+        String virtualHost,
+        org.asynchttpclient.proxy.ProxyServer proxyServer) {
+      return new Key(
+          PerHostChannelPoolPartitioning.INSTANCE.getPartitionKey(uri, virtualHost, proxyServer));
+    }
+  }
+
   /** Pool partition of a single call: its key equals no other, so no pooled connection matches. */
   private static final class UniquePartition implements ChannelPoolPartitioning {
     @Override
