Close the connection of a refused cancellation or state query

A caller of the entry path could be told "not run" (503) for a request that its engine ran: the connections of refused requests and commands were closed, but a refused cancellation or state query left its connection in the same pool. A faulty engine that writes that refusal once more answers the next request on the connection with it.

These calls now use their connection until a refusal too. A state query is refused rarely, so that few connections are opened for it.

EngineClientTest failed before: the request on the connection of the refused cancellation got 503 instead of 200 on a new one. It passes now.

--- a/node/src/main/java/org/apricotstand/engine/EngineClient.java
+++ b/node/src/main/java/org/apricotstand/engine/EngineClient.java
@@ -91,13 +91,16 @@
   /** Cancels a request at an engine; completes when the engine no longer runs it. */
   public CompletableFuture<Result<Void>> cancel(String address, String requestId, long deadlineMs) {
     byte[] body = encode(Map.of("request_id", requestId));
-    return http.send(HttpCall.json("POST", url(address, "/v1/cancel"), body, deadlineMs))
-        .handle((reply, error) -> resultOf(address, reply, error));
+    HttpCall call =
+        HttpCall.json("POST", url(address, "/v1/cancel"), body, deadlineMs)
+            .withoutReuseAfterRefusal();
+    return http.send(call).handle((reply, error) -> resultOf(address, reply, error));
   }
 
   /** Requests the state report of an engine. */
   public CompletableFuture<Result<EngineState>> queryState(String address, long deadlineMs) {
-    return http.send(HttpCall.get(url(address, "/v1/state"), deadlineMs))
+    HttpCall call = HttpCall.get(url(address, "/v1/state"), deadlineMs).withoutReuseAfterRefusal();
+    return http.send(call)
         .handle(
             (reply, error) -> error == null ? decodeState(address, reply) : failed(address, error));
   }
--- a/node/src/test/java/org/apricotstand/engine/EngineClientTest.java
+++ b/node/src/test/java/org/apricotstand/engine/EngineClientTest.java
@@ -70,6 +70,24 @@
     }
   }
 
+  // Guards against a request that is told "not run" because its engine writes the refusal of a
+  // cancellation or of a state query once more on the connection.
+  @Test
+  void aRepeatedRefusalOfAnotherCallIsNotTheAnswerToTheNextRequest() throws Exception {
+    String refusal = "HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+    KeepAliveServer.Script refusesTwoConnections =
+        (connection, number) -> connection <= 2 ? refusal : KeepAliveServer.OK;
+    try (KeepAliveServer server = new KeepAliveServer(refusesTwoConnections)) {
+      long deadlineMs = ControlThread.nowMs() + TIMEOUT_MS;
+      engineClient.cancel(server.address(), "r0", deadlineMs).join();
+      engineClient.queryState(server.address(), deadlineMs).join();
+      assertThat(send(server)).isEqualTo(200);
+      assertThat(server.requests())
+          .containsExactly("1 /v1/cancel", "2 /v1/state", "3 /v1/completions")
+          .inOrder();
+    }
+  }
+
   private int send(KeepAliveServer server) throws Exception {
     EndOfReply end = new EndOfReply();
     long deadlineMs = ControlThread.nowMs() + TIMEOUT_MS;
