Let a drain end its requests when the instance can't be read

If the look at the open requests fails at each tick, callers got no final answer and no connection was closed before the process ended: the failure left out the step of the drain itself, and with it the deadlines by which it ends requests, stops accepting and releases the engines.

A state that can't be read now counts as busy, so that the drain goes on by its deadlines. Each other step is guarded by itself as before.

DrainRunnerTest failed before: of the steps only "leave" was carried out. It passes now.

--- a/node/src/main/java/org/apricotstand/serve/DrainRunner.java
+++ b/node/src/main/java/org/apricotstand/serve/DrainRunner.java
@@ -61,8 +61,17 @@
     tryStep("tick", () -> carryOut(drain.handle(look(), ControlThread.nowMs())));
   }
 
+  /**
+   * Reads the state of the instance. One that cannot be read counts as busy, so that the drain goes
+   * on by its deadlines.
+   */
   private DrainEvent look() {
-    return new DrainEvent.Tick(steps.openRequests(), steps.openConnections(), steps.isReleased());
+    try {
+      return new DrainEvent.Tick(steps.openRequests(), steps.openConnections(), steps.isReleased());
+    } catch (RuntimeException e) {
+      reportFailure("look", e);
+      return new DrainEvent.Tick(1, 1, false);
+    }
   }
 
   /**
@@ -73,9 +82,14 @@
     try {
       step.run();
     } catch (RuntimeException e) {
-      if (failedSteps.add(name)) {
-        LOG.warn("drain_step_failed", "step", name, "error", e.toString());
-      }
+      reportFailure(name, e);
+    }
+  }
+
+  /** Logs the first failure of a step. */
+  private void reportFailure(String step, RuntimeException error) {
+    if (failedSteps.add(step)) {
+      LOG.warn("drain_step_failed", "step", step, "error", error.toString());
     }
   }
 
--- a/node/src/test/java/org/apricotstand/serve/DrainRunnerTest.java
+++ b/node/src/test/java/org/apricotstand/serve/DrainRunnerTest.java
@@ -26,6 +26,7 @@
     private final List<String> calls = new ArrayList<>();
     private final boolean failsAtLeave;
     private final boolean failsAtEnd;
+    private boolean failsAtEachLook;
     private int looks;
 
     FailingSteps(boolean failsAtLeave, boolean failsAtEnd) {
@@ -60,7 +61,7 @@
     @Override
     public int openRequests() {
       looks++;
-      if (looks == 2) {
+      if (failsAtEachLook || looks == 2) {
         throw new IllegalStateException("look");
       }
       return failsAtEnd || ControlThread.nowMs() < endMs ? 1 : 0;
@@ -102,6 +103,16 @@
     assertThat(steps.calls).containsExactly("leave", "stop", "release").inOrder();
   }
 
+  // Guards against requests that are cut off at the end of the process without a final answer,
+  // because the state of the instance could not be read.
+  @Test
+  void anInstanceWhoseStateCannotBeReadEndsItsRequests() {
+    FailingSteps steps = new FailingSteps(false, true);
+    steps.failsAtEachLook = true;
+    drain(steps);
+    assertThat(steps.calls).containsExactly("leave", "end", "stop", "release").inOrder();
+  }
+
   // Guards against requests that are accepted until the process is gone, because the step that ends
   // the open ones failed.
   @Test
