Close only the connections beyond the limit of an HTTP server

A caller of the entry path could lose a connection that was within the limit: since connections are counted when they are accepted, the check in the initializer saw also those accepted later, closed the earlier one, and let a later one in. Of connections that were accepted together, all could be closed.

The listener, which runs on one thread, now decides when it accepts: only a connection within the limit is counted, and the others are closed.

HttpServerConnectionLimitTest failed before: with a limit of two and the loop of the first connection busy, the third was kept (read timed out, line 54). It passes now.

--- a/node/src/main/java/org/apricotstand/http/HttpServer.java
+++ b/node/src/main/java/org/apricotstand/http/HttpServer.java
@@ -63,19 +63,21 @@
   }
 
   /**
-   * Counts each connection as open when it is accepted. Its own event loop, which initializes it,
-   * may be busy for some time.
+   * Counts each connection within the limit as open when it is accepted. Its own event loop, which
+   * initializes it, may be busy for some time.
    */
   private final class AcceptHandler extends ChannelInboundHandlerAdapter {
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-      connections.add((Channel) message);
+      if (connections.size() < limits.maxConnections()) {
+        connections.add((Channel) message);
+      }
       context.fireChannelRead(message);
     }
   }
 
   private void initConnection(Channel channel) {
-    if (connections.size() > limits.maxConnections()) {
+    if (!connections.contains(channel)) {
       channel.close();
       return;
     }
