Don't suspect a canceled request because its engine closes

A caller of the entry path that broke a stream off, or whose entry instance lost its link to the owner, and sent the request again at once got 503 suspect_unsettled. The refusal was true, since the request was not queued, but had no ground: the owner had canceled the first run, the engine closed its connection as it was told, and the owner took that for a possible crash until the engine had answered two state queries 150 ms apart. By its code and its moment it is the refusal that FaultyLinksTest. streamCutOnEngineLinkResumesWithoutGapOrDuplicate met once, behind the test that cuts the peer link; no log of that run was at hand, so it is not proved.

The lost connection of a canceled request has a code of its own now. The engine is still asked, and a crash is still counted, but the request is no suspect before one is found.

EngineAnswerHandlerTest failed before: the code was connection_lost. With the new code alone SuspectServiceTest failed: the crash of a canceled request was missed. Both pass now.

--- a/node/src/main/java/org/apricotstand/http/CallFailure.java
+++ b/node/src/main/java/org/apricotstand/http/CallFailure.java
@@ -18,4 +18,7 @@
 
   /** The connection broke after the request was sent. */
   public static final String CONNECTION_LOST = "connection_lost";
+
+  /** The connection broke after the request was canceled, which makes the other side close it. */
+  public static final String CANCELED = "canceled";
 }
--- a/node/src/main/java/org/apricotstand/owner/EngineAnswerHandler.java
+++ b/node/src/main/java/org/apricotstand/owner/EngineAnswerHandler.java
@@ -40,6 +40,7 @@
   private boolean ended;
   private TokenEventSplitter splitter;
   private Outcome resumeFailureOutcome;
+  private volatile boolean canceled;
   private volatile boolean resumeDisabled;
   private volatile ReplyControl control;
 
@@ -179,6 +180,7 @@
 
   /** Disables the resumption of a broken stream, because the caller has canceled the request. */
   void disableResume() {
+    canceled = true;
     resumeDisabled = true;
   }
 
@@ -199,7 +201,9 @@
     if (ended) {
       return;
     }
-    if (resumed) {
+    if (canceled && failure.maybeSent()) {
+      failPossiblyRunning(outcomeUnknown(CallFailure.CANCELED, failure.detail()));
+    } else if (resumed) {
       failPossiblyRunning(resumeFailureOutcome);
     } else if (splitter != null && !resumeDisabled) {
       resumed = true;
--- a/node/src/main/java/org/apricotstand/suspects/CrashDetectingSink.java
+++ b/node/src/main/java/org/apricotstand/suspects/CrashDetectingSink.java
@@ -87,7 +87,8 @@
 
   private static boolean mayBeCrash(Failure failure) {
     return failure.code().equals(CallFailure.CONNECTION_LOST)
-        || failure.code().equals(CallFailure.TIMEOUT);
+        || failure.code().equals(CallFailure.TIMEOUT)
+        || failure.code().equals(CallFailure.CANCELED);
   }
 
   /** Checks whether the engine crashed; confined to the control thread. */
@@ -102,7 +103,10 @@
     }
 
     void start() {
-      suspects.apply(new SuspectEvent.ConnectionLost(fingerprint, target, incarnation));
+      // The engine of a canceled request closes its connection, which is no sign of a crash.
+      if (!failure.code().equals(CallFailure.CANCELED)) {
+        suspects.apply(new SuspectEvent.ConnectionLost(fingerprint, target, incarnation));
+      }
       queryState();
     }
 
--- a/node/src/test/java/org/apricotstand/owner/EngineAnswerHandlerTest.java
+++ b/node/src/test/java/org/apricotstand/owner/EngineAnswerHandlerTest.java
@@ -24,6 +24,7 @@
 class EngineAnswerHandlerTest {
 
   private final List<String> seen = new ArrayList<>();
+  private String failureCode = "";
   private final EngineAnswerHandler handler =
       new EngineAnswerHandler(
           new TargetId("engine-1"),
@@ -156,6 +157,16 @@
     assertThat(seen).containsExactly("head", "OutcomeUnknown", "broken").inOrder();
   }
 
+  // Guards against suspecting a canceled request of a crash, because its engine closed the
+  // connection as it was told.
+  @Test
+  void theLostConnectionOfACanceledRequestIsReportedAsCanceled() {
+    startStream();
+    handler.disableResume();
+    handler.onFailure(new CallFailure(true, CallFailure.CONNECTION_LOST, "test"));
+    assertThat(failureCode).isEqualTo("canceled");
+  }
+
   private void startStream() {
     HttpHeaders headers =
         new DefaultHttpHeaders()
@@ -237,6 +248,8 @@
     @Override
     public void fail(Outcome outcome) {
       seen.add(outcome.getClass().getSimpleName());
+      failureCode =
+          outcome instanceof Outcome.OutcomeUnknown(Failure failure) ? failure.code() : "";
     }
 
     @Override
