Deliver the last answer to a caller that sends its next request

Callers would see: of the last answer that an instance gives on a connection before it stops, a caller that was already sending its next request gets only the start, then a reset (4,033 of 1,000,000 bytes in the test).

Only refusals and connections with too many requests read on before the close; an answer with 'Connection: close' closed at once, also while the next request was arriving.

Evidence: aCallerThatSendsItsNextRequestGetsTheLastAnswer failed before and passes; CallerConnectionTest and RequestRouterTest pass.

--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -218,10 +218,11 @@
     answerWrite.addListener(done -> idleSinceMs = ControlThread.nowMs());
     server.onRequestEnded();
     PipelinedRequest next = pipelinedRequests.poll();
-    if (!keepAlive && !ignoringInput) {
-      closeAfterFlush();
-    } else if (!keepAlive) {
+    if (!keepAlive && (ignoringInput || hasPartOfRequest())) {
+      ignoringInput = true;
       closeAfterInput(answerWrite);
+    } else if (!keepAlive) {
+      closeAfterFlush();
     } else if (next != null) {
       serve(next.request, next.keepAlive);
     } else if (pendingRefusal != null) {
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -35,6 +35,7 @@
   private static final long TEST_TIMEOUT_MS = 20_000;
   private static final long IDLE_TIMEOUT_MS = 1_500;
   private static final int LONG_ANSWER_BYTES = 48_000_000;
+  private static final int LAST_ANSWER_BYTES = 1_000_000;
   private static final int SLOW_READS = 40;
   private static final int SLOW_READ_BYTES = 500_000;
   private static final long SLOW_READ_PAUSE_MS = 90;
@@ -236,10 +237,14 @@
   }
 
   private void answerNextAtLength() throws InterruptedException {
+    answerNext(LONG_ANSWER_BYTES);
+  }
+
+  private void answerNext(int bodyBytes) throws InterruptedException {
     Reply reply = replies.poll(TEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, LONG_ANSWER_BYTES);
-    ByteBuf body = Unpooled.wrappedBuffer(new byte[LONG_ANSWER_BYTES]);
+    head.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes);
+    ByteBuf body = Unpooled.wrappedBuffer(new byte[bodyBytes]);
     loop.submit(
             () -> {
               reply.writeHead(head);
@@ -331,6 +336,35 @@
     }
   }
 
+  // Guards against the loss of the last answer of a stopping instance, because the caller sends its
+  // next request when the connection is closed.
+  @Test
+  void aCallerThatSendsItsNextRequestGetsTheLastAnswer() throws Exception {
+    String next = "POST /p/ HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n";
+    try (Socket socket = connectWithSmallBuffer()) {
+      send(socket, REQUEST + next);
+      awaitOpenRequests(1);
+      server.drain();
+      answerNext(LAST_ANSWER_BYTES);
+      awaitOpenRequests(0);
+      for (int i = 0; i < 5; i++) {
+        sendUnlessClosed(socket);
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+      assertThat(readHead(socket.getInputStream())).contains("connection: close");
+      assertThat(readAll(socket)).hasLength(LAST_ANSWER_BYTES);
+    }
+  }
+
+  private static void sendUnlessClosed(Socket socket) {
+    try {
+      socket.getOutputStream().write(new byte[1_000]);
+    } catch (IOException e) {
+      // The server need not read the request; what is received shows what became of the answer.
+      assertThat(e).isInstanceOf(SocketException.class);
+    }
+  }
+
   // Guards against a caller that waits for leave to send a body which nobody gives it, because the
   // answer before was not complete when its request arrived.
   @Test
