Don't cut off an answer because the next request arrives in part

Callers would see, on the entry path: an answer that lasts longer than the time in which a request has to arrive (30 s by default) is cut off if its caller has sent a line break, or a part of the next request, behind the request. A request that waits for "100 Continue" behind such an answer did the same.

Cause: any byte starts the timeout of a request, and its end closes the connection whatever is being answered: the input behind a request decides about the answers before it.

Change: line breaks between requests begin none; a request that does not arrive in time ends the connection after the answers before it.

Evidence: aLineBreakBehindARequestDoesNotCutOffItsAnswer and anIncompleteRequestDoesNotCutOffTheAnswerBeforeIt failed before (only the first part of the stream arrived) and pass; the other tests of the package http pass, but for the known red one.

--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -155,6 +155,15 @@
       }
     } else if (event instanceof IdleStateEvent && currentExchange == null) {
       context.close();
+    } else if (event == RequestReadTimeout.EXPIRED) {
+      closeAfterAnswers(context);
+    }
+  }
+
+  private void closeAfterAnswers(ChannelHandlerContext context) {
+    ignoringInput = true;
+    if (currentExchange == null) {
+      context.close();
     }
   }
 
--- a/node/src/main/java/org/apricotstand/http/HttpLimits.java
+++ b/node/src/main/java/org/apricotstand/http/HttpLimits.java
@@ -8,7 +8,8 @@
  * @param maxConnections maximum number of open connections; further ones are closed at once
  * @param idleTimeoutMs time without a request after which a connection is closed
  * @param requestReadTimeoutMs maximum time from the first byte of a request to its last; the
- *     connection is closed after it, so that slow senders cannot occupy connections
+ *     connection is then closed after the answers to the requests before, so that slow senders
+ *     cannot occupy connections
  */
 public record HttpLimits(
     int maxHeaderBytes,
--- a/node/src/main/java/org/apricotstand/http/RequestReadTimeout.java
+++ b/node/src/main/java/org/apricotstand/http/RequestReadTimeout.java
@@ -1,18 +1,22 @@
 package org.apricotstand.http;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
- * Closes the connection when a request does not arrive completely within a time after its first
- * byte.
+ * Fires {@link #EXPIRED} when a request does not arrive completely within a time after its first
+ * byte. Line breaks between two requests begin none.
  */
 final class RequestReadTimeout extends ChannelInboundHandlerAdapter {
 
+  /** Event that tells that the request being received is incomplete after the timeout. */
+  static final Object EXPIRED = new Object();
+
   private final long timeoutMs;
-  private Future<?> scheduledClose;
+  private Future<?> scheduledExpiry;
 
   RequestReadTimeout(long timeoutMs) {
     this.timeoutMs = timeoutMs;
@@ -20,13 +24,21 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (scheduledClose == null) {
-      scheduledClose =
-          context.executor().schedule(() -> context.close(), timeoutMs, TimeUnit.MILLISECONDS);
+    if (scheduledExpiry == null && !isLineBreak(message)) {
+      scheduledExpiry =
+          context
+              .executor()
+              .schedule(
+                  () -> context.fireUserEventTriggered(EXPIRED), timeoutMs, TimeUnit.MILLISECONDS);
     }
     context.fireChannelRead(message);
   }
 
+  private static boolean isLineBreak(Object message) {
+    return message instanceof ByteBuf bytes
+        && bytes.forEachByte(next -> next == '\r' || next == '\n') < 0;
+  }
+
   /** Cancels the timeout of the current request. */
   void onRequestComplete() {
     cancel();
@@ -39,9 +51,9 @@
   }
 
   private void cancel() {
-    if (scheduledClose != null) {
-      scheduledClose.cancel(false);
-      scheduledClose = null;
+    if (scheduledExpiry != null) {
+      scheduledExpiry.cancel(false);
+      scheduledExpiry = null;
     }
   }
 }
--- a/node/src/test/java/org/apricotstand/http/HttpServerTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerTest.java
@@ -20,6 +20,10 @@
 
   private static final HttpLimits LIMITS = new HttpLimits(1_024, 2_048, 8, 60_000, 500);
   private static final long SLOW_ANSWER_MS = 100;
+
+  /** Longer than the time in which a request has to arrive. */
+  private static final long LONG_ANSWER_MS = 1_200;
+
   private static final int TOO_LARGE_BYTES = 4_000;
   private static final String TOO_LARGE_HEAD =
       "POST / HTTP/1.1\r\nContent-Length: " + TOO_LARGE_BYTES + "\r\n\r\n";
@@ -52,6 +56,11 @@
         exchange.write("first".getBytes(StandardCharsets.UTF_8));
         group.schedule(() -> endStream(exchange), SLOW_ANSWER_MS, TimeUnit.MILLISECONDS);
       }
+      case "/long-stream" -> {
+        exchange.begin(200, Map.of());
+        exchange.write("first".getBytes(StandardCharsets.UTF_8));
+        group.schedule(() -> endStream(exchange), LONG_ANSWER_MS, TimeUnit.MILLISECONDS);
+      }
       case "/flood" -> {
         exchange.setCloseListener(callerDisconnected::countDown);
         exchange.begin(200, Map.of());
@@ -156,6 +165,30 @@
     }
   }
 
+  /** Guards against an answer that is cut off because of a line break behind its request. */
+  @Test
+  void aLineBreakBehindARequestDoesNotCutOffItsAnswer() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET /long-stream HTTP/1.1\r\n\r\n");
+      caller.readUntil("first");
+      caller.send("\r\n");
+      assertThat(caller.readUntil("0\r\n\r\n")).contains("second");
+      assertThat(caller.send("GET / HTTP/1.1\r\nx-name: Anna\r\n\r\n").readUntil("\"Anna\""))
+          .startsWith("HTTP/1.1 200 ");
+    }
+  }
+
+  /** Guards against an answer that is cut off because the next request does not arrive whole. */
+  @Test
+  void anIncompleteRequestDoesNotCutOffTheAnswerBeforeIt() throws IOException {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET /long-stream HTTP/1.1\r\n\r\n");
+      caller.readUntil("first");
+      caller.send("POST / HTTP/1.1\r\nContent-Length: 2\r\n\r\nh");
+      assertThat(caller.readAll()).endsWith("second\r\n0\r\n\r\n");
+    }
+  }
+
   /** Guards against unbounded bodies, and against closing the connection after a refused one. */
   @Test
   void refusesTooLargeBodyAndKeepsConnection() throws IOException {
