Read on before closing a connection of the entry path that still receives

Callers would see, on the entry path: a caller that is sending its next request when its connection is closed (by a drain, or because it sent too many requests) gets a reset, and loses what it has not read of the answer before.

Beside it, the timeout of a request that begins in the same read as the end of another one was never started, so that a part of a request was not known to be there.

Change: the output is ended and input read for up to 1 s if a part of a request has arrived; the timeout also starts at the head of a request.

Evidence: aCallerThatSendsTooMuchGetsItsAnswers failed on the code before with a reset while sending and passes, as do HttpServerTest and CallerConnectionTest. The timeout that starts at the head has no test of its own.

--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -3,6 +3,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -31,6 +32,9 @@
    */
   private static final long DRAIN_GRACE_MS = 1_000;
 
+  /** Time in which a caller may go on sending after its last answer. */
+  private static final long MAX_CLOSE_MS = 1_000;
+
   private final HttpHandler handler;
   private final Queue<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
   private NettyExchange currentExchange;
@@ -140,12 +144,29 @@
         next.release();
       }
     } else if (!keepAlive || inputClosed || ignoringInput || draining) {
-      context.close();
+      closeAfterInput(context);
     } else {
       context.pipeline().get(BodyCollector.class).sendDueContinue(context);
     }
   }
 
+  /**
+   * Closes the connection. If a request is arriving, ends the output first and waits for the caller
+   * to do the same: a close before all input is read resets the connection, so that the caller may
+   * lose its answers.
+   */
+  private void closeAfterInput(ChannelHandlerContext context) {
+    boolean isReceiving =
+        ignoringInput || context.pipeline().get(RequestReadTimeout.class).isReceiving();
+    ignoringInput = true;
+    if (!inputClosed && isReceiving && context.channel() instanceof DuplexChannel duplex) {
+      duplex.shutdownOutput();
+      context.executor().schedule(() -> context.close(), MAX_CLOSE_MS, TimeUnit.MILLISECONDS);
+    } else {
+      context.close();
+    }
+  }
+
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
     if (event instanceof ChannelInputShutdownEvent) {
--- a/node/src/main/java/org/apricotstand/http/RequestEndHandler.java
+++ b/node/src/main/java/org/apricotstand/http/RequestEndHandler.java
@@ -2,9 +2,13 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 
-/** Notifies the {@link RequestReadTimeout} when a request has been read completely. */
+/**
+ * Notifies the {@link RequestReadTimeout} when a request has been read completely, and when the
+ * head of one has arrived, which may be in the same read as the request before it.
+ */
 final class RequestEndHandler extends ChannelInboundHandlerAdapter {
 
   private final RequestReadTimeout requestReadTimeout;
@@ -15,6 +19,9 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
+    if (message instanceof HttpRequest) {
+      requestReadTimeout.startUnlessStarted(context);
+    }
     if (message instanceof LastHttpContent) {
       requestReadTimeout.onRequestComplete();
     }
--- a/node/src/main/java/org/apricotstand/http/RequestReadTimeout.java
+++ b/node/src/main/java/org/apricotstand/http/RequestReadTimeout.java
@@ -24,14 +24,21 @@
 
   @Override
   public void channelRead(ChannelHandlerContext context, Object message) {
-    if (scheduledExpiry == null && !isLineBreak(message)) {
+    if (!isLineBreak(message)) {
+      startUnlessStarted(context);
+    }
+    context.fireChannelRead(message);
+  }
+
+  /** Starts the timeout of a request unless it was started by an earlier part of the request. */
+  void startUnlessStarted(ChannelHandlerContext context) {
+    if (scheduledExpiry == null) {
       scheduledExpiry =
           context
               .executor()
               .schedule(
                   () -> context.fireUserEventTriggered(EXPIRED), timeoutMs, TimeUnit.MILLISECONDS);
     }
-    context.fireChannelRead(message);
   }
 
   private static boolean isLineBreak(Object message) {
@@ -39,6 +46,11 @@
         && bytes.forEachByte(next -> next == '\r' || next == '\n') < 0;
   }
 
+  /** Returns whether a part of a request has been received. */
+  boolean isReceiving() {
+    return scheduledExpiry != null;
+  }
+
   /** Cancels the timeout of the current request. */
   void onRequestComplete() {
     cancel();
--- a/node/src/test/java/org/apricotstand/http/HttpServerTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerTest.java
@@ -24,6 +24,8 @@
   /** Longer than the time in which a request has to arrive. */
   private static final long LONG_ANSWER_MS = 1_200;
 
+  private static final int LARGE_ANSWER_BYTES = 1_000_000;
+  private static final int SMALL_BUFFER_BYTES = 4_096;
   private static final int TOO_LARGE_BYTES = 4_000;
   private static final String TOO_LARGE_HEAD =
       "POST / HTTP/1.1\r\nContent-Length: " + TOO_LARGE_BYTES + "\r\n\r\n";
@@ -61,6 +63,16 @@
         exchange.write("first".getBytes(StandardCharsets.UTF_8));
         group.schedule(() -> endStream(exchange), LONG_ANSWER_MS, TimeUnit.MILLISECONDS);
       }
+      case "/large" -> {
+        exchange.begin(200, Map.of("content-length", String.valueOf(LARGE_ANSWER_BYTES)));
+        group.schedule(
+            () -> {
+              exchange.write(new byte[LARGE_ANSWER_BYTES]);
+              exchange.end();
+            },
+            SLOW_ANSWER_MS,
+            TimeUnit.MILLISECONDS);
+      }
       case "/flood" -> {
         exchange.setCloseListener(callerDisconnected::countDown);
         exchange.begin(200, Map.of());
@@ -189,6 +201,25 @@
     }
   }
 
+  /**
+   * Guards against the loss of an answer because its caller sends when the connection is closed.
+   */
+  @Test
+  void aCallerThatSendsTooMuchGetsItsAnswers() throws Exception {
+    try (RawConnection caller = new RawConnection(server.address(), SMALL_BUFFER_BYTES)) {
+      caller.send("GET /large HTTP/1.1\r\n\r\n");
+      caller.send("POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n");
+      caller.readUntil("\r\n\r\n");
+      server.drain();
+      TimeUnit.MILLISECONDS.sleep(2 * SLOW_ANSWER_MS);
+      for (int i = 0; i < 5; i++) {
+        caller.send("x".repeat(100));
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+      assertThat(caller.readAll()).hasLength(LARGE_ANSWER_BYTES);
+    }
+  }
+
   /** Guards against unbounded bodies, and against closing the connection after a refused one. */
   @Test
   void refusesTooLargeBodyAndKeepsConnection() throws IOException {
--- a/node/src/test/java/org/apricotstand/http/RawConnection.java
+++ b/node/src/test/java/org/apricotstand/http/RawConnection.java
@@ -19,6 +19,14 @@
     socket.setSoTimeout(READ_TIMEOUT_MS);
   }
 
+  /** Connects with a small buffer for what is received, so that answers wait at their sender. */
+  RawConnection(InetSocketAddress address, int receiveBufferBytes) throws IOException {
+    socket = new Socket();
+    socket.setReceiveBufferSize(receiveBufferBytes);
+    socket.setSoTimeout(READ_TIMEOUT_MS);
+    socket.connect(address);
+  }
+
   RawConnection send(String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     socket.getOutputStream().flush();
