--- a/node/src/main/java/org/apricotstand/upstream/AnswerDecoder.java
+++ b/node/src/main/java/org/apricotstand/upstream/AnswerDecoder.java
@@ -12,7 +12,7 @@
 /**
  * Decodes the answers of targets. An answer to a HEAD request has no body, whatever its headers
  * say. Bytes that arrive while no answer is expected are dropped and reported as {@link
- * UnaskedBytes}: decoded, they could become the beginning of the next answer.
+ * UnsolicitedBytes}: decoded, they could become the beginning of the next answer.
  */
 final class AnswerDecoder extends HttpResponseDecoder {
 
@@ -20,7 +20,7 @@
   private static final int MAX_HEADER_BYTES = 65_536;
 
   /** Event of the pipeline: a target sent this many bytes while no answer was expected. */
-  record UnaskedBytes(int count) {}
+  record UnsolicitedBytes(int count) {}
 
   private HttpMethod method;
   private boolean answerExpected;
@@ -57,7 +57,7 @@
     }
     int count = in.readableBytes();
     in.skipBytes(count);
-    context.fireUserEventTriggered(new UnaskedBytes(count));
+    context.fireUserEventTriggered(new UnsolicitedBytes(count));
   }
 
   @Override
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -217,8 +217,8 @@
 
   @Override
   public void userEventTriggered(ChannelHandlerContext context, Object event) {
-    if (event instanceof AnswerDecoder.UnaskedBytes bytes) {
-      pool.logUnaskedBytes(this, request, bytes.count());
+    if (event instanceof AnswerDecoder.UnsolicitedBytes bytes) {
+      pool.logUnsolicitedBytes(this, request, bytes.count());
       channel.close();
     } else {
       context.fireUserEventTriggered(event);
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
@@ -167,9 +167,9 @@
         "foreign_answer_dropped", "request", expected.id(), "echoed", echoed, "status", status);
   }
 
-  void logUnaskedBytes(TargetConnection connection, TargetRequest last, int count) {
+  void logUnsolicitedBytes(TargetConnection connection, TargetRequest last, int count) {
     LOG.info(
-        "unasked_bytes_dropped",
+        "unsolicited_bytes_dropped",
         "target",
         incarnations.get(connection),
         "request",
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -75,7 +75,9 @@
   volatile boolean fleetFails;
   long firstByteTimeoutMs = 2_000;
 
-  /** Large enough for the retries of a single request, since a new router has hardly an allowance. */
+  /**
+   * Large enough for the retries of a single request, since a new router has hardly an allowance.
+   */
   double retryRatio = 5;
 
   CallerServer server;
