Wait in a bounded time for connections that a closed listener dropped

CallerDrainTest waited without end for a connection that nothing closed: in one run of the whole script and in the one run made for it. The socket table showed the caller's end established and no other end: the connection was in the queue of the listener at its close, and the kernel here tells the caller only when it sends something. Nothing on such a connection is read, so no answer is owed. A caller that has heard nothing for 2 s now ends its output and then waits for 20 s at most. What the test checks is unchanged.

--- a/node/src/test/java/org/apricotstand/front/CallerDrainTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerDrainTest.java
@@ -15,6 +15,8 @@
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.apricotstand.drain.Drain;
 import org.apricotstand.drain.DrainAction;
 import org.apricotstand.drain.DrainEvent;
@@ -29,6 +31,8 @@
   private static final long GRACE_MS = 8_000;
   private static final int DRAINS = 25;
   private static final int MAX_TICK_MS = 60;
+  private static final long CLOSE_WAIT_MS = 2_000;
+  private static final long TEST_TIMEOUT_MS = 20_000;
 
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -67,6 +71,19 @@
       return text.toString();
     }
 
+    /**
+     * Returns what arrived until the connection was closed. A connection that was still in the
+     * queue of the listener at its close may hear of that only when it sends something.
+     */
+    String receivedUntilClose() throws Exception {
+      try {
+        return received.get(CLOSE_WAIT_MS, TimeUnit.MILLISECONDS);
+      } catch (TimeoutException e) {
+        socket.shutdownOutput();
+        return received.get(TEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      }
+    }
+
     void send(String text) throws IOException {
       socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
     }
@@ -113,7 +130,7 @@
       server.stop();
       StringBuilder received = new StringBuilder();
       for (CallerSocket socket : sockets) {
-        received.append(socket.received.get());
+        received.append(socket.receivedUntilClose());
         socket.socket.close();
       }
       for (String uri : passedOn) {
