Log the identity of the whole request with each lost attempt

The log of a lost attempt named only the traits that requests share, so it could not tell whether one request or several had crashed a target.

--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -432,7 +432,7 @@
         "begun",
         attempt.hasFirstByte(),
         "traits",
-        traits.shared().stream().map(Trait::encode).toList());
+        traits.all().map(Trait::encode).toList());
     if (failure instanceof SendFailure.NotSent) {
       connectFailures++;
       router.health().recordUnreachable(attempt.target().id(), nowMs);
