Recognize a harmful request whatever address it comes from

Callers saw: a request went on reaching targets long after it had crashed the third one, and each crash cut off the answers of sound requests.

Cause: the identity of the whole request held the IP address of the connection. The request comes again from other callers and connections, so each time it looked like a new request that had been at one crash only.

The identity is now what the target sees: host, method, path and query, model and body. As callers who send alike share it, an answer to the request counts from the first lost connection on, not only after the crash is noted.

--- a/node/src/main/java/org/apricotstand/request/CrashWatch.java
+++ b/node/src/main/java/org/apricotstand/request/CrashWatch.java
@@ -151,7 +151,9 @@
    */
   void onAnswer(RequestTraits traits) {
     traits.shared().forEach(this::clear);
-    if (!suspects.isEmpty()) {
+    // A request that many callers send alike may be answered elsewhere before the probe that finds
+    // two targets crashed at once.
+    if (!suspects.isEmpty() || !lostByTarget.isEmpty()) {
       clear(traits.wholeRequest());
     }
   }
--- a/node/src/main/java/org/apricotstand/request/RequestTraits.java
+++ b/node/src/main/java/org/apricotstand/request/RequestTraits.java
@@ -1,7 +1,9 @@
 package org.apricotstand.request;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.stream.Stream;
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.residency.AdapterKey;
@@ -13,6 +15,7 @@
 final class RequestTraits {
 
   private final CallerRequest request;
+  private final String adapter;
   private final List<Trait> shared;
   private Trait wholeRequest;
 
@@ -24,9 +27,10 @@
    */
   RequestTraits(CallerRequest request, AdapterKey adapter, String promptParts) {
     this.request = request;
+    this.adapter = adapter == null ? "" : adapter.toString();
     this.shared = new ArrayList<>();
     if (adapter != null) {
-      shared.add(new Trait.Adapter(adapter.toString()));
+      shared.add(new Trait.Adapter(this.adapter));
     }
     PromptParts.shared(promptParts).forEach(part -> shared.add(new Trait.PromptPart(part)));
   }
@@ -37,12 +41,14 @@
   }
 
   /**
-   * Returns the trait of the request as a whole, which is the same each time that its caller sends
-   * it, whatever request id it has.
+   * Returns the trait of the request as a whole, which is the same each time that it is sent,
+   * whatever request id it has. It leaves out the address of the caller, because a caller may have
+   * another one each time and the target does not see it.
    */
   Trait wholeRequest() {
     if (wholeRequest == null) {
-      List<String> parts = List.of(request.caller(), request.method().name(), request.uri());
+      String host = request.headers().get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT);
+      List<String> parts = List.of(host, request.method().name(), request.uri(), adapter);
       wholeRequest = new Trait.WholeRequest(Fingerprint.of(parts, request.body()));
     }
     return wholeRequest;
--- a/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
+++ b/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
@@ -41,7 +41,7 @@
         new CallerRequest(
             HttpMethod.POST,
             "/p/x",
-            new DefaultHttpHeaders(),
+            new DefaultHttpHeaders().set("Host", "h"),
             "hi".getBytes(StandardCharsets.UTF_8),
             "127.0.0.1",
             0);
