Blame the whole request once a wrong refusal of a shared trait has ended

Callers saw: a harmful request could crash a further target after two crashes that it had been at, when a prompt part or adapter that it shares with sound requests was refused first.

Cause: a refused shared trait explains its crashes, so that they do not count against the request. An answer ends such a refusal, but the crashes were judged anew only at the next crash.

CrashSuspects.refuseRequests judges them as soon as an answer has ended a refusal. It refuses whole requests only: other shared traits may have their answers under way. CrashWatch records the answers to all traits of a request before that, the whole request first, so that it is not blamed itself.

CrashWatchTest#anAnswerThatEndsARefusalLeavesTheBlameOfTheRequest fails without the call (no refusal of the request).

Also tests that a request sent alike by many callers is not refused once it has been answered elsewhere before the crash is noted, and is served again if that happens after it. The first one fails without the condition on lost connections in CrashWatch.onAnswer.

--- a/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
+++ b/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Finds out which trait of requests crashes targets, and refuses further requests that have it.
@@ -128,7 +129,7 @@
     removeExpired(nowMs);
     momentMsByTarget.computeIfAbsent(target, key -> momentAt(nowMs));
     requestsByTrait.forEach((trait, requests) -> suspect(trait, target, requests, nowMs));
-    return refuseCauses(nowMs);
+    return refuseCauses(trait -> true, nowMs);
   }
 
   /** Returns the start of the moment to which a crash that is noticed now belongs. */
@@ -167,16 +168,16 @@
   }
 
   /**
-   * Refuses the most likely cause of the crashes that no refused trait explains, until none is
-   * left.
+   * Refuses the most likely cause of the crashes that no refused trait explains, until none is left
+   * among the traits to which the filter applies.
    */
-  private Set<Trait> refuseCauses(long nowMs) {
+  private Set<Trait> refuseCauses(Predicate<Trait> filter, long nowMs) {
     Explanations explanations = new Explanations();
     suspicions.entrySet().stream()
         .filter(entry -> isRefused(entry.getKey(), nowMs))
         .forEach(entry -> explanations.add(entry.getKey(), entry.getValue()));
     Set<Trait> refused = new HashSet<>();
-    for (Trait trait : possibleCauses(nowMs)) {
+    for (Trait trait : possibleCauses(nowMs).stream().filter(filter).toList()) {
       Suspicion suspicion = suspicions.get(trait);
       Set<String> unexplained = explanations.unexplained(trait, suspicion);
       if (countCrashes(trait, unexplained) >= crashesUntilRefusal(trait, nowMs)) {
@@ -321,6 +322,18 @@
     return wasRefused || (suspicion != null && suspicion.requestsByTarget.size() > 1);
   }
 
+  /**
+   * Refuses the whole requests that explain crashes, after an answer has ended the refusal that
+   * explained them so far. Other shared traits wait for the next crash: their answers may be on
+   * their way.
+   *
+   * @return requests that are refused from now on
+   */
+  public Set<Trait> refuseRequests(long nowMs) {
+    removeExpired(nowMs);
+    return refuseCauses(trait -> trait instanceof Trait.WholeRequest, nowMs);
+  }
+
   /** Returns a trait for which a request with these traits is refused. */
   public Optional<Trait> findRefused(Collection<Trait> traits, long nowMs) {
     return traits.stream().filter(trait -> isRefused(trait, nowMs)).findFirst();
--- a/core/src/test/java/org/apricotstand/suspect/CrashSuspectsTest.java
+++ b/core/src/test/java/org/apricotstand/suspect/CrashSuspectsTest.java
@@ -250,4 +250,62 @@
     assertThat(isRefused(FIRST, lastMs)).isFalse();
     assertThat(suspects.recordRefusal(FIRST, 90_000, lastMs + 1)).isEqualTo(RefusalReport.ACCEPTED);
   }
+
+  // Guards against a harmful request that crashes further targets because a part of its prompt,
+  // refused by mistake, explained its crashes, and nobody looked at them again after an answer had
+  // ended that refusal.
+  @Test
+  void anAnswerThatEndsARefusalLeavesTheBlameOfTheRequest() {
+    crash("t1#1", 1_000, SUBJECT, request("g"));
+    crash("t2#1", 2_000, SUBJECT, request("h"));
+    crash("t3#1", 3_000, SUBJECT, request("f"));
+    assertThat(isRefused(SUBJECT, 3_001)).isTrue();
+    crash("t4#1", 3_100, SUBJECT, request("f"));
+    assertThat(isRefused(request("f"), 3_101)).isFalse();
+    assertThat(suspects.recordAnswer(SUBJECT, 3_200)).isTrue();
+    assertThat(suspects.refuseRequests(3_200)).containsExactly(request("f"));
+    assertThat(isRefused(request("f"), 3_201)).isTrue();
+    assertThat(isRefused(request("g"), 3_201)).isFalse();
+    assertThat(isRefused(SUBJECT, 3_201)).isFalse();
+  }
+
+  // Guards against ending requests with another sound part of their prompts, whose answer is still
+  // on its way, because the first part was answered.
+  @Test
+  void anAnswerThatEndsARefusalBlamesNoOtherSharedTrait() {
+    for (int i = 1; i <= 3; i++) {
+      crash("t" + i + "#1", 1_000 * i, FIRST, SUBJECT);
+    }
+    assertThat(isRefused(SUBJECT, 3_001)).isTrue();
+    assertThat(suspects.recordAnswer(SUBJECT, 3_100)).isTrue();
+    assertThat(suspects.refuseRequests(3_100)).isEmpty();
+    assertThat(isRefused(FIRST, 3_101)).isFalse();
+  }
+
+  // Guards against a request that is not refused at an instance because the refusal of a part of
+  // its prompt by another instance came first.
+  @Test
+  void aContradictedRefusalOfAnotherInstanceLeavesTheBlameOfTheRequest() {
+    suspects.recordAnswer(SUBJECT, 0);
+    crash("t1#1", 1_000, SUBJECT, request("f"));
+    assertThat(suspects.recordRefusal(SUBJECT, 90_000, 1_100))
+        .isEqualTo(RefusalReport.CONTRADICTED);
+    crash("t2#1", 2_000, SUBJECT, request("f"));
+    assertThat(isRefused(request("f"), 2_001)).isTrue();
+    assertThat(isRefused(SUBJECT, 2_001)).isFalse();
+  }
+
+  // Guards against refusing a sound request that many callers send alike when two targets that run
+  // it fail together, although another target answers it.
+  @Test
+  void aRequestThatWasAnsweredBeforeOrAfterTheCrashesIsNotRefused() {
+    suspects.recordAnswer(request("f"), 50);
+    crash("t1#1", 100, request("f"), request("g"));
+    crash("t2#1", 150, request("f"), request("g"));
+    assertThat(isRefused(request("f"), 151)).isFalse();
+    assertThat(isRefused(request("g"), 151)).isTrue();
+    assertThat(suspects.recordAnswer(request("g"), 200)).isTrue();
+    assertThat(isRefused(request("g"), 201)).isFalse();
+    assertThat(suspects.refuseRequests(201)).isEmpty();
+  }
 }
--- a/node/src/main/java/org/apricotstand/request/CrashWatch.java
+++ b/node/src/main/java/org/apricotstand/request/CrashWatch.java
@@ -1,8 +1,10 @@
 package org.apricotstand.request;
 
 import io.netty.channel.EventLoop;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -114,7 +116,10 @@
   /** Records a crash that this instance or another one has seen. */
   void recordCrash(String incarnation, Map<Trait, Integer> requestsByTrait) {
     long nowMs = clock.getAsLong();
-    Set<Trait> refused = suspects.recordCrash(incarnation, requestsByTrait, nowMs);
+    publishRefusals(suspects.recordCrash(incarnation, requestsByTrait, nowMs), incarnation, nowMs);
+  }
+
+  private void publishRefusals(Set<Trait> refused, String incarnation, long nowMs) {
     for (Trait trait : refused) {
       long untilMs = suspects.refusedUntilMs(trait, nowMs).orElse(nowMs);
       LOG.warn(
@@ -150,26 +155,38 @@
    * Records that a target answers a request, and tells the fleet if that clears a suspected trait.
    */
   void onAnswer(RequestTraits traits) {
-    traits.shared().forEach(this::clear);
+    List<Trait> cleared = new ArrayList<>();
     // A request that many callers send alike may be answered elsewhere before the probe that finds
     // two targets crashed at once.
     if (!suspects.isEmpty() || !lostByTarget.isEmpty()) {
-      clear(traits.wholeRequest());
+      cleared.add(traits.wholeRequest());
     }
-  }
-
-  private void clear(Trait trait) {
-    if (recordAnswer(trait)) {
-      fleetNotifier.reportAnswer(trait);
+    cleared.addAll(traits.shared());
+    // All traits are cleared before the crashes are judged anew, or the request itself were blamed.
+    cleared.removeIf(trait -> !clear(trait));
+    cleared.forEach(fleetNotifier::reportAnswer);
+    if (!cleared.isEmpty()) {
+      refuseRequests();
     }
   }
 
-  /** Records an answer that this instance or another one has seen; see {@link CrashSuspects}. */
-  boolean recordAnswer(Trait trait) {
+  private boolean clear(Trait trait) {
     boolean isNews = suspects.recordAnswer(trait, clock.getAsLong());
     if (isNews) {
       LOG.info("trait_cleared", "trait", trait.encode());
     }
     return isNews;
   }
+
+  private void refuseRequests() {
+    long nowMs = clock.getAsLong();
+    publishRefusals(suspects.refuseRequests(nowMs), "", nowMs);
+  }
+
+  /** Records an answer that another instance has seen; see {@link CrashSuspects}. */
+  void recordAnswer(Trait trait) {
+    if (clear(trait)) {
+      refuseRequests();
+    }
+  }
 }
--- a/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
+++ b/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
@@ -1,14 +1,21 @@
 package org.apricotstand.request;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.apricotstand.request.ScriptedTarget.ok;
+import static org.apricotstand.request.ScriptedTarget.write;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.UncheckedIOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.route.RequestKind;
@@ -37,16 +44,8 @@
     assertThat(call("")).startsWith("HTTP/1.1 502 ");
     awaitFleetCall();
     assertThat(fleetCalls).containsExactly("crashed t1#1");
-    CallerRequest sameRequest =
-        new CallerRequest(
-            HttpMethod.POST,
-            "/p/x",
-            new DefaultHttpHeaders().set("Host", "h"),
-            "hi".getBytes(StandardCharsets.UTF_8),
-            "127.0.0.1",
-            0);
-    RequestTraits traits = new RequestTraits(sameRequest, null, null);
-    router.loop().submit(() -> router.onCrash("t2#1", Map.of(traits.wholeRequest(), 1))).sync();
+    Trait whole = traitsOfCall().wholeRequest();
+    router.loop().submit(() -> router.onCrash("t2#1", Map.of(whole, 1))).sync();
     assertThat(call("")).contains("crashes_targets");
   }
 
@@ -119,6 +118,115 @@
     assertThat(fleetCalls).containsExactly("answered prompt/subject");
   }
 
+  // Guards against a harmful request that goes on crashing targets because a prompt part, refused
+  // by
+  // mistake, explained its crashes until an answer ended that refusal.
+  @Test
+  void anAnswerThatEndsARefusalLeavesTheBlameOfTheRequest() throws Exception {
+    Trait part = new Trait.PromptPart("subject");
+    serve(RequestKind.STREAM, 1, false, target("t9", ANSWERS_DONE));
+    Trait whole = traitsOfCall().wholeRequest();
+    router
+        .loop()
+        .submit(
+            () -> {
+              router.onRefusal(part, ControlThread.nowMs() + TEST_TIMEOUT_MS);
+              router.onCrash("t1#1", Map.of(part, 1, whole, 1));
+              router.onCrash("t2#1", Map.of(part, 1, whole, 1));
+            })
+        .sync();
+    assertThat(refusals).isEmpty();
+    router.loop().submit(() -> router.onAnswer(part)).sync();
+    assertThat(refusals).containsExactly(whole);
+    assertThat(call("")).contains("crashes_targets");
+    assertThat(callWithPrompt("subject:9,own:9")).endsWith("done");
+  }
+
+  // Guards against refusing a sound request that many callers send alike because it ran at two
+  // targets that fail at once, although a third one answers it before the first probe.
+  @Test
+  void aRequestThatIsAnsweredElsewhereBeforeTheCrashIsNotedIsNotRefused() throws Exception {
+    serve(RequestKind.IDEMPOTENT, 1, false, target("t1", crashes));
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+    serve(RequestKind.IDEMPOTENT, 1, false, target("t2", ANSWERS_DONE));
+    assertThat(call("")).endsWith("done");
+    awaitFleetCall();
+    assertThat(fleetCalls).containsExactly("crashed t1#1");
+    Trait whole = traitsOfCall().wholeRequest();
+    router.loop().submit(() -> router.onCrash("t3#1", Map.of(whole, 1))).sync();
+    assertThat(call("")).endsWith("done");
+    assertThat(refusals).isEmpty();
+  }
+
+  // Guards against refusing a sound request that many callers send alike after two targets have
+  // failed at once, although a third one answers it.
+  @Test
+  void aRequestThatIsAnsweredElsewhereAfterTheCrashesIsServedAgain() throws Exception {
+    CountDownLatch endAnswer = new CountDownLatch(1);
+    ScriptedTarget.Script slow =
+        (id, number, out) -> {
+          write(out, ok(id, "done").replace("done", "do"));
+          awaitLatch(endAnswer);
+          write(out, "ne");
+          return true;
+        };
+    serve(RequestKind.STREAM, 1, false, target("t9", slow));
+    Trait whole = traitsOfCall().wholeRequest();
+    try (Socket caller = new Socket("127.0.0.1", server.address().getPort())) {
+      caller.setSoTimeout((int) TEST_TIMEOUT_MS);
+      caller.getOutputStream().write(CALL.getBytes(StandardCharsets.UTF_8));
+      readUntil(caller.getInputStream(), "\r\n\r\ndo");
+      router
+          .loop()
+          .submit(
+              () -> {
+                router.onCrash("t1#1", Map.of(whole, 1));
+                router.onCrash("t2#1", Map.of(whole, 1));
+              })
+          .sync();
+      assertThat(refusals).containsExactly(whole);
+      endAnswer.countDown();
+      readUntil(caller.getInputStream(), "ne");
+    }
+    serve(RequestKind.STREAM, 1, false, target("t8", ANSWERS_DONE));
+    assertThat(call("")).endsWith("done");
+    assertThat(fleetCalls).containsExactly("answered " + whole.encode());
+  }
+
+  /** The request that {@link #call} sends without further headers. */
+  private static final String CALL =
+      "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nContent-Length: 2\r\n\r\nhi";
+
+  private static void readUntil(InputStream in, String end) throws IOException {
+    StringBuilder received = new StringBuilder();
+    while (!received.toString().endsWith(end)) {
+      int next = in.read();
+      assertWithMessage(received.toString()).that(next).isAtLeast(0);
+      received.append((char) next);
+    }
+  }
+
+  private static void awaitLatch(CountDownLatch latch) {
+    try {
+      latch.await(TEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** Returns the traits of the request that {@link #call} sends. */
+  private static RequestTraits traitsOfCall() {
+    CallerRequest request =
+        new CallerRequest(
+            HttpMethod.POST,
+            "/p/x",
+            new DefaultHttpHeaders().set("Host", "h"),
+            "hi".getBytes(StandardCharsets.UTF_8),
+            "127.0.0.1",
+            0);
+    return new RequestTraits(request, null, null);
+  }
+
   /** Crashes the newest target: closes its listener and the connection of the request. */
   private final ScriptedTarget.Script crashes =
       (id, number, out) -> {
