Count the crash of a target that is restarted before it is probed

Callers saw: a harmful request went on reaching targets whose supervisor restarts them at once at the same address, because no crash was counted.

Cause: a crash was only noted if the target refused a connection 0.1 s after it had lost requests. The new process accepts it.

Requests that a target loses although it responds are now kept for 10 s. If in this time the list of targets has a process with the same id or address that started later, the crash is noted for the incarnation that is gone. A target that is no longer listed leaves by plan and has not crashed; an answer elsewhere takes its traits off the loss.

CrashWatchTest#aTargetThatIsReplacedAfterALossHasCrashed and #aTargetWhoseAddressHasAnotherIdAfterALossHasCrashed fail without the wait for a replacement (no crash reported within 20 s) and pass with it.

--- a/core/src/main/java/org/apricotstand/dispatch/TargetEntry.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetEntry.java
@@ -47,4 +47,13 @@
   public String incarnation() {
     return id + "#" + startedUnixMs;
   }
+
+  /**
+   * Returns whether another entry shows that the process of this target has ended: one that started
+   * later has its id or its address.
+   */
+  public boolean isReplacedBy(TargetEntry other) {
+    return other.startedUnixMs > startedUnixMs
+        && (other.id.equals(id) || other.address().equals(address()));
+  }
 }
--- a/node/src/main/java/org/apricotstand/request/CrashWatch.java
+++ b/node/src/main/java/org/apricotstand/request/CrashWatch.java
@@ -10,8 +10,10 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.dispatch.TargetHealth;
+import org.apricotstand.fleet.FleetView;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.suspect.CrashSuspects;
 import org.apricotstand.suspect.CrashSuspects.RefusalReport;
@@ -34,21 +36,40 @@
   /** Delay between the loss of a connection and the probe of its target. */
   private static final long CRASH_PROBE_DELAY_MS = 100;
 
+  /**
+   * Time in which the list of targets shows that a target has been replaced. A supervisor may
+   * restart a target at the same address before the probe.
+   */
+  private static final long REPLACEMENT_WAIT_MS = 10_000;
+
   private final EventLoop loop;
   private final LongSupplier clock;
   private final TargetConnectionPool connections;
   private final TargetHealth health;
   private final FleetNotifier fleetNotifier;
+  private final Supplier<FleetView> view;
   private final Runnable refusalListener;
   private final CrashSuspects suspects = new CrashSuspects();
 
   /** Unanswered requests that targets have lost since the last probe, by incarnation and trait. */
   private final Map<String, Map<Trait, Integer>> lostByTarget = new HashMap<>();
 
+  /** Losses at targets that responded to the probe, by incarnation. */
+  private final Map<String, UnexplainedLoss> unexplainedByTarget = new LinkedHashMap<>();
+
+  /**
+   * Unanswered requests that a target has lost for an unknown reason.
+   *
+   * @param untilMs time after which a replacement of the target no longer explains the loss
+   */
+  private record UnexplainedLoss(
+      TargetEntry target, Map<Trait, Integer> requestsByTrait, long untilMs) {}
+
   /**
    * Creates a watch that suspects nothing.
    *
    * @param clock monotonic time in milliseconds
+   * @param view supplies the targets that are listed now
    * @param refusalListener called after more requests than before are refused
    */
   CrashWatch(
@@ -57,12 +78,14 @@
       TargetConnectionPool connections,
       TargetHealth health,
       FleetNotifier fleetNotifier,
+      Supplier<FleetView> view,
       Runnable refusalListener) {
     this.loop = loop;
     this.clock = clock;
     this.connections = connections;
     this.health = health;
     this.fleetNotifier = fleetNotifier;
+    this.view = view;
     this.refusalListener = refusalListener;
   }
 
@@ -76,8 +99,8 @@
 
   /**
    * Records that a target lost the connection of a request, and probes the target once for all
-   * requests that it loses at the same time. If it does not respond, it is taken as crashed, and
-   * all instances are told.
+   * requests that it loses at the same time. If it does not respond, or if it is replaced soon
+   * after, it is taken as crashed, and all instances are told.
    *
    * @param answered whether the target had begun to answer, so that the request is no suspect
    */
@@ -98,15 +121,54 @@
         target,
         alive -> {
           Map<Trait, Integer> lost = lostByTarget.remove(target.incarnation());
-          if (!alive) {
+          if (alive) {
+            awaitReplacement(target, lost);
+          } else {
+            health.recordUnreachable(target.id(), clock.getAsLong());
             onCrash(target, lost);
           }
         });
   }
 
+  private void awaitReplacement(TargetEntry target, Map<Trait, Integer> requestsByTrait) {
+    if (requestsByTrait.isEmpty()) {
+      return;
+    }
+    UnexplainedLoss known = unexplainedByTarget.remove(target.incarnation());
+    if (known != null) {
+      known.requestsByTrait.forEach(
+          (trait, count) -> requestsByTrait.merge(trait, count, Integer::sum));
+    }
+    long untilMs = clock.getAsLong() + REPLACEMENT_WAIT_MS;
+    unexplainedByTarget.put(
+        target.incarnation(), new UnexplainedLoss(target, requestsByTrait, untilMs));
+    checkReplacements();
+  }
+
+  /** Takes targets as crashed that lost requests and have been replaced in the list of targets. */
+  void checkReplacements() {
+    if (unexplainedByTarget.isEmpty()) {
+      return;
+    }
+    long nowMs = clock.getAsLong();
+    List<TargetEntry> listed =
+        view.get().targets().values().stream().flatMap(List::stream).toList();
+    for (UnexplainedLoss loss : List.copyOf(unexplainedByTarget.values())) {
+      String incarnation = loss.target.incarnation();
+      boolean isReplaced = listed.stream().anyMatch(loss.target::isReplacedBy);
+      boolean isListed = listed.stream().anyMatch(e -> e.incarnation().equals(incarnation));
+      // A target that is not listed any more is leaving, and restarts without a crash.
+      if (isReplaced || !isListed || nowMs >= loss.untilMs) {
+        unexplainedByTarget.remove(incarnation);
+      }
+      if (isReplaced) {
+        onCrash(loss.target, loss.requestsByTrait);
+      }
+    }
+  }
+
   private void onCrash(TargetEntry target, Map<Trait, Integer> requestsByTrait) {
     LOG.info("crash_noted", "target", target.incarnation(), "suspects", requestsByTrait.size());
-    health.recordUnreachable(target.id(), clock.getAsLong());
     if (!requestsByTrait.isEmpty()) {
       recordCrash(target.incarnation(), requestsByTrait);
       fleetNotifier.reportCrash(target.incarnation(), requestsByTrait);
@@ -158,7 +220,7 @@
     List<Trait> cleared = new ArrayList<>();
     // A request that many callers send alike may be answered elsewhere before the probe that finds
     // two targets crashed at once.
-    if (!suspects.isEmpty() || !lostByTarget.isEmpty()) {
+    if (!suspects.isEmpty() || !lostByTarget.isEmpty() || !unexplainedByTarget.isEmpty()) {
       cleared.add(traits.wholeRequest());
     }
     cleared.addAll(traits.shared());
@@ -171,6 +233,7 @@
   }
 
   private boolean clear(Trait trait) {
+    unexplainedByTarget.values().forEach(loss -> loss.requestsByTrait.remove(trait));
     boolean isNews = suspects.recordAnswer(trait, clock.getAsLong());
     if (isNews) {
       LOG.info("trait_cleared", "trait", trait.encode());
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -111,7 +111,13 @@
     this.pacer = new TargetPacer(settings.name(), ControlThread::nowMs, fleetNotifier);
     this.crashWatch =
         new CrashWatch(
-            loop, ControlThread::nowMs, connections, health, fleetNotifier, this::onTraitRefused);
+            loop,
+            ControlThread::nowMs,
+            connections,
+            health,
+            fleetNotifier,
+            view,
+            this::onTraitRefused);
     loop.scheduleWithFixedDelay(
         this::removeGoneTargets, CLEANUP_INTERVAL_MS, CLEANUP_INTERVAL_MS, TimeUnit.MILLISECONDS);
   }
@@ -207,6 +213,7 @@
         && retryShare.setInstances(fleetView.knownInstances(), ControlThread.nowMs())) {
       LOG.info("retry_share_changed", "instances", fleetView.knownInstances());
     }
+    crashWatch.checkReplacements();
     if (canServe(fleetView)) {
       endPlanWaits();
     }
@@ -388,6 +395,7 @@
     Set<String> incarnations =
         liveTargets.stream().map(TargetEntry::incarnation).collect(Collectors.toSet());
     connections.sweep(incarnations);
+    crashWatch.checkReplacements();
     pacer.retain(incarnations);
     health.retain(liveTargets.stream().map(TargetEntry::id).collect(Collectors.toSet()));
   }
--- a/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
+++ b/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.route.RequestKind;
 import org.apricotstand.suspect.CrashSuspects;
@@ -193,6 +194,86 @@
     assertThat(fleetCalls).containsExactly("answered " + whole.encode());
   }
 
+  // Guards against a request that crashes one target after the other without being blamed, because
+  // a supervisor restarts each at the same address before it is probed.
+  @Test
+  void aTargetThatIsReplacedAfterALossHasCrashed() throws Exception {
+    serve(RequestKind.IDEMPOTENT, 1, false, target("t1", restarts));
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+    serve(RequestKind.IDEMPOTENT, 1, false, entry("t1", 2));
+    awaitFleetCall();
+    assertThat(fleetCalls).containsExactly("crashed t1#1");
+    Trait whole = traitsOfCall().wholeRequest();
+    router.loop().submit(() -> router.onCrash("t2#1", Map.of(whole, 1))).sync();
+    assertThat(call("")).contains("crashes_targets");
+  }
+
+  // Guards against a crash that stays unnoticed because the restarted target has another id.
+  @Test
+  void aTargetWhoseAddressHasAnotherIdAfterALossHasCrashed() throws Exception {
+    serve(RequestKind.IDEMPOTENT, 1, false, target("t1", restarts));
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+    serve(RequestKind.IDEMPOTENT, 1, false, entry("t2", 2));
+    awaitFleetCall();
+    assertThat(fleetCalls).containsExactly("crashed t1#1");
+  }
+
+  // Guards against blaming a sound request for the restart of a target that cut it off and left the
+  // list of targets before that, and for one that it cannot have caused.
+  @Test
+  void aTargetThatLeavesOrGoesOnAfterALossHasNotCrashed() throws Exception {
+    ScriptedTarget.Script closes = (id, number, out) -> false;
+    TargetEntry left = target("t1", closes);
+    TargetEntry stays = target("t2", closes);
+    serve(RequestKind.IDEMPOTENT, 1, false, left);
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+    serve(RequestKind.IDEMPOTENT, 1, false, stays);
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+    awaitProbes(2);
+    router.loop().submit(router::onViewChanged).sync();
+    serve(RequestKind.IDEMPOTENT, 1, false, stays, restarted(left));
+    router.loop().submit(router::onViewChanged).sync();
+    serve(RequestKind.IDEMPOTENT, 1, false, target("t3", crashes));
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+    awaitFleetCall();
+    assertThat(fleetCalls).containsExactly("crashed t3#1");
+  }
+
+  /**
+   * Waits until targets have accepted a second connection, which is the probe, and it has ended.
+   */
+  private void awaitProbes(int count) throws Exception {
+    long endMs = ControlThread.nowMs() + TEST_TIMEOUT_MS;
+    while (targets.stream().filter(target -> target.connectionCount() > 1).count() < count
+        && ControlThread.nowMs() < endMs) {
+      Thread.onSpinWait();
+    }
+    // The loop has connected, but may not have told the watch yet; it may be in the middle of a
+    // turn.
+    router.loop().submit(() -> {}).sync();
+    router.loop().submit(() -> {}).sync();
+  }
+
+  /** Returns the entry of the newest target with another id and start. */
+  private TargetEntry entry(String id, long startedUnixMs) {
+    int port = targets.getLast().port();
+    return new TargetEntry(id, "s", "127.0.0.1", port, "d", 8, false, startedUnixMs, Map.of());
+  }
+
+  private static TargetEntry restarted(TargetEntry old) {
+    return new TargetEntry(
+        old.id(), "s", old.host(), old.port(), "d", 8, false, old.startedUnixMs() + 1, Map.of());
+  }
+
+  /** Crashes the newest target and starts another one at its address before the connection ends. */
+  private final ScriptedTarget.Script restarts =
+      (id, number, out) -> {
+        int port = targets.getLast().port();
+        targets.getLast().close();
+        targets.add(new ScriptedTarget(ANSWERS_DONE, port));
+        return false;
+      };
+
   /** The request that {@link #call} sends without further headers. */
   private static final String CALL =
       "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\nContent-Length: 2\r\n\r\nhi";
--- a/node/src/test/java/org/apricotstand/request/ScriptedTarget.java
+++ b/node/src/test/java/org/apricotstand/request/ScriptedTarget.java
@@ -38,7 +38,12 @@
   private final AtomicInteger connectionCount = new AtomicInteger();
 
   ScriptedTarget(Script script) throws IOException {
-    this.listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    this(script, 0);
+  }
+
+  /** Creates a target at the port of one that was closed; 0 for any free port. */
+  ScriptedTarget(Script script, int port) throws IOException {
+    this.listener = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
     this.script = script;
     this.acceptor = Thread.ofPlatform().daemon().start(this::accept);
   }
