Count the crash of a target whose connections stay half open

Callers saw: a harmful request could crash target after target without being refused if the connections of a crashed target were not reset.

Cause: only lost connections led to a probe. An attempt at a silent target ends by a time-out, at the deadline of the request or for a retry.

An attempt that times out without a byte of its answer now leads to the same probe. A target that leaves, which refuses connections while it ends its requests, is not listed.

CrashWatchTest#aTargetThatRefusesConnectionsAfterATimeOutHasCrashed, #aTargetThatIsReplacedBeforeATimeOutHasCrashed and #aTargetThatRefusesConnectionsAfterARetryHasCrashed failed before (no crash reported within 20 s) and pass now.

--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -55,6 +55,11 @@
     return closed;
   }
 
+  /** Returns whether there was a connection to send the request on. */
+  boolean isSent() {
+    return connection != null;
+  }
+
   boolean hasHead() {
     return head != null;
   }
--- a/node/src/main/java/org/apricotstand/request/CrashWatch.java
+++ b/node/src/main/java/org/apricotstand/request/CrashWatch.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.dispatch.TargetHealth;
 import org.apricotstand.fleet.FleetView;
@@ -19,6 +20,7 @@
 import org.apricotstand.suspect.CrashSuspects.RefusalReport;
 import org.apricotstand.suspect.Trait;
 import org.apricotstand.upstream.TargetConnectionPool;
+import org.apricotstand.upstream.TargetConnectionPool.ProbeResult;
 
 /**
  * Finds out whether a target that lost the connections of requests has crashed, and tells the fleet
@@ -51,12 +53,27 @@
   private final Runnable refusalListener;
   private final CrashSuspects suspects = new CrashSuspects();
 
-  /** Unanswered requests that targets have lost since the last probe, by incarnation and trait. */
-  private final Map<String, Map<Trait, Integer>> lostByTarget = new HashMap<>();
+  /** Requests that targets have lost since the last probe, by incarnation. */
+  private final Map<String, LostRequests> lostByTarget = new HashMap<>();
 
   /** Losses at targets that responded to the probe, by incarnation. */
   private final Map<String, UnexplainedLoss> unexplainedByTarget = new LinkedHashMap<>();
 
+  /** Requests that a target has lost, whose connections are probed together. */
+  private static final class LostRequests {
+    /** Unanswered requests whose connection was lost, by trait. */
+    private final Map<Trait, Integer> disconnected = new LinkedHashMap<>();
+
+    /** Unanswered requests that timed out while their connection seemed open, by trait. */
+    private final Map<Trait, Integer> timedOut = new LinkedHashMap<>();
+
+    private boolean isConnectionLost;
+
+    Map<Trait, Integer> all() {
+      return sum(disconnected, timedOut);
+    }
+  }
+
   /**
    * Unanswered requests that a target has lost for an unknown reason.
    *
@@ -105,29 +122,68 @@
    * @param answered whether the target had begun to answer, so that the request is no suspect
    */
   void onAttemptLost(TargetEntry target, RequestTraits traits, boolean answered) {
-    boolean isProbeDue = !lostByTarget.containsKey(target.incarnation());
-    Map<Trait, Integer> lost =
-        lostByTarget.computeIfAbsent(target.incarnation(), key -> new LinkedHashMap<>());
+    LostRequests lost = loseRequest(target);
+    lost.isConnectionLost = true;
     if (!answered) {
-      traits.all().forEach(trait -> lost.merge(trait, 1, Integer::sum));
+      traits.all().forEach(trait -> lost.disconnected.merge(trait, 1, Integer::sum));
     }
-    if (isProbeDue) {
-      loop.schedule(() -> probe(target), CRASH_PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
+  }
+
+  /**
+   * Records that a target did not answer a request in time, which may be because it crashed and its
+   * connections are half open. As a sound target may be slow or cut off, the target is taken as
+   * crashed only if it is still listed and its host refuses connections, or if it is replaced.
+   */
+  void onAttemptTimedOut(TargetEntry target, RequestTraits traits) {
+    LostRequests lost = loseRequest(target);
+    traits.all().forEach(trait -> lost.timedOut.merge(trait, 1, Integer::sum));
+  }
+
+  private LostRequests loseRequest(TargetEntry target) {
+    LostRequests known = lostByTarget.get(target.incarnation());
+    if (known != null) {
+      return known;
     }
+    LostRequests lost = new LostRequests();
+    lostByTarget.put(target.incarnation(), lost);
+    loop.schedule(() -> probe(target), CRASH_PROBE_DELAY_MS, TimeUnit.MILLISECONDS);
+    return lost;
   }
 
   private void probe(TargetEntry target) {
-    connections.probe(
-        target,
-        alive -> {
-          Map<Trait, Integer> lost = lostByTarget.remove(target.incarnation());
-          if (alive) {
-            awaitReplacement(target, lost);
-          } else {
-            health.recordUnreachable(target.id(), clock.getAsLong());
-            onCrash(target, lost);
-          }
-        });
+    connections.probe(target, result -> onProbed(target, result));
+  }
+
+  private void onProbed(TargetEntry target, ProbeResult result) {
+    LostRequests lost = lostByTarget.remove(target.incarnation());
+    if (result != ProbeResult.ACCEPTED) {
+      health.recordUnreachable(target.id(), clock.getAsLong());
+    }
+    boolean isTargetGone = result == ProbeResult.REFUSED && isListed(target);
+    if (result == ProbeResult.ACCEPTED) {
+      awaitReplacement(target, lost.all());
+    } else if (isTargetGone) {
+      onCrash(target, lost.all());
+    } else {
+      if (lost.isConnectionLost) {
+        onCrash(target, lost.disconnected);
+      }
+      awaitReplacement(target, lost.timedOut);
+    }
+  }
+
+  private boolean isListed(TargetEntry target) {
+    return listedTargets().anyMatch(listed -> listed.incarnation().equals(target.incarnation()));
+  }
+
+  private Stream<TargetEntry> listedTargets() {
+    return view.get().targets().values().stream().flatMap(List::stream);
+  }
+
+  private static Map<Trait, Integer> sum(Map<Trait, Integer> first, Map<Trait, Integer> second) {
+    Map<Trait, Integer> sum = new LinkedHashMap<>(first);
+    second.forEach((trait, requests) -> sum.merge(trait, requests, Integer::sum));
+    return sum;
   }
 
   private void awaitReplacement(TargetEntry target, Map<Trait, Integer> requestsByTrait) {
@@ -135,31 +191,21 @@
       return;
     }
     UnexplainedLoss known = unexplainedByTarget.remove(target.incarnation());
-    if (known != null) {
-      known.requestsByTrait.forEach(
-          (trait, count) -> requestsByTrait.merge(trait, count, Integer::sum));
-    }
+    Map<Trait, Integer> all =
+        known == null ? requestsByTrait : sum(known.requestsByTrait, requestsByTrait);
     long untilMs = clock.getAsLong() + REPLACEMENT_WAIT_MS;
-    unexplainedByTarget.put(
-        target.incarnation(), new UnexplainedLoss(target, requestsByTrait, untilMs));
+    unexplainedByTarget.put(target.incarnation(), new UnexplainedLoss(target, all, untilMs));
     checkReplacements();
   }
 
   /** Takes targets as crashed that lost requests and have been replaced in the list of targets. */
   void checkReplacements() {
-    if (unexplainedByTarget.isEmpty()) {
-      return;
-    }
     long nowMs = clock.getAsLong();
-    List<TargetEntry> listed =
-        view.get().targets().values().stream().flatMap(List::stream).toList();
     for (UnexplainedLoss loss : List.copyOf(unexplainedByTarget.values())) {
-      String incarnation = loss.target.incarnation();
-      boolean isReplaced = listed.stream().anyMatch(loss.target::isReplacedBy);
-      boolean isListed = listed.stream().anyMatch(e -> e.incarnation().equals(incarnation));
+      boolean isReplaced = listedTargets().anyMatch(loss.target::isReplacedBy);
       // A target that is not listed any more is leaving, and restarts without a crash.
-      if (isReplaced || !isListed || nowMs >= loss.untilMs) {
-        unexplainedByTarget.remove(incarnation);
+      if (isReplaced || !isListed(loss.target) || nowMs >= loss.untilMs) {
+        unexplainedByTarget.remove(loss.target.incarnation());
       }
       if (isReplaced) {
         onCrash(loss.target, loss.requestsByTrait);
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -448,6 +448,8 @@
     router.health().recordFailure(attempt.target().id(), nowMs);
     if (failure instanceof SendFailure.ConnectionLost) {
       router.crashWatch().onAttemptLost(attempt.target(), traits, attempt.isAnswerConfirmed());
+    } else if (failure instanceof SendFailure.Silent) {
+      noteTimeOut(attempt);
     }
     if (retryAlreadyGranted || tryTakeRetry(runs)) {
       if (eventSplitter != null) {
@@ -460,6 +462,12 @@
     }
   }
 
+  private void noteTimeOut(Attempt attempt) {
+    if (attempt.isSent() && !attempt.hasFirstByte()) {
+      router.crashWatch().onAttemptTimedOut(attempt.target(), traits);
+    }
+  }
+
   private void fail(int status, String code, long retryAfterMs) {
     if (ended) {
       return;
@@ -521,6 +529,7 @@
     Attempt current = currentAttempt;
     if (current != null) {
       current.cancel();
+      noteTimeOut(current);
     }
     if (isAnswerStarted()) {
       abort("deadline");
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
@@ -2,15 +2,18 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.ConnectException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -142,18 +145,38 @@
             });
   }
 
-  /** Tests whether a target accepts a new connection, and passes the result to the consumer. */
-  public void probe(TargetEntry target, Consumer<Boolean> result) {
+  /** How a target responds to a new connection. */
+  public enum ProbeResult {
+    /** A process accepts connections at the address. */
+    ACCEPTED,
+    /** The host is up and no process accepts connections at the address. */
+    REFUSED,
+    /** The target does not respond, or cannot be reached. */
+    SILENT
+  }
+
+  /** Tests how a target responds to a new connection, and passes the result to the consumer. */
+  public void probe(TargetEntry target, Consumer<ProbeResult> result) {
     bootstrap(new ChannelInboundHandlerAdapter())
         .connect(target.host(), target.port())
         .addListener(
             (ChannelFutureListener)
                 done -> {
-                  result.accept(done.isSuccess());
+                  result.accept(toProbeResult(done));
                   done.channel().close();
                 });
   }
 
+  private static ProbeResult toProbeResult(ChannelFuture connect) {
+    if (connect.isSuccess()) {
+      return ProbeResult.ACCEPTED;
+    }
+    boolean isRefused =
+        connect.cause() instanceof ConnectException
+            && !(connect.cause() instanceof ConnectTimeoutException);
+    return isRefused ? ProbeResult.REFUSED : ProbeResult.SILENT;
+  }
+
   int maxSkippedBytes() {
     return maxSkippedBytes;
   }
--- a/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
+++ b/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
@@ -254,6 +254,74 @@
     router.loop().submit(() -> {}).sync();
   }
 
+  // Guards against a request that crashes one target after the other without being blamed, because
+  // its connections stay half open and each of its attempts ends by a time-out.
+  @Test
+  void aTargetThatRefusesConnectionsAfterATimeOutHasCrashed() throws Exception {
+    serve(RequestKind.IDEMPOTENT, 1, false, target("t1", closesListener));
+    assertThat(call("X-Deadline: 300\r\n")).startsWith("HTTP/1.1 504 ");
+    awaitFleetCall();
+    assertThat(fleetCalls).containsExactly("crashed t1#1");
+  }
+
+  // Guards against a crash behind a half-open connection that stays unnoticed because the target is
+  // back before the attempt at it ends by a time-out.
+  @Test
+  void aTargetThatIsReplacedBeforeATimeOutHasCrashed() throws Exception {
+    TargetEntry old = target("t1", (id, number, out) -> true);
+    serve(RequestKind.IDEMPOTENT, 1, false, old);
+    CompletableFuture<String> answer =
+        CompletableFuture.supplyAsync(() -> callUnchecked("X-Deadline: 300\r\n"));
+    awaitHeads(1);
+    serve(RequestKind.IDEMPOTENT, 1, false, restarted(old));
+    assertThat(answer.join()).startsWith("HTTP/1.1 504 ");
+    awaitFleetCall();
+    assertThat(fleetCalls).containsExactly("crashed t1#1");
+  }
+
+  // Guards against a crash that stays unnoticed because the request is sent to another target
+  // before
+  // its connection is lost.
+  @Test
+  void aTargetThatRefusesConnectionsAfterARetryHasCrashed() throws Exception {
+    TargetEntry crashed = target("t1", closesListener);
+    serve(RequestKind.IDEMPOTENT, 2, false, crashed);
+    CompletableFuture<String> answer =
+        CompletableFuture.supplyAsync(() -> callUnchecked("X-Deadline: 4000\r\n"));
+    awaitHeads(1);
+    serve(RequestKind.IDEMPOTENT, 2, false, crashed, target("t2", ANSWERS_DONE));
+    assertThat(answer.join()).endsWith("done");
+    awaitFleetCall();
+    assertThat(fleetCalls).containsExactly("crashed t1#1");
+  }
+
+  // Guards against blaming a sound request that takes too long at a target that leaves, which
+  // refuses connections while it ends its requests, or at one that is only slow.
+  @Test
+  void aTimeOutAtATargetThatLeavesOrIsSlowIsNoCrash() throws Exception {
+    serve(RequestKind.IDEMPOTENT, 1, false, target("t1", closesListener));
+    CompletableFuture<String> answer =
+        CompletableFuture.supplyAsync(() -> callUnchecked("X-Deadline: 300\r\n"));
+    awaitHeads(1);
+    TargetEntry slow = target("t2", (id, number, out) -> true);
+    serve(RequestKind.IDEMPOTENT, 1, false, slow);
+    assertThat(answer.join()).startsWith("HTTP/1.1 504 ");
+    assertThat(call("X-Deadline: 300\r\n")).startsWith("HTTP/1.1 504 ");
+    awaitProbes(1);
+    TargetEntry crashed = target("t3", crashes);
+    serve(RequestKind.IDEMPOTENT, 1, false, crashed);
+    assertThat(call("")).startsWith("HTTP/1.1 502 ");
+    awaitFleetCall();
+    assertThat(fleetCalls).containsExactly("crashed t3#1");
+  }
+
+  /** Closes the listener of the newest target and leaves the connection open. */
+  private final ScriptedTarget.Script closesListener =
+      (id, number, out) -> {
+        targets.getLast().close();
+        return true;
+      };
+
   /** Returns the entry of the newest target with another id and start. */
   private TargetEntry entry(String id, long startedUnixMs) {
     int port = targets.getLast().port();
@@ -295,6 +363,14 @@
     }
   }
 
+  private String callUnchecked(String headers) {
+    try {
+      return call(headers);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
   /** Returns the traits of the request that {@link #call} sends. */
   private static RequestTraits traitsOfCall() {
     CallerRequest request =
