Leave the port of the host out of the identity of the whole request

Callers saw: nothing yet; found in review of the identity.

Cause: requests are routed by the host without its port, and the identity of the whole request held the host as it was sent. A harmful request that comes with several ports in its Host header, or with and without one, was counted as several requests.

The identity takes the host as routes name it. RequestTraitsTest#theHostIsTheOneByWhichRequestsAreRouted failed before and passes now. The other tests of that class hold what the identity must and must not tell apart; they passed before.

--- a/core/src/main/java/org/apricotstand/route/RoutingPlan.java
+++ b/core/src/main/java/org/apricotstand/route/RoutingPlan.java
@@ -72,7 +72,8 @@
         .findFirst();
   }
 
-  private static String normalizeHost(String host) {
+  /** Returns the host in lower case and without the port, as routes name it. */
+  public static String normalizeHost(String host) {
     int colon = host.lastIndexOf(':');
     String name = colon < 0 ? host : host.substring(0, colon);
     return name.toLowerCase(Locale.ROOT);
--- a/node/src/main/java/org/apricotstand/request/RequestTraits.java
+++ b/node/src/main/java/org/apricotstand/request/RequestTraits.java
@@ -3,10 +3,10 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.stream.Stream;
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.residency.AdapterKey;
+import org.apricotstand.route.RoutingPlan;
 import org.apricotstand.suspect.Fingerprint;
 import org.apricotstand.suspect.PromptParts;
 import org.apricotstand.suspect.Trait;
@@ -47,7 +47,7 @@
    */
   Trait wholeRequest() {
     if (wholeRequest == null) {
-      String host = request.headers().get(HttpHeaderNames.HOST, "").toLowerCase(Locale.ROOT);
+      String host = RoutingPlan.normalizeHost(request.headers().get(HttpHeaderNames.HOST, ""));
       List<String> parts = List.of(host, request.method().name(), request.uri(), adapter);
       wholeRequest = new Trait.WholeRequest(Fingerprint.of(parts, request.body()));
     }
