--- a/core/src/main/java/org/apricotstand/route/Route.java
+++ b/core/src/main/java/org/apricotstand/route/Route.java
@@ -18,6 +18,7 @@
  * @param priority priority; 0 is the most urgent
  * @param resumable whether a broken stream may be resumed at another target
  * @param services services among which requests are split, at least one
+ * @param authExempt whether requests need no API key although the configuration has tenants
  */
 public record Route(
     String name,
@@ -30,7 +31,36 @@
     int maxAttempts,
     int priority,
     boolean resumable,
-    List<WeightedService> services) {
+    List<WeightedService> services,
+    boolean authExempt) {
+
+  /** Creates a route whose requests need an API key if the configuration has tenants. */
+  public Route(
+      String name,
+      String host,
+      String prefix,
+      RequestKind kind,
+      long timeoutMs,
+      long targetLatencyMs,
+      long firstByteTimeoutMs,
+      int maxAttempts,
+      int priority,
+      boolean resumable,
+      List<WeightedService> services) {
+    this(
+        name,
+        host,
+        prefix,
+        kind,
+        timeoutMs,
+        targetLatencyMs,
+        firstByteTimeoutMs,
+        maxAttempts,
+        priority,
+        resumable,
+        services,
+        false);
+  }
 
   /** Makes an immutable copy of the services, of which there must be at least one. */
   public Route {
--- a/core/src/main/java/org/apricotstand/route/RoutingPlan.java
+++ b/core/src/main/java/org/apricotstand/route/RoutingPlan.java
@@ -1,6 +1,7 @@
 package org.apricotstand.route;
 
 import com.google.common.collect.ImmutableListMultimap;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
@@ -8,9 +9,12 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.apricotstand.tenant.Tenant;
+import org.apricotstand.tenant.TenantKeys;
 
 /**
- * One version of the configuration: the routes, their services and the limits for callers.
+ * One version of the configuration: the routes, their services, the limits for callers and the
+ * tenants.
  *
  * <pre>{@code
  * Optional<Route> route = plan.find("shop.example:80", "/orders/7");
@@ -22,12 +26,28 @@
   private final Map<String, ServiceSpec> services;
   private final CallerLimits limits;
   private final ImmutableListMultimap<String, Route> routesByHost;
+  private final Optional<TenantKeys> tenantKeys;
 
-  /** Creates a plan; of several routes with the same host and prefix, the first one is used. */
+  /** Creates a plan without tenants, whose requests need no API key. */
   public RoutingPlan(
       long version, List<Route> routes, List<ServiceSpec> services, CallerLimits limits) {
+    this(version, routes, services, limits, Optional.empty());
+  }
+
+  /**
+   * Creates a plan; of several routes with the same host and prefix, the first one is used.
+   *
+   * @param tenantKeys tenants and their keys; empty if requests need no API key
+   */
+  public RoutingPlan(
+      long version,
+      List<Route> routes,
+      List<ServiceSpec> services,
+      CallerLimits limits,
+      Optional<TenantKeys> tenantKeys) {
     this.version = version;
     this.limits = limits;
+    this.tenantKeys = tenantKeys;
     this.services =
         services.stream()
             .collect(
@@ -60,6 +80,21 @@
     return services;
   }
 
+  /** Returns whether requests need an API key, except on routes that are exempt. */
+  public boolean hasTenants() {
+    return tenantKeys.isPresent();
+  }
+
+  /** Returns all tenants in the order of the configuration. */
+  public Collection<Tenant> tenants() {
+    return tenantKeys.map(TenantKeys::tenants).orElse(List.of());
+  }
+
+  /** Returns the tenant of an API key, if the key belongs to one; takes constant time. */
+  public Optional<Tenant> findTenant(String apiKey) {
+    return tenantKeys.flatMap(keys -> keys.find(apiKey));
+  }
+
   /**
    * Returns the route with the longest prefix that matches the path.
    *
