Admit requests by the API key of a tenant

Cause: callers that nobody controls share the targets with tenants that pay. Change: a configuration with tenants needs one known key in Authorization: Bearer on each route that is not exempt; other requests get 401. Targets get the tenant's name in X-Tenant instead of the key. The tenant's priority goes before the route's. A request keeps the configuration that admitted it.

--- a/node/src/main/java/org/apricotstand/front/FailureAnswer.java
+++ b/node/src/main/java/org/apricotstand/front/FailureAnswer.java
@@ -27,6 +27,9 @@
         .headers()
         .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
         .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+    if (status == 401) {
+      answer.headers().set(HttpHeaderNames.WWW_AUTHENTICATE, "Bearer");
+    }
     return answer;
   }
 }
--- a/node/src/main/java/org/apricotstand/port/HeaderNames.java
+++ b/node/src/main/java/org/apricotstand/port/HeaderNames.java
@@ -20,6 +20,7 @@
  *     together, for as long as its answers say so
  * @param leaving in an answer: {@code 1} if the target leaves and wants no further requests
  * @param lastEventId id of the event after which an interrupted stream is resumed
+ * @param tenant name of the tenant whose API key the caller sent
  * @param reserved names in lower case of headers that callers may not set
  */
 public record HeaderNames(
@@ -35,4 +36,5 @@
     String rateLimit,
     String leaving,
     String lastEventId,
+    String tenant,
     Set<String> reserved) {}
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -65,6 +65,7 @@
   private final CallerRequest request;
   private final Reply reply;
   private final Route route;
+  private final Admission admission;
   private final String service;
   private final String requestId;
   private final AdapterKey adapter;
@@ -90,16 +91,22 @@
   private boolean ended;
 
   RequestFlow(
-      RequestRouter router, CallerRequest request, Reply reply, Route route, String service) {
+      RequestRouter router,
+      CallerRequest request,
+      Reply reply,
+      Route route,
+      Admission admission,
+      String service) {
     this.router = router;
     this.request = request;
     this.reply = reply;
     this.route = route;
+    this.admission = admission;
     this.service = service;
     this.requestId = request.headers().get(router.headerNames().requestId());
     String model = request.headers().get(router.headerNames().model());
     boolean isEngineService =
-        router.view().plan().service(service).flatMap(spec -> spec.engine()).isPresent();
+        admission.plan().service(service).flatMap(spec -> spec.engine()).isPresent();
     this.adapter = isEngineService && model != null ? AdapterKey.parse(model) : null;
     this.traits =
         new RequestTraits(
@@ -116,7 +123,8 @@
     this.turnWait = new TurnWait(router.loop(), router.pacer());
     this.eventSplitter = route.resumable() ? new EventSplitter() : null;
     this.targetRequests =
-        new TargetRequestFactory(request, router.headerNames(), route.priority(), callerDeadlineMs);
+        new TargetRequestFactory(
+            request, router.headerNames(), admission, route.priority(), callerDeadlineMs);
   }
 
   private long callerTimeoutMs(HttpHeaders headers) {
@@ -488,6 +496,8 @@
         requestId,
         "route",
         route.name(),
+        "tenant",
+        admission.tenantName(),
         "code",
         code,
         "status",
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -70,6 +70,7 @@
   private final CrashWatch crashWatch;
   private final TargetPacer pacer;
   private final HeldBytes<HeldAnswer> heldBytes;
+  private final AdmissionCheck admissionCheck = new AdmissionCheck();
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final AllowanceShare retryShare;
@@ -174,13 +175,22 @@
       reply.fail(404, "no_route", 0);
       return new EndedCall();
     }
+    Admission admission;
+    switch (admissionCheck.check(request.headers(), route.get(), fleetView)) {
+      case AdmissionCheck.Admitted admitted -> admission = admitted.admission();
+      case AdmissionCheck.Refused refused -> {
+        recordRefusal(request, refused.status(), refused.code());
+        reply.fail(refused.status(), refused.code(), refused.retryAfterMs());
+        return new EndedCall();
+      }
+    }
     if (!endsBeforeShutdown(request, route.get())) {
       recordRefusal(request, 503, SHUTTING_DOWN);
       reply.fail(503, SHUTTING_DOWN, withJitter(SHUTDOWN_RETRY_MS));
       return new EndedCall();
     }
     String service = route.get().serviceFor(random.nextDouble());
-    RequestFlow flow = new RequestFlow(this, request, reply, route.get(), service);
+    RequestFlow flow = new RequestFlow(this, request, reply, route.get(), admission, service);
     if (crashWatch.findRefused(flow.traits()).isPresent()) {
       recordRefusal(request, 503, RequestFlow.CRASHES_TARGETS);
       reply.fail(503, RequestFlow.CRASHES_TARGETS, RequestFlow.CRASHING_REQUEST_RETRY_MS);
--- a/node/src/main/java/org/apricotstand/request/TargetRequestFactory.java
+++ b/node/src/main/java/org/apricotstand/request/TargetRequestFactory.java
@@ -7,6 +7,7 @@
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.front.HopByHopHeaders;
 import org.apricotstand.port.HeaderNames;
+import org.apricotstand.tenant.Tenant;
 import org.apricotstand.upstream.TargetRequest;
 
 /** Makes the request for each attempt at a target from the request of a caller. */
@@ -19,20 +20,27 @@
 
   private final CallerRequest request;
   private final HeaderNames names;
+  private final Admission admission;
   private final int priority;
   private final long callerDeadlineMs;
 
   /**
    * Creates a factory for one request.
    *
-   * @param priority priority of the route; 0 is the highest
+   * @param admission configuration and tenant under which the request was admitted
+   * @param routePriority priority of the route; 0 is the highest
    * @param callerDeadlineMs monotonic time until which the caller waits
    */
   TargetRequestFactory(
-      CallerRequest request, HeaderNames names, int priority, long callerDeadlineMs) {
+      CallerRequest request,
+      HeaderNames names,
+      Admission admission,
+      int routePriority,
+      long callerDeadlineMs) {
     this.request = request;
     this.names = names;
-    this.priority = priority;
+    this.admission = admission;
+    this.priority = admission.priorityOr(routePriority);
     this.callerDeadlineMs = callerDeadlineMs;
   }
 
@@ -45,9 +53,10 @@
    */
   TargetRequest create(TargetEntry target, long version, String lastEventId) {
     HttpHeaders headers = HopByHopHeaders.strip(request.headers(), names.reserved());
+    setTenant(headers);
     headers.set(names.deadlineMs(), Math.max(1, callerDeadlineMs - ControlThread.nowMs()));
     headers.set(names.expectTarget(), target.id());
-    headers.set(names.urgency(), Math.min(MAX_URGENCY, 1 + URGENCY_STEP * priority));
+    headers.set(names.urgency(), urgency());
     if (version > 0) {
       headers.set(names.expectVersion(), version);
     }
@@ -61,6 +70,19 @@
     return new TargetRequest(id, request.method(), request.uri(), headers, request.body());
   }
 
+  /** Replaces what the caller sent to identify itself by the name of its tenant. */
+  private void setTenant(HttpHeaders headers) {
+    if (admission.plan().hasTenants()) {
+      headers.remove(HttpHeaderNames.AUTHORIZATION);
+      headers.remove(names.tenant());
+      admission.tenant().map(Tenant::name).ifPresent(name -> headers.set(names.tenant(), name));
+    }
+  }
+
+  private int urgency() {
+    return Math.min(MAX_URGENCY, 1 + URGENCY_STEP * Math.min(MAX_URGENCY, priority));
+  }
+
   private boolean declaresBody() {
     return request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)
         || request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -59,6 +59,7 @@
           "x-limit",
           "x-leaving",
           "last-event-id",
+          "x-tenant",
           Set.of("x-expect-target", "x-reserved"));
   static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
   static final long TEST_TIMEOUT_MS = 20_000;
