Refuse keyed requests while the configuration may be too old

Cause: a removed key must not work anywhere after bounds.revokeMs, also at an instance that is cut off from the store. Change: an instance keeps the latest time at which its configuration was known to be the newest: the time before a read of the store was sent, or the time before it asked its relay less the age at the relay. With bounds.strictRevoke, requests with a known key get 503 once that time is too long ago. An unknown key gets 503 instead of 401 when it may belong to a newer configuration. The grouping of equal updates moves out of FleetExchange into UpdateGroups.

--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -84,6 +84,7 @@
   private final Set<String> useRecipients = new HashSet<>();
   private final Map<String, Map<String, Long>> interestUntilMs = new HashMap<>();
   private final SharedTables tables;
+  private final ConfigurationWatch configurationWatch;
   private final Set<String> leavingInstances = new HashSet<>();
   private Set<String> liveInstances = Set.of();
   private FleetState.InstanceStatus publishedStatus;
@@ -121,6 +122,8 @@
     this.overlay = new Overlay(self);
     double staggerFraction = new Random(incarnation ^ self.name().hashCode()).nextDouble();
     this.tables = new SharedTables(clock, staggerFraction, new TableLinks());
+    this.configurationWatch =
+        new ConfigurationWatch(clock, peers, listener::onConfigurationConfirmed);
     this.entries = new ReplicatedEntries<>(self.domain());
   }
 
@@ -295,6 +298,7 @@
     } else {
       sendUrgent(nowMs);
     }
+    configurationWatch.tick(overlay.relay());
     closeIdleLinks(nowMs);
   }
 
@@ -453,20 +457,16 @@
 
   /** Sends to each neighbor the entries that it lacks; equal updates are encoded once. */
   private void sendUpdates(Set<String> neighbors) {
-    Map<UpdateId, PeerMessage.StateUpdate> updates = new HashMap<>();
-    Map<UpdateId, List<InstanceId>> receivers = new HashMap<>();
+    UpdateGroups groups = new UpdateGroups();
     for (String neighbor : neighbors) {
       List<StateEntry> missing =
           entries.take(neighbor).stream()
               .map(ReplicatedEntries.Entry::value)
               .map(this::withAge)
               .toList();
-      boolean requested = overlay.isUplink(neighbor);
-      UpdateId id = new UpdateId(requested, missing.stream().map(EntryId::of).toList());
-      updates.putIfAbsent(id, new PeerMessage.StateUpdate(requested, missing));
-      receivers.computeIfAbsent(id, key -> new ArrayList<>()).add(new InstanceId(neighbor));
+      groups.add(neighbor, new PeerMessage.StateUpdate(overlay.isUplink(neighbor), missing));
     }
-    updates.forEach((id, update) -> peers.sendToAll(receivers.get(id), update));
+    groups.sendTo(peers);
   }
 
   /**
@@ -482,16 +482,6 @@
     return new StateEntry(entry.key(), entry.epoch(), entry.sequence(), entry.domain(), aged);
   }
 
-  /** Identifies an update by the versions of its entries, without comparing their content. */
-  private record UpdateId(boolean requested, List<EntryId> entries) {}
-
-  private record EntryId(String key, long epoch, long sequence) {
-
-    static EntryId of(StateEntry entry) {
-      return new EntryId(entry.key(), entry.epoch(), entry.sequence());
-    }
-  }
-
   /** Tells the owner of each engine which adapters are in use there. */
   private void sendAdaptersInUse() {
     Map<String, Map<String, Set<String>>> byOwner = new HashMap<>();
@@ -557,6 +547,8 @@
       }
       case PeerMessage.TableRead read -> tables.apply(read);
       case PeerMessage.TableRegained regained -> tables.apply(regained);
+      case PeerMessage.ConfigurationAsked asked -> configurationWatch.answer(from, asked);
+      case PeerMessage.ConfigurationConfirmed confirmed -> configurationWatch.apply(confirmed);
       case PeerMessage.Heartbeat heartbeat -> {}
       default -> {
         answerIfNeeded(from, nowMs);
@@ -610,6 +602,11 @@
     return tables;
   }
 
+  /** Returns what is known about the age of the configuration. */
+  ConfigurationWatch configurationWatch() {
+    return configurationWatch;
+  }
+
   /** Carries what {@link SharedTables} passes on. */
   private final class TableLinks implements SharedTables.Links {
 
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchangeListener.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchangeListener.java
@@ -42,6 +42,9 @@
   /** Called with the requests that all instances behind a relay received, by adapter. */
   void onArrivals(Map<String, Integer> arrivals);
 
+  /** Called when another instance confirmed that the configuration was the newest. */
+  default void onConfigurationConfirmed() {}
+
   /** Called when the loads of targets changed. */
   void onLoadsChanged();
 
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -89,6 +89,7 @@
   private FleetEventListener eventListener = FleetEventListener.NONE;
   private RoutingPlan plan;
   private List<TargetEntry> targets = List.of();
+  private boolean configurationStale;
   private boolean publishScheduled;
   private boolean leaving;
   private boolean starting = true;
@@ -212,10 +213,42 @@
     }
     LOG.info("configuration_in_force", "version", newPlan.version());
     plan = newPlan;
+    exchange.configurationWatch().setAsking(hasTenants());
     updateEngines();
     schedulePublish();
   }
 
+  @Override
+  public void onConfigurationRow(long rowVersion) {
+    exchange.configurationWatch().freshness().recordRow(rowVersion);
+  }
+
+  @Override
+  public void onConfigurationRead(long sentMs) {
+    exchange.configurationWatch().freshness().recordRead(sentMs);
+    onConfigurationConfirmed();
+  }
+
+  @Override
+  public boolean mustReadConfiguration() {
+    return hasTenants()
+        && settings
+            .freshness()
+            .mustRead(
+                exchange.configurationWatch().freshness().confirmedMs(), ControlThread.nowMs());
+  }
+
+  @Override
+  public void onConfigurationConfirmed() {
+    if (hasTenants()) {
+      schedulePublish();
+    }
+  }
+
+  private boolean hasTenants() {
+    return plan != null && plan.hasTenants();
+  }
+
   @Override
   public void onVersionDeclared(AdapterKey key, long version) {
     Long before = declaredVersions.get(key);
@@ -559,6 +592,7 @@
   private void tick() {
     engineOwner.tick();
     released = engineOwner.isReleased();
+    logStaleness();
     exchange.tick(leaving, engineOwner.leaseStatuses());
     refusalTable.tick();
     long nowMs = ControlThread.nowMs();
@@ -575,6 +609,22 @@
     }
   }
 
+  /** Logs when requests with known keys begin to be refused, and when they are admitted again. */
+  private void logStaleness() {
+    long nowMs = ControlThread.nowMs();
+    long confirmedMs = exchange.configurationWatch().freshness().confirmedMs();
+    boolean isStale = hasTenants() && !settings.freshness().canAdmit(confirmedMs, nowMs);
+    if (isStale == configurationStale) {
+      return;
+    }
+    configurationStale = isStale;
+    if (isStale) {
+      LOG.warn("configuration_stale", "version", plan.version(), "age_ms", nowMs - confirmedMs);
+    } else {
+      LOG.info("configuration_fresh", "version", plan.version(), "age_ms", nowMs - confirmedMs);
+    }
+  }
+
   private Set<String> enginesWithOwner() {
     return targets.stream()
         .filter(target -> !target.leaving())
@@ -602,6 +652,7 @@
     view =
         new FleetView(
             plan,
+            exchange.configurationWatch().freshness().confirmedMs(),
             targets.stream()
                 .filter(target -> !target.leaving())
                 .collect(Collectors.groupingBy(TargetEntry::service)),
--- a/node/src/main/java/org/apricotstand/fleet/FleetView.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetView.java
@@ -8,11 +8,14 @@
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
 import org.apricotstand.route.RoutingPlan;
+import org.apricotstand.tenant.FreshnessBounds;
 
 /**
  * Immutable snapshot of the fleet, published by the control thread for the traffic thread.
  *
  * @param plan current configuration; null before the first one is known
+ * @param planConfirmedMs latest monotonic time at which that configuration was known to be the
+ *     newest; {@link FreshnessBounds#NEVER_MS} before the first one
  * @param targets targets that accept requests, by service
  * @param residency models and adapters that each engine holds, by engine id
  * @param enginesWithOwner ids of the engines whose owner is known and reachable
@@ -24,6 +27,7 @@
  */
 public record FleetView(
     RoutingPlan plan,
+    long planConfirmedMs,
     Map<String, List<TargetEntry>> targets,
     Map<String, Residency> residency,
     Set<String> enginesWithOwner,
@@ -34,7 +38,16 @@
 
   /** View before anything is known. */
   public static final FleetView EMPTY =
-      new FleetView(null, Map.of(), Map.of(), Set.of(), Map.of(), Map.of(), Set.of(), 0);
+      new FleetView(
+          null,
+          FreshnessBounds.NEVER_MS,
+          Map.of(),
+          Map.of(),
+          Set.of(),
+          Map.of(),
+          Map.of(),
+          Set.of(),
+          0);
 
   /** Returns the targets of a service that accept requests. */
   public List<TargetEntry> targetsOf(String service) {
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -39,6 +39,10 @@
   @JsonSubTypes.Type(value = PeerMessage.AdaptersInUse.class, name = "adapters_in_use"),
   @JsonSubTypes.Type(value = PeerMessage.TableRead.class, name = "table_read"),
   @JsonSubTypes.Type(value = PeerMessage.TableRegained.class, name = "table_regained"),
+  @JsonSubTypes.Type(value = PeerMessage.ConfigurationAsked.class, name = "configuration_asked"),
+  @JsonSubTypes.Type(
+      value = PeerMessage.ConfigurationConfirmed.class,
+      name = "configuration_confirmed"),
   @JsonSubTypes.Type(value = PeerMessage.AdapterWanted.class, name = "adapter_wanted"),
   @JsonSubTypes.Type(value = PeerMessage.AdapterMissing.class, name = "adapter_missing")
 })
@@ -261,6 +265,22 @@
   /** Tells a member that its relay can read a table again after an outage of the store. */
   record TableRegained(String table) implements PeerMessage {}
 
+  /**
+   * Asks a relay how long ago it knew that its configuration was the newest.
+   *
+   * @param askedMs time of the sender's monotonic clock, which means nothing to the receiver
+   */
+  record ConfigurationAsked(long askedMs) implements PeerMessage {}
+
+  /**
+   * Answers {@link ConfigurationAsked}.
+   *
+   * @param askedMs time in the question
+   * @param rowVersion version of the configuration's row in the store that was the newest
+   * @param ageMs time since then
+   */
+  record ConfigurationConfirmed(long askedMs, long rowVersion, long ageMs) implements PeerMessage {}
+
   /**
    * Asks the owner of an engine to load an adapter.
    *
--- a/node/src/main/java/org/apricotstand/port/ServingSettings.java
+++ b/node/src/main/java/org/apricotstand/port/ServingSettings.java
@@ -1,6 +1,7 @@
 package org.apricotstand.port;
 
 import java.net.InetSocketAddress;
+import org.apricotstand.tenant.FreshnessBounds;
 
 /**
  * Settings of one instance.
@@ -19,6 +20,7 @@
  * @param retryWindowMs length of the window over which requests and retries are counted
  * @param relayCapacity declared capacity of the machine to relay messages between instances
  * @param answerLimits bounds of what is read of an answer without passing it on
+ * @param freshness bounds of the age of the configuration
  */
 public record ServingSettings(
     String name,
@@ -33,4 +35,5 @@
     double retryAllowance,
     long retryWindowMs,
     int relayCapacity,
-    AnswerLimits answerLimits) {}
+    AnswerLimits answerLimits,
+    FreshnessBounds freshness) {}
--- a/node/src/main/java/org/apricotstand/request/AdmissionCheck.java
+++ b/node/src/main/java/org/apricotstand/request/AdmissionCheck.java
@@ -4,9 +4,11 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.apricotstand.fleet.FleetView;
 import org.apricotstand.route.Route;
 import org.apricotstand.route.RoutingPlan;
+import org.apricotstand.tenant.FreshnessBounds;
 import org.apricotstand.tenant.Tenant;
 
 /** Decides whether the API key of a request admits it. No result contains the key. */
@@ -15,8 +17,27 @@
   /** Code of requests without an API key, with an unknown one or with several. */
   static final String UNAUTHORIZED = "unauthorized";
 
+  /** Code of requests whose key may have been removed, or added, since the last contact. */
+  static final String CONFIGURATION_STALE = "configuration_stale";
+
+  /** Time after which a caller may retry; a reader of the store retries several times a second. */
+  private static final long STALE_RETRY_MS = 1_000;
+
   private static final String SCHEME = "Bearer ";
 
+  private final FreshnessBounds bounds;
+  private final LongSupplier clock;
+
+  /**
+   * Creates a check.
+   *
+   * @param clock monotonic time in milliseconds, the one that confirms configurations
+   */
+  AdmissionCheck(FreshnessBounds bounds, LongSupplier clock) {
+    this.bounds = bounds;
+    this.clock = clock;
+  }
+
   /** Result of a check. */
   sealed interface Result {}
 
@@ -38,10 +59,22 @@
     if (!plan.hasTenants() || route.authExempt()) {
       return new Admitted(new Admission(plan, Optional.empty()));
     }
-    Optional<Tenant> tenant = bearerKey(headers).flatMap(plan::findTenant);
-    return tenant.isPresent()
-        ? new Admitted(new Admission(plan, tenant))
-        : new Refused(401, UNAUTHORIZED, 0);
+    Optional<String> key = bearerKey(headers);
+    if (key.isEmpty()) {
+      return new Refused(401, UNAUTHORIZED, 0);
+    }
+    Optional<Tenant> tenant = plan.findTenant(key.get());
+    // The clock is read after the request arrived and after the view, so that a pause of the
+    // process before this line makes the configuration older.
+    long nowMs = clock.getAsLong();
+    if (tenant.isPresent()) {
+      return bounds.canAdmit(view.planConfirmedMs(), nowMs)
+          ? new Admitted(new Admission(plan, tenant))
+          : new Refused(503, CONFIGURATION_STALE, STALE_RETRY_MS);
+    }
+    return bounds.canRejectKey(view.planConfirmedMs(), nowMs)
+        ? new Refused(401, UNAUTHORIZED, 0)
+        : new Refused(503, CONFIGURATION_STALE, STALE_RETRY_MS);
   }
 
   private static Optional<String> bearerKey(HttpHeaders headers) {
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -70,7 +70,7 @@
   private final CrashWatch crashWatch;
   private final TargetPacer pacer;
   private final HeldBytes<HeldAnswer> heldBytes;
-  private final AdmissionCheck admissionCheck = new AdmissionCheck();
+  private final AdmissionCheck admissionCheck;
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final AllowanceShare retryShare;
@@ -105,6 +105,7 @@
         new TargetConnectionPool(loop, headerNames, settings.answerLimits().maxSkippedBytes());
     this.heldBytes = new HeldBytes<>(settings.answerLimits().maxHeldTotalBytes());
     this.retryShare = new AllowanceShare(settings.retryWindowMs());
+    this.admissionCheck = new AdmissionCheck(settings.freshness(), ControlThread::nowMs);
     this.loadTracker = loadTracker;
     this.fleetNotifier = fleetNotifier;
     this.metrics = metrics;
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -20,6 +20,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.fleet.FleetView;
 import org.apricotstand.fleet.LocalLoadTracker;
@@ -39,6 +40,7 @@
 import org.apricotstand.route.ServiceSpec;
 import org.apricotstand.route.WeightedService;
 import org.apricotstand.suspect.Trait;
+import org.apricotstand.tenant.FreshnessBounds;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 
@@ -74,6 +76,10 @@
   final LocalLoadTracker loadTracker = new LocalLoadTracker();
   volatile FleetView view = FleetView.EMPTY;
   volatile boolean fleetFails;
+
+  /** Time at which the configuration of a view was confirmed; in the future, so never too old. */
+  long confirmedMs = ControlThread.nowMs() + 3_600_000;
+
   long firstByteTimeoutMs = 2_000;
 
   /**
@@ -146,7 +152,8 @@
             50,
             10_000,
             100,
-            LIMITS);
+            LIMITS,
+            FreshnessBounds.DEFAULT);
     EventLoop loop = group.next();
     Metrics metrics = new Metrics();
     router =
@@ -223,6 +230,7 @@
             new CallerLimits(16_384, 65_536, 3_000, 15_000));
     return new FleetView(
         plan,
+        confirmedMs,
         Map.of("s", List.of(entries)),
         residency,
         Set.of("t1"),
--- a/node/src/test/java/org/apricotstand/request/TenantRequestTest.java
+++ b/node/src/test/java/org/apricotstand/request/TenantRequestTest.java
@@ -59,7 +59,15 @@
             new CallerLimits(16_384, 65_536, 3_000, 15_000),
             keys);
     return new FleetView(
-        plan, Map.of("s", List.of(target)), Map.of(), Set.of(), Map.of(), Map.of(), Set.of("n"), 1);
+        plan,
+        confirmedMs,
+        Map.of("s", List.of(target)),
+        Map.of(),
+        Set.of(),
+        Map.of(),
+        Map.of(),
+        Set.of("n"),
+        1);
   }
 
   private void serve(Optional<TenantKeys> keys) throws IOException {
