--- a/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
+++ b/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
@@ -321,6 +321,10 @@
     nowMs = endMs;
   }
 
+  long nowMs() {
+    return nowMs;
+  }
+
   Instance get(String name) {
     return instances.get(name);
   }
