--- a/core/src/main/java/org/apricotstand/tenant/FreshnessBounds.java
+++ b/core/src/main/java/org/apricotstand/tenant/FreshnessBounds.java
@@ -70,8 +70,9 @@
    * other instances have confirmed the configuration for an unusual time.
    */
   public boolean mustRead(long confirmedMs, long nowMs) {
-    long usualMs = strictRevoke ? Math.min(revokeMs, configApplyMs * 5 / 3) : configApplyMs * 2;
-    return nowMs - confirmedMs > usualMs * 2 / 5;
+    long untilRejectionMs = configApplyMs * 9 / 10;
+    long usualMs = strictRevoke ? Math.min(revokeMs * 2 / 5, untilRejectionMs) : untilRejectionMs;
+    return nowMs - confirmedMs > usualMs;
   }
 
   /**
--- a/node/src/main/java/org/apricotstand/fleet/ConfigurationWatch.java
+++ b/node/src/main/java/org/apricotstand/fleet/ConfigurationWatch.java
@@ -14,7 +14,7 @@
 final class ConfigurationWatch {
 
   /** Time between two questions; adds to the age that the configuration has at a member. */
-  private static final long ASK_PERIOD_MS = 500;
+  private static final long ASK_PERIOD_MS = 600;
 
   private final LongSupplier clock;
   private final PeerSender peers;
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -39,10 +39,8 @@
   @JsonSubTypes.Type(value = PeerMessage.AdaptersInUse.class, name = "adapters_in_use"),
   @JsonSubTypes.Type(value = PeerMessage.TableRead.class, name = "table_read"),
   @JsonSubTypes.Type(value = PeerMessage.TableRegained.class, name = "table_regained"),
-  @JsonSubTypes.Type(value = PeerMessage.ConfigurationAsked.class, name = "configuration_asked"),
-  @JsonSubTypes.Type(
-      value = PeerMessage.ConfigurationConfirmed.class,
-      name = "configuration_confirmed"),
+  @JsonSubTypes.Type(value = PeerMessage.ConfigurationAsked.class, name = "config_asked"),
+  @JsonSubTypes.Type(value = PeerMessage.ConfigurationConfirmed.class, name = "config_confirmed"),
   @JsonSubTypes.Type(value = PeerMessage.AdapterWanted.class, name = "adapter_wanted"),
   @JsonSubTypes.Type(value = PeerMessage.AdapterMissing.class, name = "adapter_missing")
 })
