--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -203,6 +203,8 @@
   private void complete() {
     AnswerListener endedListener = listener;
     listener = null;
+    // An idle connection would keep the body, which may be as large as the limits allow.
+    request = request.withoutContent();
     decoder.expectNothing();
     if (decoder.hasUnreadBytes()) {
       channel.close();
--- a/node/src/main/java/org/apricotstand/upstream/TargetRequest.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetRequest.java
@@ -1,5 +1,6 @@
 package org.apricotstand.upstream;
 
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 
@@ -13,4 +14,12 @@
  * @param body complete body, may be empty
  */
 public record TargetRequest(
-    String id, HttpMethod method, String uri, HttpHeaders headers, byte[] body) {}
+    String id, HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+
+  private static final byte[] NO_BODY = {};
+
+  /** Returns what tells the request from others, without its headers and its body. */
+  TargetRequest withoutContent() {
+    return new TargetRequest(id, method, uri, EmptyHttpHeaders.INSTANCE, NO_BODY);
+  }
+}
