Keep the serving path within one budget of memory

No ordinary request was answered within 90 s after crowds of short header lines, of bodies without end, of chunked bodies without end, of requests for a target that reads nothing, and of heads without end; an OutOfMemoryError was logged with answers that nobody reads; 4,184 descriptors were open with 4,096 idle connections (bound 2,248).

Change: callers' connections and held answers have accounts in one MemoryBudget of a third of the heap, which replaces HeldBytes. Header lines count with their objects while they are decoded. Beyond the budget, requests that never ended get 503 with Retry-After; complete ones are passed on only while they fit beside those that run. A request waits until the answers before it on its connection have left. A body has a deadline. Connections are limited, and unused ones are closed for new ones. Bodies are collected without moving them and copied once at most. The head timer of an attempt ends with it, since it kept the body.

Tests: those of CallerConnectionTest that write an answer of 48 MB in one part have a budget of 64 MB, since one reader may not exceed the budget.

--- a/node/src/main/java/org/apricotstand/front/CallReply.java
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -14,13 +14,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.util.Locale;
 
 /** Writes the answer to one request to the connection it arrived on. */
 final class CallReply implements Reply {
 
-  private static final double MS_PER_S = 1_000.0;
-
   private final CallerConnection connection;
   private final Channel channel;
   private final CallerRequest request;
@@ -67,8 +64,7 @@
     }
     FullHttpResponse answer = FailureAnswer.of(status, code);
     if (retryAfterMs > 0) {
-      String seconds = String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_S);
-      answer.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
+      FailureAnswer.setRetryAfter(answer, retryAfterMs);
     }
     if (HttpMethod.HEAD.equals(request.method())) {
       answer.content().clear();
@@ -104,6 +100,7 @@
   public void writePart(ByteBuf part) {
     if (!ended) {
       channel.writeAndFlush(new DefaultHttpContent(part.retainedSlice()), channel.voidPromise());
+      connection.onOutputChanged();
     }
   }
 
--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.apricotstand.front;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -23,7 +22,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -31,13 +29,20 @@
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.limit.MemoryBudget;
+import org.apricotstand.limit.MemoryBudget.Kind;
+import org.apricotstand.limit.MemoryHolder;
+import org.apricotstand.memory.MemoryLimiter;
+import org.apricotstand.route.CallerLimits;
 
 /**
  * Reads the requests of one caller connection and answers them in order. While a request is in
  * progress, up to {@value #MAX_PIPELINED_REQUESTS} further ones are queued; beyond that nothing
- * more is read and the connection is closed after their answers.
+ * more is read and the connection is closed after their answers. Requests wait while answers to
+ * those before them have not left, so that a caller that reads nothing costs one answer.
  */
-final class CallerConnection extends SimpleChannelInboundHandler<HttpObject> {
+final class CallerConnection extends SimpleChannelInboundHandler<HttpObject>
+    implements MemoryHolder {
 
   private static final int MAX_PIPELINED_REQUESTS = 16;
 
@@ -47,14 +52,23 @@
   /** Promises nothing about the run of the request. */
   private static final int BAD_GATEWAY = 502;
 
+  /** Memory of a request besides its header lines and its body. */
+  private static final int REQUEST_BYTES = 2_048;
+
   private final CallerServer server;
+  private final MemoryBudget<MemoryHolder>.Account account;
   private final Queue<PipelinedRequest> pipelinedRequests = new ArrayDeque<>();
-  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private final ByteCollector body = new ByteCollector();
+  private RequestDecoder decoder;
   private Channel channel;
   private HttpRequest head;
   private boolean ignoringInput;
   private Refusal pendingRefusal;
   private long firstByteMs;
+  private long bodySinceMs;
+  private long bodyProgressMs;
+  private long queuedBytes;
+  private long accountedOutputBytes;
   private CallReply reply;
   private long idleSinceMs = ControlThread.nowMs();
   private ChannelFuture lastWrite;
@@ -63,10 +77,12 @@
   /** Refusal of an unreadable request, which waits for the answers to the requests before it. */
   private record Refusal(int status, String code) {}
 
-  private record PipelinedRequest(CallerRequest request, boolean keepAlive) {}
+  private record PipelinedRequest(CallerRequest request, boolean keepAlive, long heldBytes) {}
 
-  CallerConnection(CallerServer server) {
+  CallerConnection(CallerServer server, RequestDecoder decoder) {
     this.server = server;
+    this.decoder = decoder;
+    this.account = server.memory().open(this, "");
   }
 
   @Override
@@ -78,9 +94,67 @@
   void recordFirstByte() {
     if (firstByteMs == 0) {
       firstByteMs = ControlThread.nowMs();
+      server.onConnectionBusy(this);
     }
   }
 
+  /** Returns whether bytes that arrive are dropped, since no further request is served. */
+  boolean isIgnoringInput() {
+    return ignoringInput;
+  }
+
+  /** Accounts for what is held of the requests that arrive; called after bytes were decoded. */
+  void onBytesDecoded() {
+    long nowMs = ControlThread.nowMs();
+    if (ignoringInput) {
+      account.update(Kind.HEAD, 0, nowMs);
+      account.update(Kind.BODY, 0, nowMs);
+    } else {
+      account.update(Kind.HEAD, decoder.heldHeaderBytes() + decoder.heldRawBytes(), nowMs);
+      account.update(Kind.BODY, body.heldBytes(), nowMs);
+    }
+    account.update(Kind.QUEUED, queuedBytes, nowMs);
+    server.memory().releaseExcess();
+  }
+
+  /** Accounts for what the caller has not taken of its answers. */
+  void onOutputChanged() {
+    accountForOutput();
+    server.memory().releaseExcess();
+  }
+
+  private void accountForOutput() {
+    accountedOutputBytes = channel.isActive() ? unsentBytes() : 0;
+    account.update(Kind.OUTPUT, accountedOutputBytes, ControlThread.nowMs());
+  }
+
+  @Override
+  public void giveUp(Kind kind, String reason) {
+    switch (kind) {
+      case HEAD, BODY -> refuse(503, reason);
+      case QUEUED -> {
+        dropQueuedRequests();
+        refuse(503, reason);
+      }
+      case OUTPUT -> giveUpOutput();
+      default -> throw new IllegalArgumentException("not given up here: " + kind);
+    }
+  }
+
+  /** Resets the connection, unless its caller has read since its output was accounted for. */
+  private void giveUpOutput() {
+    if (unsentBytes() < accountedOutputBytes) {
+      accountForOutput();
+    } else {
+      reset();
+    }
+  }
+
+  private void dropQueuedRequests() {
+    pipelinedRequests.clear();
+    queuedBytes = 0;
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
     if (ignoringInput) {
@@ -101,7 +175,9 @@
 
   private void readHead(HttpRequest request) {
     head = request;
-    body.reset();
+    body.clear();
+    bodySinceMs = ControlThread.nowMs();
+    bodyProgressMs = bodySinceMs;
     // A pipelined request can arrive in the same read as the one before it; no other call records
     // its first byte then.
     recordFirstByte();
@@ -110,11 +186,16 @@
       refuse(400, "malformed_" + reason.get());
     } else if (HttpUtil.getContentLength(request, 0L) > server.limits().maxBodyBytes()) {
       refuse(413, "body_too_large");
-    } else if (reply == null) {
+    } else if (!isBusy()) {
       continueIfExpected();
     }
   }
 
+  /** Returns whether an answer is in progress or requests wait for those before them. */
+  private boolean isBusy() {
+    return reply != null || !pipelinedRequests.isEmpty();
+  }
+
   /** Tells the caller to send the body of the request whose head was read, if it waits for that. */
   private void continueIfExpected() {
     if (HttpUtil.is100ContinueExpected(head) && body.size() == 0) {
@@ -130,40 +211,52 @@
       refuse(413, "body_too_large");
       return;
     }
-    byte[] bytes = ByteBufUtil.getBytes(part);
-    body.writeBytes(bytes);
+    if (part.isReadable()) {
+      body.add(part);
+      bodyProgressMs = ControlThread.nowMs();
+    }
     if (content instanceof LastHttpContent) {
       completeRequest();
     }
   }
 
   private void completeRequest() {
+    long heldBytes = REQUEST_BYTES + decoder.heldHeaderBytes() + body.size();
+    decoder.resetHeldHeaderBytes();
     CallerRequest request =
         new CallerRequest(
             head.method(),
             head.uri(),
             head.headers(),
-            body.toByteArray(),
+            body.takeArray(),
             ((InetSocketAddress) channel.remoteAddress()).getAddress().getHostAddress(),
             firstByteMs);
     boolean keepAlive = HttpUtil.isKeepAlive(head);
     head = null;
     firstByteMs = 0;
-    if (reply == null) {
-      serve(request, keepAlive);
+    PipelinedRequest complete = new PipelinedRequest(request, keepAlive, heldBytes);
+    if (!isBusy() && channel.isWritable()) {
+      serve(complete);
     } else if (pipelinedRequests.size() < MAX_PIPELINED_REQUESTS) {
-      pipelinedRequests.add(new PipelinedRequest(request, keepAlive));
+      pipelinedRequests.add(complete);
+      queuedBytes += heldBytes;
     } else {
       ignoringInput = true;
     }
   }
 
-  private void serve(CallerRequest request, boolean keepAlive) {
-    reply = new CallReply(this, channel, request, keepAlive);
+  private void serve(PipelinedRequest next) {
+    reply = new CallReply(this, channel, next.request, next.keepAlive);
     server.onRequestStarted();
     CallReply current = reply;
+    if (!server.memory().canRun(next.heldBytes)) {
+      server.memory().recordRejection("running");
+      current.fail(503, MemoryLimiter.MEMORY_SHORT, MemoryLimiter.RETRY_MS);
+      return;
+    }
+    account.update(Kind.RUNNING, next.heldBytes, ControlThread.nowMs());
     try {
-      current.setCall(server.handler().handle(request, current));
+      current.setCall(server.handler().handle(next.request, current));
     } catch (RuntimeException e) {
       server.recordFailedHandling(e);
       current.failOrAbort(BAD_GATEWAY, "internal_error");
@@ -175,18 +268,40 @@
    * requests before it.
    */
   private void refuse(int status, String code) {
-    ignoringInput = true;
-    if (reply != null) {
+    ignoreInput();
+    if (isBusy()) {
       pendingRefusal = new Refusal(status, code);
       return;
     }
     FullHttpResponse answer = FailureAnswer.of(status, code);
+    if (code.equals(MemoryLimiter.MEMORY_SHORT)) {
+      FailureAnswer.setRetryAfter(answer, MemoryLimiter.RETRY_MS);
+    }
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     server.recordUnreadableRequest(status, code);
     lastWrite = channel.writeAndFlush(answer);
     closeAfterInput(lastWrite);
   }
 
+  /** Drops what is held of requests that have not ended, and what else arrives. */
+  private void ignoreInput() {
+    ignoringInput = true;
+    head = null;
+    body.clear();
+    dropDecoder();
+    long nowMs = ControlThread.nowMs();
+    account.update(Kind.HEAD, 0, nowMs);
+    account.update(Kind.BODY, 0, nowMs);
+  }
+
+  /** Removes the decoder, which holds the lines of a head that has not ended. */
+  private void dropDecoder() {
+    if (decoder != null && channel.pipeline().context(decoder) != null) {
+      channel.pipeline().remove(decoder);
+    }
+    decoder = null;
+  }
+
   /**
    * Ends what is sent after a write, and closes the connection when the caller has done the same. A
    * close before all input is read resets the connection, so that the caller may lose its answers.
@@ -215,22 +330,51 @@
     lastWrite = answerWrite;
     unsentBytes = unsentBytes();
     idleSinceMs = ControlThread.nowMs();
-    answerWrite.addListener(done -> idleSinceMs = ControlThread.nowMs());
+    answerWrite.addListener(done -> onAnswerLeft());
     server.onRequestEnded();
-    PipelinedRequest next = pipelinedRequests.poll();
-    if (!keepAlive && (ignoringInput || hasPartOfRequest())) {
-      ignoringInput = true;
-      closeAfterInput(answerWrite);
-    } else if (!keepAlive) {
-      closeAfterFlush();
-    } else if (next != null) {
-      serve(next.request, next.keepAlive);
+    account.update(Kind.RUNNING, 0, idleSinceMs);
+    if (!keepAlive) {
+      boolean mayReceiveMore = ignoringInput || hasPartOfRequest();
+      dropQueuedRequests();
+      account.update(Kind.QUEUED, 0, idleSinceMs);
+      if (mayReceiveMore) {
+        ignoreInput();
+        closeAfterInput(answerWrite);
+      } else {
+        closeAfterFlush();
+      }
+    } else {
+      serveNext();
+    }
+    onOutputChanged();
+  }
+
+  private void onAnswerLeft() {
+    idleSinceMs = ControlThread.nowMs();
+    if (channel.isActive()) {
+      accountForOutput();
+    }
+  }
+
+  /** Serves the next queued request as soon as the answers before it have left. */
+  private void serveNext() {
+    if (!pipelinedRequests.isEmpty()) {
+      if (channel.isWritable()) {
+        PipelinedRequest next = pipelinedRequests.remove();
+        queuedBytes -= next.heldBytes;
+        account.update(Kind.QUEUED, queuedBytes, ControlThread.nowMs());
+        serve(next);
+      }
     } else if (pendingRefusal != null) {
       refuse(pendingRefusal.status, pendingRefusal.code);
     } else if (ignoringInput) {
-      closeAfterInput(answerWrite);
+      closeAfterInput(lastWrite);
     } else if (head != null) {
+      bodySinceMs = ControlThread.nowMs();
+      bodyProgressMs = bodySinceMs;
       continueIfExpected();
+    } else if (firstByteMs == 0) {
+      server.onConnectionIdle(this);
     }
   }
 
@@ -256,7 +400,7 @@
 
   /** Returns whether a request is being received or answered, or its answer is still leaving. */
   boolean hasOpenRequest() {
-    return reply != null || hasPartOfRequest() || isSending();
+    return isBusy() || hasPartOfRequest() || isSending();
   }
 
   private boolean isSending() {
@@ -271,20 +415,33 @@
   void stopReading() {
     if (hasPartOfRequest()) {
       refuse(503, "shutting_down");
-    } else if (reply == null && !ignoringInput) {
+    } else if (!isBusy() && !ignoringInput) {
       closeAfterFlush();
     }
     ignoringInput = true;
   }
 
+  /** Closes the connection, which has no request or only a part of one. */
+  void closeUnserved() {
+    ignoreInput();
+    channel.close();
+  }
+
+  /** Returns when the request that arrives began; 0 if none does or answers are due before it. */
+  long arrivingSinceMs() {
+    return isBusy() || ignoringInput ? 0 : firstByteMs;
+  }
+
   /**
    * Closes the connection when it has been idle or its request head incomplete for too long, or
    * when the server closes idle connections.
    */
   void sweep(long nowMs) {
+    accountForOutput();
     if (reply != null) {
       return;
     }
+    replaceOversizedDecoder();
     if (isSending()) {
       resetIfStalled(nowMs);
     } else if (!ignoringInput) {
@@ -292,10 +449,23 @@
     }
   }
 
+  /** Replaces a decoder that would keep a large buffer while the connection is idle. */
+  private void replaceOversizedDecoder() {
+    boolean isIdle = !isBusy() && !ignoringInput && firstByteMs == 0;
+    if (isIdle && decoder.isOversized() && decoder.heldRawBytes() == 0) {
+      RequestDecoder replacement = new RequestDecoder(server.limits().maxHeaderBytes());
+      channel.pipeline().replace(decoder, null, replacement);
+      decoder = replacement;
+    }
+  }
+
   private void closeIfIdle(long nowMs) {
     boolean requestBegun = firstByteMs != 0;
     if (requestBegun && head == null && nowMs - firstByteMs > server.limits().headerTimeoutMs()) {
       refuse(408, "header_timeout");
+    } else if (head != null && nowMs > bodyDeadlineMs()) {
+      server.memory().recordRejection("body_timeout");
+      refuse(408, "body_timeout");
     } else if (!requestBegun && nowMs - idleSinceMs > server.limits().idleTimeoutMs()) {
       channel.close();
     } else if (!requestBegun && server.closesIdleConnections()) {
@@ -303,6 +473,17 @@
     }
   }
 
+  /**
+   * Returns until when the body in progress may go on: no pause is longer than the idle timeout,
+   * and after a first idle timeout it arrives at least as fast as the limits require of a head,
+   * which is the slowest rate that a caller within them may have.
+   */
+  private long bodyDeadlineMs() {
+    CallerLimits limits = server.limits();
+    long transferMs = body.size() * limits.headerTimeoutMs() / limits.maxHeaderBytes();
+    return limits.idleTimeoutMs() + Math.min(bodyProgressMs, bodySinceMs + transferMs);
+  }
+
   /** Gives up on a caller that has taken no byte of its answer for the idle timeout. */
   private void resetIfStalled(long nowMs) {
     long stillUnsentBytes = unsentBytes();
@@ -327,14 +508,23 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
-    if (reply != null && channel.isWritable()) {
+    accountForOutput();
+    if (!channel.isWritable()) {
+      return;
+    }
+    if (reply != null) {
       reply.onWritable();
+    } else if (!pipelinedRequests.isEmpty()) {
+      serveNext();
     }
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
-    pipelinedRequests.clear();
+    dropQueuedRequests();
+    ignoreInput();
+    account.close();
+    server.onConnectionBusy(this);
     if (reply != null) {
       CallReply abandoned = reply;
       reply = null;
--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -10,13 +10,20 @@
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.http.ServerBootstraps;
 import org.apricotstand.kernel.Service;
+import org.apricotstand.memory.MemoryLimiter;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.route.CallerLimits;
@@ -34,23 +41,40 @@
   private final Supplier<CallerLimits> limits;
   private final CallHandler handler;
   private final Metrics metrics;
+  private final MemoryLimiter memory;
+  private final int maxConnections;
   private final ChannelGroup connections;
+
+  /** Connections that have sent nothing yet, the oldest first. */
+  private final Set<CallerConnection> unused = new LinkedHashSet<>();
+
+  /** Connections without a request after their first one, that which is idle longest first. */
+  private final Set<CallerConnection> idle = new LinkedHashSet<>();
+
   private volatile int activeRequests;
   private volatile long drainingSinceMs = Long.MAX_VALUE;
   private Channel listener;
 
-  /** Creates a server that is not started. */
+  /**
+   * Creates a server that is not started.
+   *
+   * @param maxConnections open connections beyond which idle ones are closed
+   */
   public CallerServer(
       EventLoop loop,
       InetSocketAddress address,
       Supplier<CallerLimits> limits,
       CallHandler handler,
-      Metrics metrics) {
+      Metrics metrics,
+      MemoryLimiter memory,
+      int maxConnections) {
     this.loop = loop;
     this.address = address;
     this.limits = limits;
     this.handler = handler;
     this.metrics = metrics;
+    this.memory = memory;
+    this.maxConnections = maxConnections;
     this.connections = new DefaultChannelGroup(loop);
   }
 
@@ -74,25 +98,70 @@
   }
 
   private void accept(Channel channel) {
+    if (connections.size() >= maxConnections && !closeLeastUsed()) {
+      channel.close();
+      return;
+    }
     connections.add(channel);
-    CallerConnection connection = new CallerConnection(this);
+    RequestDecoder decoder = new RequestDecoder(limits.get().maxHeaderBytes());
+    CallerConnection connection = new CallerConnection(this, decoder);
+    unused.add(connection);
     channel
         .pipeline()
         .addLast(
             new ChannelInboundHandlerAdapter() {
               @Override
               public void channelRead(ChannelHandlerContext context, Object message) {
+                if (connection.isIgnoringInput()) {
+                  ReferenceCountUtil.release(message);
+                  return;
+                }
                 if (message instanceof ByteBuf bytes && !RequestDecoder.isSkipped(bytes)) {
                   connection.recordFirstByte();
                 }
                 context.fireChannelRead(message);
+                connection.onBytesDecoded();
               }
             },
-            new RequestDecoder(limits.get().maxHeaderBytes()),
+            decoder,
             new HttpResponseEncoder(),
             connection);
   }
 
+  /**
+   * Closes the connection that least likely carries a request that will be served: one that has
+   * sent nothing, else the one that has been idle longest, else the one whose request began first
+   * and is not complete. Returns false if all have complete requests.
+   */
+  private boolean closeLeastUsed() {
+    Optional<CallerConnection> chosen =
+        Stream.concat(unused.stream(), idle.stream()).findFirst().or(this::longestArriving);
+    chosen.ifPresent(
+        connection -> {
+          onConnectionBusy(connection);
+          connection.closeUnserved();
+        });
+    memory.recordRejection("connections");
+    return chosen.isPresent();
+  }
+
+  private Optional<CallerConnection> longestArriving() {
+    return callerConnections().stream()
+        .filter(connection -> connection.arrivingSinceMs() > 0)
+        .min(Comparator.comparingLong(CallerConnection::arrivingSinceMs));
+  }
+
+  /** Records that a connection has no request, so that it may be closed for another one. */
+  void onConnectionIdle(CallerConnection connection) {
+    idle.add(connection);
+  }
+
+  /** Records that a connection has a request or is closed. */
+  void onConnectionBusy(CallerConnection connection) {
+    unused.remove(connection);
+    idle.remove(connection);
+  }
+
   /** Returns the address that the server listens on. */
   public InetSocketAddress address() {
     return (InetSocketAddress) listener.localAddress();
@@ -135,6 +204,10 @@
     return limits.get();
   }
 
+  MemoryLimiter memory() {
+    return memory;
+  }
+
   CallHandler handler() {
     return handler;
   }
@@ -170,6 +243,8 @@
   private void sweep() {
     long nowMs = ControlThread.nowMs();
     callerConnections().forEach(connection -> connection.sweep(nowMs));
+    memory.releaseExcess();
+    memory.publish();
   }
 
   private List<CallerConnection> callerConnections() {
--- a/node/src/main/java/org/apricotstand/front/FailureAnswer.java
+++ b/node/src/main/java/org/apricotstand/front/FailureAnswer.java
@@ -8,10 +8,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 
 /** Creates the answers with which this instance itself reports a failure. */
 final class FailureAnswer {
 
+  private static final double MS_PER_S = 1_000.0;
+
   private FailureAnswer() {}
 
   /**
@@ -29,4 +32,10 @@
         .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
     return answer;
   }
+
+  /** Sets the time after which the caller may send the request again. */
+  static void setRetryAfter(FullHttpResponse answer, long retryAfterMs) {
+    String seconds = String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_S);
+    answer.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
+  }
 }
--- a/node/src/main/java/org/apricotstand/front/RequestDecoder.java
+++ b/node/src/main/java/org/apricotstand/front/RequestDecoder.java
@@ -10,12 +10,45 @@
 
   private static final int MAX_LINE_BYTES = 8_192;
 
+  /** The decoder keeps a buffer as long as the longest line; a usual line is shorter than this. */
+  private static final int USUAL_LINE_BYTES = 2_048;
+
+  private final HeaderMeter meter;
+
   RequestDecoder(int maxHeaderBytes) {
+    this(maxHeaderBytes, new HeaderMeter());
+  }
+
+  private RequestDecoder(int maxHeaderBytes, HeaderMeter meter) {
     super(
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_LINE_BYTES)
             .setMaxHeaderSize(maxHeaderBytes)
-            .setMaxChunkSize(65_536));
+            .setMaxChunkSize(65_536)
+            .setHeadersFactory(meter.heads())
+            .setTrailersFactory(meter.trailers()));
+    this.meter = meter;
+  }
+
+  /** Returns the memory of the head and the trailers that were decoded since the last reset. */
+  long heldHeaderBytes() {
+    return meter.heldBytes();
+  }
+
+  /** Forgets the head and the trailers of a request that is complete. */
+  void resetHeldHeaderBytes() {
+    meter.reset();
+  }
+
+  /** Returns the memory of bytes that were read but do not form a line yet. */
+  long heldRawBytes() {
+    ByteBuf undecoded = internalBuffer();
+    return undecoded.isReadable() ? undecoded.capacity() : 0;
+  }
+
+  /** Returns whether the decoder keeps a large buffer between two requests. */
+  boolean isOversized() {
+    return meter.longestLineBytes() > USUAL_LINE_BYTES;
   }
 
   /**
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/memory/package-info.java
@@ -0,0 +1,2 @@
+/** Accounts for the memory of the serving path and reports what is given up. */
+package org.apricotstand.memory;
--- a/node/src/main/java/org/apricotstand/port/ServingSettings.java
+++ b/node/src/main/java/org/apricotstand/port/ServingSettings.java
@@ -19,6 +19,7 @@
  * @param retryWindowMs length of the window over which requests and retries are counted
  * @param relayCapacity declared capacity of the machine to relay messages between instances
  * @param answerLimits bounds of what is read of an answer without passing it on
+ * @param memoryLimits bounds of the memory that callers and targets use together
  */
 public record ServingSettings(
     String name,
@@ -33,4 +34,5 @@
     double retryAllowance,
     long retryWindowMs,
     int relayCapacity,
-    AnswerLimits answerLimits) {}
+    AnswerLimits answerLimits,
+    MemoryLimits memoryLimits) {}
--- a/node/src/main/java/org/apricotstand/request/AnswerBody.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerBody.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
+import org.apricotstand.front.ByteCollector;
 import org.apricotstand.port.AnswerLimits;
 
 /** The body of one answer of a target: decides which bytes are kept, passed on, or dropped. */
--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -5,14 +5,19 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.Map;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.limit.MemoryBudget;
+import org.apricotstand.limit.MemoryBudget.Kind;
+import org.apricotstand.limit.MemoryHolder;
 import org.apricotstand.upstream.AnswerListener;
 import org.apricotstand.upstream.SendFailure;
 import org.apricotstand.upstream.TargetConnection;
 
 /** One attempt to run the request at one target. */
-final class Attempt implements AnswerListener, HeldAnswer {
+final class Attempt implements AnswerListener, MemoryHolder {
 
   /**
    * Time without a crash after the first byte of an answer, after which the request did not cause
@@ -25,6 +30,7 @@
   private final TargetEntry target;
   private final long sentMs = ControlThread.nowMs();
   private final AnswerBody body;
+  private final MemoryBudget<MemoryHolder>.Account account;
   private TargetConnection connection;
   private AnswerHead head;
   private boolean discardAnswer;
@@ -32,6 +38,8 @@
   private boolean retryGranted;
   private boolean firstByteReceived;
   private long confirmAnswerMs;
+  private long heldHeadBytes;
+  private ScheduledFuture<?> headTimer;
   private boolean answerConfirmed;
   private boolean closed;
 
@@ -45,6 +53,7 @@
     this.router = router;
     this.target = target;
     this.body = new AnswerBody(router.answerLimits(), eventSplitter);
+    this.account = router.memory().open(this, target.incarnation());
   }
 
   TargetEntry target() {
@@ -93,11 +102,27 @@
     if (!closed) {
       closed = true;
       flow.onAttemptClosed();
-      router.heldBytes().remove(this);
+      account.close();
+      cancelHeadTimer();
       router.loadTracker().recordEnd(target.id(), flow.adapter(), firstByteReceived);
     }
   }
 
+  /** Sets the timer of the head of the answer, which ends with the attempt. */
+  void setHeadTimer(ScheduledFuture<?> timer) {
+    headTimer = timer;
+    if (closed) {
+      cancelHeadTimer();
+    }
+  }
+
+  /** Cancels the timer, which would keep the request and its body until it ends. */
+  private void cancelHeadTimer() {
+    if (headTimer != null) {
+      headTimer.cancel(false);
+    }
+  }
+
   @Override
   public void onHead(HttpResponse answer) {
     head = new AnswerHead(answer, router.headerNames());
@@ -116,7 +141,18 @@
       continueAnswer();
     } else if (isStreamed()) {
       flow.startAnswer(answer);
+    } else {
+      accountForHead(answer);
+    }
+  }
+
+  /** Accounts for the head of an answer that is held until it is complete. */
+  private void accountForHead(HttpResponse answer) {
+    for (Map.Entry<String, String> line : answer.headers()) {
+      heldHeadBytes += MemoryBudget.headerLineBytes(line.getKey(), line.getValue());
     }
+    account.update(Kind.ANSWER, heldHeadBytes, ControlThread.nowMs());
+    router.memory().releaseExcess();
   }
 
   /**
@@ -134,9 +170,13 @@
     }
   }
 
-  /** Closes the connection of an answer that cannot be passed on; the request may have run. */
   @Override
-  public void giveUp(String reason) {
+  public void giveUp(Kind kind, String reason) {
+    giveUp(reason);
+  }
+
+  /** Closes the connection of an answer that cannot be passed on; the request may have run. */
+  private void giveUp(String reason) {
     TargetConnection brokenConnection = connection;
     onFailure(new SendFailure.Malformed(reason));
     brokenConnection.cancel();
@@ -161,10 +201,11 @@
       flow.reply().writePart(passedOn);
     }
     passedOn.release();
-    router
-        .heldBytes()
-        .update(this, target.incarnation(), body.heldBytes())
-        .ifPresent(largest -> largest.giveUp("answers too large together"));
+    if (closed) {
+      return;
+    }
+    account.update(Kind.ANSWER, heldHeadBytes + body.heldBytes(), ControlThread.nowMs());
+    router.memory().releaseExcess();
     if (closed) {
       return;
     }
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -343,7 +343,7 @@
     if (route.isIdempotent()) {
       long leftMs = deadlineMs - ControlThread.nowMs();
       long headTimeoutMs = Math.max(MIN_HEAD_TIMEOUT_MS, (long) (HEAD_TIMEOUT_FRACTION * leftMs));
-      schedule(() -> onHeadTimeout(current), headTimeoutMs);
+      current.setHeadTimer(schedule(() -> onHeadTimeout(current), headTimeoutMs));
     }
   }
 
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -25,8 +25,8 @@
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.front.Reply;
 import org.apricotstand.limit.AllowanceShare;
-import org.apricotstand.limit.HeldBytes;
 import org.apricotstand.limit.WindowedRetryBudget;
+import org.apricotstand.memory.MemoryLimiter;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.port.AnswerLimits;
@@ -69,7 +69,7 @@
   private final Random random;
   private final CrashWatch crashWatch;
   private final TargetPacer pacer;
-  private final HeldBytes<HeldAnswer> heldBytes;
+  private final MemoryLimiter memory;
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final AllowanceShare retryShare;
@@ -95,6 +95,7 @@
       LocalLoadTracker loadTracker,
       FleetNotifier fleetNotifier,
       Metrics metrics,
+      MemoryLimiter memory,
       Random random) {
     this.loop = loop;
     this.settings = settings;
@@ -102,7 +103,7 @@
     this.view = view;
     this.connections =
         new TargetConnectionPool(loop, headerNames, settings.answerLimits().maxSkippedBytes());
-    this.heldBytes = new HeldBytes<>(settings.answerLimits().maxHeldTotalBytes());
+    this.memory = memory;
     this.retryShare = new AllowanceShare(settings.retryWindowMs());
     this.loadTracker = loadTracker;
     this.fleetNotifier = fleetNotifier;
@@ -396,9 +397,8 @@
     return settings.answerLimits();
   }
 
-  /** Returns the bytes of all answers that are kept until they are complete. */
-  HeldBytes<HeldAnswer> heldBytes() {
-    return heldBytes;
+  MemoryLimiter memory() {
+    return memory;
   }
 
   EventLoop loop() {
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -11,6 +11,7 @@
 import org.apricotstand.fleet.LocalLoadTracker;
 import org.apricotstand.front.CallerServer;
 import org.apricotstand.kernel.Kernel;
+import org.apricotstand.memory.MemoryLimiter;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.peer.PeerMessage;
@@ -71,14 +72,30 @@
             loadTracker,
             metrics,
             incarnation);
-    Random random = new Random(incarnation ^ settings.name().hashCode());
+    MemoryLimiter memory =
+        new MemoryLimiter(settings.memoryLimits(), settings.answerLimits(), metrics);
     RequestRouter router =
         new RequestRouter(
-            loop, settings, systems.headers(), fleet::view, loadTracker, fleet, metrics, random);
+            loop,
+            settings,
+            systems.headers(),
+            fleet::view,
+            loadTracker,
+            fleet,
+            metrics,
+            memory,
+            new Random(incarnation ^ settings.name().hashCode()));
     fleet.setEventListener(new TrafficThreadListener(loop, router));
     fleet.setViewListener(() -> loop.execute(router::onViewChanged));
     callers =
-        new CallerServer(loop, settings.callerAddress(), limitsOf(fleet::view), router, metrics);
+        new CallerServer(
+            loop,
+            settings.callerAddress(),
+            limitsOf(fleet::view),
+            router,
+            metrics,
+            memory,
+            settings.memoryLimits().maxConnections());
     drainRunner = new DrainRunner(loop, new InstanceDrainSteps(fleet, router, callers));
     kernel.register("control", control);
     kernel.register("metrics", metrics);
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -24,7 +24,10 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.memory.MemoryLimiter;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.port.AnswerLimits;
+import org.apricotstand.port.MemoryLimits;
 import org.apricotstand.route.CallerLimits;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -32,6 +35,7 @@
 
 class CallerConnectionTest {
 
+  private static final MemoryLimits MEMORY = new MemoryLimits(64_000_000, 1_000);
   private static final String REQUEST = "GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n";
   private static final long TEST_TIMEOUT_MS = 20_000;
   private static final long IDLE_TIMEOUT_MS = 1_500;
@@ -71,7 +75,11 @@
           return new UnfinishedCall();
         };
     InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    server = new CallerServer(loop, anyPort, () -> limits, handler, new Metrics());
+    Metrics metrics = new Metrics();
+    MemoryLimiter memory = new MemoryLimiter(MEMORY, AnswerLimits.DEFAULT, metrics);
+    server =
+        new CallerServer(
+            loop, anyPort, () -> limits, handler, metrics, memory, MEMORY.maxConnections());
     server.start();
   }
 
--- a/node/src/test/java/org/apricotstand/front/CallerDrainTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerDrainTest.java
@@ -20,7 +20,10 @@
 import org.apricotstand.drain.Drain;
 import org.apricotstand.drain.DrainAction;
 import org.apricotstand.drain.DrainEvent;
+import org.apricotstand.memory.MemoryLimiter;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.port.AnswerLimits;
+import org.apricotstand.port.MemoryLimits;
 import org.apricotstand.route.CallerLimits;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -28,6 +31,7 @@
 /** Plays drains with callers that connect, send in parts and send several requests at once. */
 class CallerDrainTest {
 
+  private static final MemoryLimits MEMORY = new MemoryLimits(16_777_216, 1_000);
   private static final long GRACE_MS = 8_000;
   private static final int DRAINS = 25;
   private static final int MAX_TICK_MS = 60;
@@ -109,7 +113,11 @@
       this.activity = random.nextDouble();
       CallerLimits limits = new CallerLimits(16_384, 65_536, 30_000, 30_000);
       InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-      server = new CallerServer(loop, anyPort, () -> limits, this::take, new Metrics());
+      Metrics metrics = new Metrics();
+      MemoryLimiter memory = new MemoryLimiter(MEMORY, AnswerLimits.DEFAULT, metrics);
+      server =
+          new CallerServer(
+              loop, anyPort, () -> limits, this::take, metrics, memory, MEMORY.maxConnections());
       server.start();
     }
 
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -24,9 +24,11 @@
 import org.apricotstand.fleet.FleetView;
 import org.apricotstand.fleet.LocalLoadTracker;
 import org.apricotstand.front.CallerServer;
+import org.apricotstand.memory.MemoryLimiter;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.port.AnswerLimits;
 import org.apricotstand.port.HeaderNames;
+import org.apricotstand.port.MemoryLimits;
 import org.apricotstand.port.ServingSettings;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
@@ -131,6 +133,7 @@
   @BeforeEach
   void start() {
     InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    MemoryLimits memoryLimits = new MemoryLimits(16_777_216, 1_000);
     ServingSettings settings =
         new ServingSettings(
             "n",
@@ -145,9 +148,11 @@
             50,
             10_000,
             100,
-            LIMITS);
+            LIMITS,
+            memoryLimits);
     EventLoop loop = group.next();
     Metrics metrics = new Metrics();
+    MemoryLimiter memory = new MemoryLimiter(memoryLimits, LIMITS, metrics);
     router =
         new RequestRouter(
             loop,
@@ -157,9 +162,10 @@
             loadTracker,
             new RecordingFleet(),
             metrics,
+            memory,
             new Random(1));
     CallerLimits limits = new CallerLimits(16_384, 65_536, 3_000, 15_000);
-    server = new CallerServer(loop, anyPort, () -> limits, router, metrics);
+    server = new CallerServer(loop, anyPort, () -> limits, router, metrics, memory, 1_000);
     server.start();
   }
 
