Log at most one line a second about rejected callers

Cause: each refusal of a request that cannot be read wrote a line, and thousands can be refused in a second.

--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -33,6 +33,7 @@
 
   private static final EventLog LOG = EventLog.of(CallerServer.class);
   private static final long SWEEP_INTERVAL_MS = 500;
+  private static final long UNREADABLE_LINE_INTERVAL_MS = 1_000;
   // Callers stop choosing this instance after two failed readiness checks, one a second.
   private static final long LEAVE_ROTATION_MS = 2_600;
 
@@ -53,6 +54,8 @@
 
   private volatile int activeRequests;
   private volatile long drainingSinceMs = Long.MAX_VALUE;
+  private long nextUnreadableLineMs = Long.MIN_VALUE;
+  private int unreadableWithoutLine;
   private Channel listener;
 
   /**
@@ -230,9 +233,17 @@
     activeRequests--;
   }
 
+  /** Counts a request that cannot be read, and logs at most one of them a second. */
   void recordUnreadableRequest(int status, String code) {
     metrics.count("caller.unreadable");
-    LOG.info("request_unreadable", "status", status, "code", code);
+    long nowMs = ControlThread.nowMs();
+    if (nowMs < nextUnreadableLineMs) {
+      unreadableWithoutLine++;
+      return;
+    }
+    LOG.info("request_unreadable", "status", status, "code", code, "others", unreadableWithoutLine);
+    unreadableWithoutLine = 0;
+    nextUnreadableLineMs = nowMs + UNREADABLE_LINE_INTERVAL_MS;
   }
 
   void recordFailedHandling(Throwable cause) {
--- a/node/src/main/java/org/apricotstand/memory/RejectionLog.java
+++ b/node/src/main/java/org/apricotstand/memory/RejectionLog.java
@@ -23,20 +23,29 @@
     this.metrics = metrics;
   }
 
-  /** Records one rejection and logs it now unless a line was logged a moment ago. */
-  void record(String reason, long nowMs) {
+  /**
+   * Records one rejection and logs it now unless a line was logged a moment ago.
+   *
+   * @return whether a line was logged
+   */
+  boolean record(String reason, long nowMs) {
     metrics.count("memory.rejected." + reason);
     pending.merge(reason, 1, Integer::sum);
-    flush(nowMs);
+    return flush(nowMs);
   }
 
-  /** Logs what has been recorded since the last line, unless that was a moment ago. */
-  void flush(long nowMs) {
+  /**
+   * Logs what has been recorded since the last line, unless that was a moment ago.
+   *
+   * @return whether a line was logged
+   */
+  boolean flush(long nowMs) {
     if (pending.isEmpty() || nowMs < nextLineMs) {
-      return;
+      return false;
     }
     LOG.info("callers_rejected", "reasons", pending);
     pending.clear();
     nextLineMs = nowMs + INTERVAL_MS;
+    return true;
   }
 }
