--- a/node/src/main/java/org/apricotstand/memory/RejectionLog.java
+++ b/node/src/main/java/org/apricotstand/memory/RejectionLog.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
 
@@ -43,7 +44,11 @@
     if (pending.isEmpty() || nowMs < nextLineMs) {
       return false;
     }
-    LOG.info("callers_rejected", "reasons", pending);
+    Object[] numbersByReason =
+        pending.entrySet().stream()
+            .flatMap(entry -> Stream.of(entry.getKey(), entry.getValue()))
+            .toArray();
+    LOG.info("callers_rejected", numbersByReason);
     pending.clear();
     nextLineMs = nowMs + INTERVAL_MS;
     return true;
