Close no connection whose answer is on its way for a new one

Cause: a connection counts as idle when its answer is written, not when it has left; closing it for a new connection cuts the answer off. A complete request counted twice until its read ended.

Change: connections that owe an answer are never closed for others; those that are refused already may be. Refusals for memory are logged by callers_rejected only.

--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -107,8 +107,7 @@
   void onBytesDecoded() {
     long nowMs = ControlThread.nowMs();
     if (ignoringInput) {
-      account.update(Kind.HEAD, 0, nowMs);
-      account.update(Kind.BODY, 0, nowMs);
+      accountForNoInput();
     } else {
       account.update(Kind.HEAD, decoder.heldHeaderBytes() + decoder.heldRawBytes(), nowMs);
       account.update(Kind.BODY, body.heldBytes(), nowMs);
@@ -223,6 +222,7 @@
   private void completeRequest() {
     long heldBytes = REQUEST_BYTES + decoder.heldHeaderBytes() + body.size();
     decoder.resetHeldHeaderBytes();
+    accountForNoInput();
     CallerRequest request =
         new CallerRequest(
             head.method(),
@@ -276,9 +276,10 @@
     FullHttpResponse answer = FailureAnswer.of(status, code);
     if (code.equals(MemoryLimiter.MEMORY_SHORT)) {
       FailureAnswer.setRetryAfter(answer, MemoryLimiter.RETRY_MS);
+    } else {
+      server.recordUnreadableRequest(status, code);
     }
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    server.recordUnreadableRequest(status, code);
     lastWrite = channel.writeAndFlush(answer);
     closeAfterInput(lastWrite);
   }
@@ -289,6 +290,10 @@
     head = null;
     body.clear();
     dropDecoder();
+    accountForNoInput();
+  }
+
+  private void accountForNoInput() {
     long nowMs = ControlThread.nowMs();
     account.update(Kind.HEAD, 0, nowMs);
     account.update(Kind.BODY, 0, nowMs);
@@ -427,9 +432,14 @@
     channel.close();
   }
 
-  /** Returns when the request that arrives began; 0 if none does or answers are due before it. */
+  /** Returns whether the connection can be closed without the loss of an answer. */
+  boolean owesNoAnswer() {
+    return !isBusy() && !isSending();
+  }
+
+  /** Returns when the request that arrives began; 0 if none does or nothing more is read. */
   long arrivingSinceMs() {
-    return isBusy() || ignoringInput ? 0 : firstByteMs;
+    return ignoringInput ? 0 : firstByteMs;
   }
 
   /**
@@ -464,7 +474,6 @@
     if (requestBegun && head == null && nowMs - firstByteMs > server.limits().headerTimeoutMs()) {
       refuse(408, "header_timeout");
     } else if (head != null && nowMs > bodyDeadlineMs()) {
-      server.memory().recordRejection("body_timeout");
       refuse(408, "body_timeout");
     } else if (!requestBegun && nowMs - idleSinceMs > server.limits().idleTimeoutMs()) {
       channel.close();
@@ -480,7 +489,7 @@
    */
   private long bodyDeadlineMs() {
     CallerLimits limits = server.limits();
-    long transferMs = body.size() * limits.headerTimeoutMs() / limits.maxHeaderBytes();
+    long transferMs = body.size() * limits.headerTimeoutMs() / Math.max(1, limits.maxHeaderBytes());
     return limits.idleTimeoutMs() + Math.min(bodyProgressMs, bodySinceMs + transferMs);
   }
 
--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -133,12 +133,15 @@
 
   /**
    * Closes the connection that least likely carries a request that will be served: one that has
-   * sent nothing, else the one that has been idle longest, else the one whose request began first
-   * and is not complete. Returns false if all have complete requests.
+   * sent nothing, else the one that has been idle longest, else one that is refused already or
+   * whose request began first and is not complete. Returns false if all are owed answers.
    */
   private boolean closeLeastUsed() {
     Optional<CallerConnection> chosen =
-        Stream.concat(unused.stream(), idle.stream()).findFirst().or(this::longestArriving);
+        Stream.concat(unused.stream(), idle.stream())
+            .filter(CallerConnection::owesNoAnswer)
+            .findFirst()
+            .or(this::longestArriving);
     chosen.ifPresent(
         connection -> {
           onConnectionBusy(connection);
@@ -150,7 +153,7 @@
 
   private Optional<CallerConnection> longestArriving() {
     return callerConnections().stream()
-        .filter(connection -> connection.arrivingSinceMs() > 0)
+        .filter(CallerConnection::owesNoAnswer)
         .min(Comparator.comparingLong(CallerConnection::arrivingSinceMs));
   }
 
--- a/node/src/test/java/org/apricotstand/front/CallerMemoryTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerMemoryTest.java
@@ -61,16 +61,20 @@
 
   @BeforeEach
   void start() {
+    start(MEMORY);
+  }
+
+  private void start(MemoryLimits memoryLimits) {
     CallHandler handler =
         (request, reply) -> {
           replies.add(reply);
           return new UnfinishedCall();
         };
     InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
-    MemoryLimiter memory = new MemoryLimiter(MEMORY, AnswerLimits.DEFAULT, metrics);
+    MemoryLimiter memory = new MemoryLimiter(memoryLimits, AnswerLimits.DEFAULT, metrics);
     server =
         new CallerServer(
-            loop, anyPort, () -> limits, handler, metrics, memory, MEMORY.maxConnections());
+            loop, anyPort, () -> limits, handler, metrics, memory, memoryLimits.maxConnections());
     server.start();
   }
 
@@ -238,4 +242,22 @@
     assertThat(new String(busy.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1))
         .isEqualTo("HTTP/1.1 504");
   }
+
+  // Guards against an answer that is cut off because its connection counts as idle, while it is
+  // still on its way, when another caller connects.
+  @Test
+  void aConnectionWhoseAnswerIsOnItsWayIsNotClosedForANewOne() throws Exception {
+    int answerBytes = 12_000_000;
+    server.stop();
+    start(new MemoryLimits(16_777_216, MEMORY.maxConnections()));
+    Socket first = connectAndSend(REQUEST);
+    answerAtLength(nextReply(), answerBytes);
+    for (int i = 1; i < MEMORY.maxConnections(); i++) {
+      connectAndSend(REQUEST);
+      nextReply();
+    }
+    Socket rejected = connect();
+    assertThat(readAll(rejected)).isEmpty();
+    assertThat(first.getInputStream().readNBytes(answerBytes)).hasLength(answerBytes);
+  }
 }
