--- a/node/src/main/java/org/apricotstand/port/ServingSettings.java
+++ b/node/src/main/java/org/apricotstand/port/ServingSettings.java
@@ -21,6 +21,7 @@
  * @param relayCapacity declared capacity of the machine to relay messages between instances
  * @param answerLimits bounds of what is read of an answer without passing it on
  * @param freshness bounds of the age of the configuration
+ * @param memoryLimits bounds of the memory that callers and targets use together
  */
 public record ServingSettings(
     String name,
@@ -36,4 +37,5 @@
     long retryWindowMs,
     int relayCapacity,
     AnswerLimits answerLimits,
-    FreshnessBounds freshness) {}
+    FreshnessBounds freshness,
+    MemoryLimits memoryLimits) {}
