Test crowds of callers against the memory of an entry instance

Clients that nobody controls end an entry instance by requests of legal size (docs/design/open-clients-and-tenants.md, section 1).

--- a/cli/src/test/java/org/apricotstand/it/ManagedProcess.java
+++ b/cli/src/test/java/org/apricotstand/it/ManagedProcess.java
@@ -29,11 +29,17 @@
 
   /** Starts the command-line program with the class path of the running test. */
   static ManagedProcess start(String name, List<String> arguments) throws IOException {
+    return start(name, JVM_OPTIONS, arguments);
+  }
+
+  /** Starts the command-line program with options of the Java runtime of its own. */
+  static ManagedProcess start(String name, List<String> jvmOptions, List<String> arguments)
+      throws IOException {
     List<String> mainAndArguments = new ArrayList<>();
     mainAndArguments.add("org.apricotstand.cli.Main");
     mainAndArguments.addAll(arguments);
     return new ManagedProcess(
-        name, ChildProcess.start(name, JVM_OPTIONS, mainAndArguments, Map.of()));
+        name, ChildProcess.start(name, jvmOptions, mainAndArguments, Map.of()));
   }
 
   /** Returns the lines that the process has written so far to standard output and error. */
--- a/cli/src/test/java/org/apricotstand/it/ProcessCluster.java
+++ b/cli/src/test/java/org/apricotstand/it/ProcessCluster.java
@@ -149,6 +149,26 @@
     }
   }
 
+  /**
+   * Starts an entry instance without peers, with Java options and settings of its own.
+   *
+   * @param moreSettings lines that are added to its settings file
+   */
+  public void startEntry(String name, String domain, List<String> jvmOptions, String moreSettings)
+      throws IOException {
+    Map<String, String> domains = Map.of(name, domain);
+    Path file = folder.resolve(name + ".yaml");
+    Files.writeString(
+        file, entrySettings(name, domains, Map.of(name, findFreeAddress())) + moreSettings);
+    List<String> commandLine = List.of("entry", "--settings", file.toString());
+    ManagedProcess process = ManagedProcess.start(name, jvmOptions, commandLine);
+    processes.put(name, process);
+    commandLines.put(name, commandLine);
+    InetSocketAddress address = process.awaitReady();
+    directAddresses.put(name, address);
+    proxyAddress(Link.callersTo(name), address);
+  }
+
   private String entrySettings(
       String name, Map<String, String> domains, Map<String, InetSocketAddress> peerAddresses) {
     StringBuilder text = new StringBuilder();
