Bound the memory of an entry instance for requests, answers and output

Cause: heads, bodies in progress, requests that wait for a target, collected answers and unread output were bounded for each connection but not together, so that crowds of legal requests ended the process (EntryCrowdTest). Change: HttpServer and HttpClient account for them in one MemoryBudget. Header lines count with their objects while the head arrives, parts of a body with their buffers. When the budget is short, incomplete requests are refused with 503 or closed, then queued requests, collected answers and unread output are dropped; a request is refused with 503 when those that run fill the budget. A connection whose request is being answered gets that answer.

--- a/node/src/main/java/org/apricotstand/entry/CallerInterface.java
+++ b/node/src/main/java/org/apricotstand/entry/CallerInterface.java
@@ -6,6 +6,7 @@
 import java.util.function.BooleanSupplier;
 import org.apricotstand.http.HttpExchange;
 import org.apricotstand.http.HttpLimits;
+import org.apricotstand.http.HttpMemory;
 import org.apricotstand.http.HttpServer;
 import org.apricotstand.kernel.Service;
 import org.apricotstand.model.Failure;
@@ -21,6 +22,7 @@
   private final EventLoopGroup group;
   private final InetSocketAddress address;
   private final HttpLimits limits;
+  private final HttpMemory memory;
   private final BooleanSupplier isReady;
   private final ModelRequestHandler modelRequestHandler;
   private final ServiceRequestHandler serviceRequestHandler;
@@ -30,12 +32,14 @@
       EventLoopGroup group,
       InetSocketAddress address,
       HttpLimits limits,
+      HttpMemory memory,
       BooleanSupplier isReady,
       ModelRequestHandler modelRequestHandler,
       ServiceRequestHandler serviceRequestHandler) {
     this.group = group;
     this.address = address;
     this.limits = limits;
+    this.memory = memory;
     this.isReady = isReady;
     this.modelRequestHandler = modelRequestHandler;
     this.serviceRequestHandler = serviceRequestHandler;
@@ -43,7 +47,7 @@
 
   @Override
   public void start() {
-    server = HttpServer.start(group, address, limits, this::handle);
+    server = HttpServer.start(group, address, limits, memory, this::handle);
   }
 
   InetSocketAddress address() {
--- a/node/src/main/java/org/apricotstand/entry/EntryInstance.java
+++ b/node/src/main/java/org/apricotstand/entry/EntryInstance.java
@@ -12,8 +12,10 @@
 import org.apricotstand.claims.ClaimService;
 import org.apricotstand.configuration.ConfigurationService;
 import org.apricotstand.http.HttpClient;
+import org.apricotstand.http.HttpMemory;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.observe.EventLog;
+import org.apricotstand.observe.Metrics;
 import org.apricotstand.operator.OperatorInterface;
 import org.apricotstand.owner.OwnerService;
 import org.apricotstand.ownership.OwnershipService;
@@ -53,10 +55,13 @@
   public static EntryInstance start(InstanceSettings settings) {
     EventLoopGroup group =
         new MultiThreadIoEventLoopGroup(TRAFFIC_THREADS, NioIoHandler.newFactory());
-    HttpClient http = new HttpClient(group);
+    Metrics metrics = new Metrics();
+    HttpMemory memory = HttpMemory.ofBytes(settings.callerLimits().maxHeldBytes(), metrics);
+    HttpClient http = new HttpClient(group, memory);
     CountDownLatch drainRequested = new CountDownLatch(1);
     Kernel kernel =
-        new InstanceAssembly(settings, group, http, drainRequested::countDown).assemble();
+        new InstanceAssembly(settings, group, http, memory, metrics, drainRequested::countDown)
+            .assemble();
     kernel.start();
     return new EntryInstance(kernel, group, http, drainRequested);
   }
--- a/node/src/main/java/org/apricotstand/entry/InstanceAssembly.java
+++ b/node/src/main/java/org/apricotstand/entry/InstanceAssembly.java
@@ -10,6 +10,7 @@
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.http.HttpClient;
 import org.apricotstand.http.HttpLimits;
+import org.apricotstand.http.HttpMemory;
 import org.apricotstand.kernel.Kernel;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.Metrics;
@@ -33,7 +34,8 @@
   private final HttpClient http;
   private final Runnable onDrainRequest;
   private final InstanceId self;
-  private final Metrics metrics = new Metrics();
+  private final HttpMemory memory;
+  private final Metrics metrics;
   private final long incarnation = System.currentTimeMillis();
   private final Tracing tracing;
   private final ControlThread control = new ControlThread();
@@ -51,10 +53,18 @@
    *
    * @param group event loops of all connections
    * @param http client for engines, plain services and the platform
+   * @param memory memory of callers' requests and of answers
    * @param onDrainRequest runs once when an operator requests a drain
    */
   InstanceAssembly(
-      InstanceSettings settings, EventLoopGroup group, HttpClient http, Runnable onDrainRequest) {
+      InstanceSettings settings,
+      EventLoopGroup group,
+      HttpClient http,
+      HttpMemory memory,
+      Metrics metrics,
+      Runnable onDrainRequest) {
+    this.memory = memory;
+    this.metrics = metrics;
     this.onDrainRequest = onDrainRequest;
     this.settings = settings;
     this.group = group;
@@ -118,6 +128,7 @@
             group,
             InstanceSettings.parseAddress(settings.callerAddress()),
             callerLimits(),
+            memory,
             configuration::isReady,
             modelComponents.requestHandler(),
             serviceComponents.requestHandler()));
--- a/node/src/main/java/org/apricotstand/http/BodyCollector.java
+++ b/node/src/main/java/org/apricotstand/http/BodyCollector.java
@@ -27,6 +27,7 @@
 
   BodyCollector(int maxBodyBytes) {
     super(maxBodyBytes);
+    setMaxCumulationBufferComponents(RequestMemory.MAX_BODY_PARTS);
   }
 
   /** Puts off the interim answer to a request that arrives while another one is answered. */
--- a/node/src/main/java/org/apricotstand/http/HttpClient.java
+++ b/node/src/main/java/org/apricotstand/http/HttpClient.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.CompletableFuture;
 import javax.net.ssl.SSLEngine;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.limit.MemoryBudget.Kind;
+import org.apricotstand.limit.MemoryHolder;
 import org.asynchttpclient.AsyncHttpClient;
 import org.asynchttpclient.AsyncHttpClientConfig;
 import org.asynchttpclient.DefaultAsyncHttpClient;
@@ -38,9 +40,16 @@
   private static final Duration POOLED_IDLE_TIMEOUT = Duration.ofMillis(10_000);
 
   private final AsyncHttpClient client;
+  private final HttpMemory memory;
 
   /** Creates a client on the given event loops. */
   public HttpClient(EventLoopGroup group) {
+    this(group, HttpMemory.unlimited());
+  }
+
+  /** Creates a client whose collected answers share a memory with others. */
+  public HttpClient(EventLoopGroup group, HttpMemory memory) {
+    this.memory = memory;
     DefaultAsyncHttpClientConfig config =
         new DefaultAsyncHttpClientConfig.Builder()
             .setEventLoopGroup(group)
@@ -102,10 +111,18 @@
    */
   public CompletableFuture<HttpReply> send(HttpCall call, int maxReplyBytes) {
     ReplyCollector collector = new ReplyCollector(maxReplyBytes);
+    collector.account = memory.open(collector, sourceOf(call.url()));
     stream(call, collector);
     return collector.future;
   }
 
+  /** Returns the host and port of a URL. */
+  private static String sourceOf(String url) {
+    int start = url.indexOf("://") + "://".length();
+    int end = url.indexOf('/', start);
+    return end < 0 ? url.substring(start) : url.substring(start, end);
+  }
+
   private static Request toRequest(HttpCall call, long remainingMs) {
     RequestBuilder builder =
         new RequestBuilder(call.method())
@@ -199,13 +216,14 @@
   }
 
   /** Collects the parts of an answer and completes a future with the whole. */
-  private static final class ReplyCollector implements ReplyListener {
+  private static final class ReplyCollector implements ReplyListener, MemoryHolder {
     private final CompletableFuture<HttpReply> future = new CompletableFuture<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private final int maxReplyBytes;
     private int status;
     private HttpHeaders headers;
     private ReplyControl control;
+    private HttpMemory.Account account;
 
     ReplyCollector(int maxReplyBytes) {
       this.maxReplyBytes = maxReplyBytes;
@@ -228,15 +246,25 @@
         return;
       }
       body.writeBytes(part);
+      account.update(Kind.ANSWER, body.size());
+    }
+
+    @Override
+    public void giveUp(Kind kind, String reason) {
+      future.completeExceptionally(
+          new CallException(new CallFailure(true, "answer_too_large", reason)));
+      control.cancel();
     }
 
     @Override
     public void onEnd() {
+      account.close();
       future.complete(new HttpReply(status, headers, body.toByteArray()));
     }
 
     @Override
     public void onFailure(CallFailure failure) {
+      account.close();
       future.completeExceptionally(new CallException(failure));
     }
   }
--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -1,24 +1,36 @@
 package org.apricotstand.http;
 
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.TooLongHttpContentException;
 import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
+import org.apricotstand.limit.MemoryBudget.Kind;
+import org.apricotstand.limit.MemoryHolder;
 
 /**
  * One connection of an {@link HttpServer}. Answers requests one at a time, in the order of arrival,
  * and still answers a caller that has closed its sending side.
  */
-final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest>
+    implements MemoryHolder, NettyExchange.FinishListener {
 
   /**
    * Maximum number of queued pipelined requests. What a caller sends beyond that is not read, and
@@ -36,15 +48,26 @@
   private static final long MAX_CLOSE_MS = 1_000;
 
   private final HttpHandler handler;
+  private final HttpMemory memory;
+  private final HttpMemory.Account account;
   private final Queue<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
   private NettyExchange currentExchange;
   private boolean inputClosed;
   private boolean ignoringInput;
   private boolean draining;
   private ChannelHandlerContext channelContext;
+  private long queuedBytes;
+  private long unsentBytes;
 
-  HttpConnection(HttpHandler handler) {
+  HttpConnection(HttpHandler handler, HttpMemory memory) {
     this.handler = handler;
+    this.memory = memory;
+    this.account = memory.open(this, "");
+  }
+
+  /** Returns the account of what this connection holds besides the request being answered. */
+  HttpMemory.Account account() {
+    return account;
   }
 
   @Override
@@ -75,13 +98,11 @@
 
   @Override
   protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
-    if (ignoringInput) {
-      return;
-    }
     if (currentExchange == null) {
       serve(context, request);
     } else if (pipelinedRequests.size() < MAX_PIPELINED_REQUESTS) {
       pipelinedRequests.add(request.retain());
+      setQueuedBytes(queuedBytes + sizeOf(request));
     } else {
       ignoringInput = true;
     }
@@ -95,16 +116,44 @@
     if (draining && pipelinedRequests.isEmpty()) {
       HttpUtil.setKeepAlive(request, false);
     }
-    currentExchange = new NettyExchange(context, request, this::onAnswerFinished);
+    Optional<HttpMemory.Account> requestMemory = memory.openRunning(sizeOf(request));
+    if (requestMemory.isEmpty()) {
+      refuseOverloaded(context, request);
+      return;
+    }
+    currentExchange = new NettyExchange(context, request, requestMemory.get(), this);
     handler.handle(currentExchange);
   }
 
+  private static long sizeOf(FullHttpRequest request) {
+    return RequestMemory.sizeOf(request.headers(), request.content().readableBytes());
+  }
+
+  /** Tells the caller that its request has not run and may be sent again. */
+  private void refuseOverloaded(ChannelHandlerContext context, FullHttpRequest request) {
+    currentExchange = exchangeOf(context, request);
+    currentExchange.respond(
+        HttpResponseStatus.SERVICE_UNAVAILABLE.code(),
+        Map.of("content-type", "application/json", "retry-after", "1"),
+        BodyCollector.notRun(HttpMemory.MEMORY_SHORT).getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Returns the exchange of a request that is refused and not handled. */
+  private NettyExchange exchangeOf(ChannelHandlerContext context, FullHttpRequest request) {
+    return new NettyExchange(context, request, memory.open((kind, reason) -> {}, ""), this);
+  }
+
+  private void setQueuedBytes(long bytes) {
+    queuedBytes = bytes;
+    account.update(Kind.QUEUED, bytes);
+  }
+
   private void reject(ChannelHandlerContext context, FullHttpRequest request) {
     Rejection rejection = Rejection.of(request.decoderResult().cause());
     if (rejection.closesConnection) {
       HttpUtil.setKeepAlive(request, false);
     }
-    currentExchange = new NettyExchange(context, request, this::onAnswerFinished);
+    currentExchange = exchangeOf(context, request);
     currentExchange.respondJson(rejection.status.code(), BodyCollector.notRun(rejection.code));
   }
 
@@ -134,9 +183,92 @@
     }
   }
 
-  private void onAnswerFinished(ChannelHandlerContext context, boolean keepAlive) {
+  @Override
+  public void onUnsentOutputChanged(int addedBytes) {
+    unsentBytes += addedBytes;
+    account.update(Kind.OUTPUT, unsentBytes);
+  }
+
+  @Override
+  public void giveUp(Kind kind, String reason) {
+    channelContext.executor().execute(() -> release(kind));
+  }
+
+  private void release(Kind kind) {
+    if (kind == Kind.OUTPUT) {
+      // A normal close would look like the end of a body without a length.
+      channelContext.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+      channelContext.close();
+    } else if (kind == Kind.QUEUED) {
+      releaseQueue();
+    } else {
+      releaseIncompleteRequest();
+    }
+  }
+
+  private void releaseQueue() {
+    if (!pipelinedRequests.isEmpty()) {
+      ignoringInput = true;
+      pipelinedRequests.forEach(FullHttpRequest::release);
+      pipelinedRequests.clear();
+      setQueuedBytes(0);
+    }
+  }
+
+  /**
+   * Releases the request being received. Its caller gets an answer if the head has arrived, and the
+   * connection is closed after the answers to the requests before.
+   */
+  private void releaseIncompleteRequest() {
+    RequestMemory requestMemory = channelContext.pipeline().get(RequestMemory.class);
+    boolean isAnswerable =
+        requestMemory.isBodyArriving() && currentExchange == null && !ignoringInput;
+    if (!discardIncompleteRequest() || ignoringInput) {
+      return;
+    }
+    ignoringInput = true;
+    if (isAnswerable) {
+      DefaultFullHttpRequest request =
+          new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/");
+      HttpUtil.setKeepAlive(request, false);
+      refuseOverloaded(channelContext, request);
+    } else if (currentExchange == null) {
+      channelContext.close();
+    }
+  }
+
+  /**
+   * Releases the request being received, if any; nothing more is read of the connection's input.
+   */
+  private boolean discardIncompleteRequest() {
+    ChannelPipeline pipeline = channelContext.pipeline();
+    if (!pipeline.get(RequestReadTimeout.class).isReceiving()) {
+      return false;
+    }
+    pipeline.get(RequestMemory.class).discard();
+    if (pipeline.get(BodyCollector.class) != null) {
+      pipeline.remove(BodyCollector.class);
+    }
+    return true;
+  }
+
+  /** Discards what arrives after the request at which the connection ends. */
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+    if (ignoringInput) {
+      ReferenceCountUtil.release(message);
+    } else {
+      super.channelRead(context, message);
+    }
+  }
+
+  @Override
+  public void onAnswerFinished(ChannelHandlerContext context, boolean keepAlive) {
     currentExchange = null;
     FullHttpRequest next = pipelinedRequests.poll();
+    if (next != null) {
+      setQueuedBytes(queuedBytes - sizeOf(next));
+    }
     if (next != null && keepAlive) {
       try {
         serve(context, next);
@@ -185,6 +317,8 @@
     ignoringInput = true;
     if (currentExchange == null) {
       context.close();
+    } else {
+      discardIncompleteRequest();
     }
   }
 
@@ -197,6 +331,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext context) {
+    account.close();
     pipelinedRequests.forEach(FullHttpRequest::release);
     pipelinedRequests.clear();
     if (currentExchange != null) {
--- a/node/src/main/java/org/apricotstand/http/HttpServer.java
+++ b/node/src/main/java/org/apricotstand/http/HttpServer.java
@@ -28,20 +28,32 @@
   private static final int MAX_INITIAL_LINE_BYTES = 8_192;
 
   private final HttpLimits limits;
+  private final HttpMemory memory;
   private final HttpHandler handler;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private volatile boolean draining;
   private Channel serverChannel;
 
-  private HttpServer(HttpLimits limits, HttpHandler handler) {
+  private HttpServer(HttpLimits limits, HttpMemory memory, HttpHandler handler) {
     this.limits = limits;
+    this.memory = memory;
     this.handler = handler;
   }
 
   /** Starts a server that passes requests to the handler. Port 0 selects a free port. */
   public static HttpServer start(
       EventLoopGroup group, InetSocketAddress address, HttpLimits limits, HttpHandler handler) {
-    HttpServer server = new HttpServer(limits, handler);
+    return start(group, address, limits, HttpMemory.unlimited(), handler);
+  }
+
+  /** Starts a server whose connections share a memory with others. */
+  public static HttpServer start(
+      EventLoopGroup group,
+      InetSocketAddress address,
+      HttpLimits limits,
+      HttpMemory memory,
+      HttpHandler handler) {
+    HttpServer server = new HttpServer(limits, memory, handler);
     server.serverChannel = server.bind(group, address);
     return server;
   }
@@ -81,7 +93,7 @@
       channel.close();
       return;
     }
-    HttpConnection connection = new HttpConnection(handler);
+    HttpConnection connection = new HttpConnection(handler, memory);
     addHandlers(channel, connection);
     if (draining) {
       connection.drain();
@@ -89,10 +101,13 @@
   }
 
   private void addHandlers(Channel channel, HttpConnection connection) {
+    RequestMemory requestMemory = new RequestMemory(connection.account(), limits.maxBodyBytes());
     HttpDecoderConfig decoder =
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_INITIAL_LINE_BYTES)
-            .setMaxHeaderSize(limits.maxHeaderBytes());
+            .setMaxHeaderSize(limits.maxHeaderBytes())
+            .setHeadersFactory(requestMemory)
+            .setTrailersFactory(requestMemory);
     RequestReadTimeout readTimeout = new RequestReadTimeout(limits.requestReadTimeoutMs());
     channel
         .pipeline()
@@ -100,6 +115,7 @@
         .addLast(readTimeout)
         .addLast(new HttpServerCodec(decoder))
         .addLast(new RequestEndHandler(readTimeout))
+        .addLast(requestMemory)
         .addLast(new BodyCollector(limits.maxBodyBytes()))
         .addLast(connection);
   }
--- a/node/src/main/java/org/apricotstand/http/NettyExchange.java
+++ b/node/src/main/java/org/apricotstand/http/NettyExchange.java
@@ -27,6 +27,9 @@
   /** Called on the event loop after the last write of an answer. */
   interface FinishListener {
     void onAnswerFinished(ChannelHandlerContext context, boolean keepAlive);
+
+    /** Called before and after the write of bytes, with their number and its negative. */
+    void onUnsentOutputChanged(int addedBytes);
   }
 
   private enum State {
@@ -37,6 +40,7 @@
 
   private final ChannelHandlerContext context;
   private final FinishListener finishListener;
+  private final HttpMemory.Account requestMemory;
   private final HttpRequest request;
   private final boolean http10;
   private boolean keepAlive;
@@ -46,8 +50,12 @@
   private boolean connectionClosed;
 
   NettyExchange(
-      ChannelHandlerContext context, FullHttpRequest request, FinishListener finishListener) {
+      ChannelHandlerContext context,
+      FullHttpRequest request,
+      HttpMemory.Account requestMemory,
+      FinishListener finishListener) {
     this.context = context;
+    this.requestMemory = requestMemory;
     this.finishListener = finishListener;
     this.request = copyOf(request, context.channel().remoteAddress());
     this.http10 = request.protocolVersion().equals(HttpVersion.HTTP_1_0);
@@ -79,6 +87,7 @@
   public void respond(int status, Map<String, String> headers, byte[] body) {
     runOnEventLoop(
         () -> {
+          requestMemory.close();
           if (state != State.NOT_STARTED) {
             return;
           }
@@ -90,7 +99,7 @@
           headers.forEach(response.headers()::set);
           HttpUtil.setContentLength(response, body.length);
           setConnectionHeader(response);
-          finish(context.writeAndFlush(response));
+          finish(send(response, body.length));
         });
   }
 
@@ -123,7 +132,7 @@
         () -> {
           if (state == State.STREAMING) {
             ByteBuf content = Unpooled.wrappedBuffer(part);
-            context.writeAndFlush(new DefaultHttpContent(content));
+            send(new DefaultHttpContent(content), part.length);
           }
         });
   }
@@ -132,6 +141,7 @@
   public void end() {
     runOnEventLoop(
         () -> {
+          requestMemory.close();
           if (state == State.STREAMING) {
             finish(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
           }
@@ -142,6 +152,7 @@
   public void abort() {
     runOnEventLoop(
         () -> {
+          requestMemory.close();
           if (state == State.DONE) {
             return;
           }
@@ -169,6 +180,7 @@
         () -> {
           closeListener = listener;
           if (connectionClosed) {
+            requestMemory.close();
             listener.run();
           }
         });
@@ -184,8 +196,12 @@
     connectionClosed = true;
     boolean unfinished = state != State.DONE;
     state = State.DONE;
-    if (unfinished && closeListener != null) {
-      closeListener.run();
+    if (closeListener != null) {
+      // The listener cancels the request. Without one, it is held until its answer.
+      requestMemory.close();
+      if (unfinished) {
+        closeListener.run();
+      }
     }
   }
 
@@ -197,10 +213,18 @@
     }
   }
 
+  private ChannelFuture send(Object message, int bytes) {
+    finishListener.onUnsentOutputChanged(bytes);
+    return context
+        .writeAndFlush(message)
+        .addListener(done -> finishListener.onUnsentOutputChanged(-bytes));
+  }
+
   private void finish(ChannelFuture lastWrite) {
     state = State.DONE;
     lastWrite.addListener(
-        (ChannelFutureListener) done -> finishListener.onAnswerFinished(context, keepAlive));
+        (ChannelFutureListener)
+            done -> finishListener.onAnswerFinished(context, keepAlive && done.isSuccess()));
   }
 
   private void runOnEventLoop(Runnable task) {
--- a/node/src/main/java/org/apricotstand/settings/InstanceSettings.java
+++ b/node/src/main/java/org/apricotstand/settings/InstanceSettings.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import org.apricotstand.http.HttpMemory;
 
 /**
  * Settings of one entry instance, read from a YAML file.
@@ -47,7 +48,9 @@
     traceSampledFraction = traceSampledFraction == null ? 0.0 : traceSampledFraction;
     policy = policy == null ? DEFAULT_POLICY : policy;
     callerLimits =
-        callerLimits == null ? new CallerLimits(null, null, null, null, null, null) : callerLimits;
+        callerLimits == null
+            ? new CallerLimits(null, null, null, null, null, null, null)
+            : callerLimits;
   }
 
   /** Creates settings with the default policy and limits. */
@@ -86,6 +89,8 @@
    * @param maxConnections maximum number of open connections
    * @param idleTimeMs longest idle time of a connection between requests
    * @param requestTimeMs longest time from the first byte of a request to its last
+   * @param maxHeldBytes memory of all requests, collected answers and unsent output together, in
+   *     bytes; derived from the sizes of the process by default
    */
   public record CallerLimits(
       Integer maxHeaderBytes,
@@ -93,7 +98,8 @@
       Integer maxAnswerBytes,
       Integer maxConnections,
       Long idleTimeMs,
-      Long requestTimeMs) {
+      Long requestTimeMs,
+      Long maxHeldBytes) {
 
     /** Replaces missing values by their defaults. */
     public CallerLimits {
@@ -103,6 +109,7 @@
       maxConnections = maxConnections == null ? 4_096 : maxConnections;
       idleTimeMs = idleTimeMs == null ? 60_000 : idleTimeMs;
       requestTimeMs = requestTimeMs == null ? 30_000 : requestTimeMs;
+      maxHeldBytes = maxHeldBytes == null ? HttpMemory.defaultBytes() : maxHeldBytes;
     }
   }
 
--- a/node/src/main/java/org/apricotstand/settings/SettingsValidator.java
+++ b/node/src/main/java/org/apricotstand/settings/SettingsValidator.java
@@ -129,6 +129,7 @@
     requireAtLeast("callerLimits.maxConnections", limits.maxConnections(), 1);
     requireAtLeast("callerLimits.idleTimeMs", limits.idleTimeMs(), 1);
     requireAtLeast("callerLimits.requestTimeMs", limits.requestTimeMs(), 1);
+    requireAtLeast("callerLimits.maxHeldBytes", limits.maxHeldBytes(), 1_024);
   }
 
   private void requireName(String path, String name) {
