--- a/node/src/main/java/org/apricotstand/http/HttpClient.java
+++ b/node/src/main/java/org/apricotstand/http/HttpClient.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -218,7 +217,7 @@
   /** Collects the parts of an answer and completes a future with the whole. */
   private static final class ReplyCollector implements ReplyListener, MemoryHolder {
     private final CompletableFuture<HttpReply> future = new CompletableFuture<>();
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ReplyBody body = new ReplyBody();
     private final int maxReplyBytes;
     private int status;
     private HttpHeaders headers;
@@ -245,7 +244,7 @@
         control.cancel();
         return;
       }
-      body.writeBytes(part);
+      body.add(part);
       account.update(Kind.ANSWER, body.size());
     }
 
--- a/node/src/main/java/org/apricotstand/http/HttpMemory.java
+++ b/node/src/main/java/org/apricotstand/http/HttpMemory.java
@@ -63,6 +63,7 @@
     HttpMemory memory =
         new HttpMemory(Optional.of(new MemoryBudget<>(maxBytes, maxBytes)), metrics);
     metrics.gauge("memory.max_bytes", () -> maxBytes);
+    metrics.gauge("memory.held_bytes", memory::totalBytes);
     for (Kind kind : Kind.values()) {
       metrics.gauge("memory.held." + nameOf(kind), () -> memory.bytes(kind));
     }
@@ -106,6 +107,10 @@
     return Optional.of(account);
   }
 
+  private synchronized long totalBytes() {
+    return budget.map(MemoryBudget::totalBytes).orElse(0L);
+  }
+
   private synchronized long bytes(Kind kind) {
     return budget.map(found -> found.bytes(kind)).orElse(0L);
   }
--- a/node/src/test/java/org/apricotstand/http/RawConnection.java
+++ b/node/src/test/java/org/apricotstand/http/RawConnection.java
@@ -38,6 +38,12 @@
     return this;
   }
 
+  /** Closes the connection with a reset. */
+  void reset() throws IOException {
+    socket.setSoLinger(true, 0);
+    socket.close();
+  }
+
   /** Reads until the received text ends with the given one or the other side closes. */
   String readUntil(String end) throws IOException {
     ByteArrayOutputStream received = new ByteArrayOutputStream();
