Read model requests without a tree of their JSON

Cause: a tree of a body of many small values takes many times the bytes of the body. Two bodies of 1 MiB ended an entry instance with 40 MiB of heap (EntryCrowdTest#withstandsBodiesOfManySmallJsonValues, red before this change: OutOfMemoryError), and with -XX:+ExitOnOutOfMemoryError such a body would end one instance after the other. Change: ModelBody reads the body token by token and replaces only the name of the model.

--- a/cli/src/test/java/org/apricotstand/it/EntryCrowdTest.java
+++ b/cli/src/test/java/org/apricotstand/it/EntryCrowdTest.java
@@ -174,6 +174,14 @@
     assertWithstood();
   }
 
+  /** A tree of a body of small JSON values takes many times the bytes of the body. */
+  @Test
+  void withstandsBodiesOfManySmallJsonValues() throws IOException {
+    String body = "{\"model\":\"none\",\"values\":[" + "{},".repeat(350_000) + "{}]}";
+    crowd.add(2, out -> out.write(post("/v1/completions", body)));
+    assertWithstood();
+  }
+
   private void assertWithstood() throws IOException {
     crowd.awaitSent();
     awaitOrdinaryRequest();
--- a/node/src/main/java/org/apricotstand/entry/ModelRequestHandler.java
+++ b/node/src/main/java/org/apricotstand/entry/ModelRequestHandler.java
@@ -1,8 +1,5 @@
 package org.apricotstand.entry;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.util.List;
 import java.util.Locale;
@@ -39,7 +36,6 @@
  */
 final class ModelRequestHandler implements Service {
 
-  private static final ObjectMapper JSON = new ObjectMapper();
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
 
@@ -89,14 +85,11 @@
 
   private Result<ResolvedRequest> resolve(HttpRequest request, Revision revision, RequestId id) {
     try {
-      JsonNode body = JSON.readTree(request.body());
-      if (!(body instanceof ObjectNode object) || !object.path("model").isTextual()) {
-        return admissionFailure("invalid_body", "the body must be a JSON object with a model name");
-      }
+      ModelBody body = ModelBody.read(request.body());
       // A request that arrives again with the same identifier gets the same adapter version.
       String callerRequestId = request.header(EngineHeaders.REQUEST_ID);
       String versionKey = callerRequestId == null ? id.value() : callerRequestId;
-      String model = object.path("model").asText();
+      String model = body.model();
       int separator = model.indexOf(AdapterVersion.SEPARATOR);
       Optional<Adapter> adapter =
           revision.adapter(separator < 0 ? model : model.substring(0, separator));
@@ -110,11 +103,11 @@
         return admissionFailure("unknown_model", "no adapter version for " + model);
       }
       AdapterVersion adapterVersion = adapter.get().adapterVersion(version.get());
-      object.put("model", adapterVersion.toString());
       return Result.ok(
-          new ResolvedRequest(id, adapterVersion, adapter.get(), JSON.writeValueAsBytes(object)));
+          new ResolvedRequest(
+              id, adapterVersion, adapter.get(), body.withModel(adapterVersion.toString())));
     } catch (IOException e) {
-      return admissionFailure("invalid_body", "the body is not JSON");
+      return admissionFailure("invalid_body", "the body must be a JSON object with a model name");
     }
   }
 
