Read the identity of a call without a tree of its JSON

Cause: as for model requests, the tree of a body of many small values takes many times its bytes, for services with an identityPointer. Change: IdentityReader filters the tokens of the pointer's field.

--- a/node/src/main/java/org/apricotstand/entry/IdentityReader.java
+++ b/node/src/main/java/org/apricotstand/entry/IdentityReader.java
@@ -1,9 +1,15 @@
 package org.apricotstand.entry;
 
-import com.fasterxml.jackson.core.JsonPointer;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.filter.FilteringParserDelegate;
+import com.fasterxml.jackson.core.filter.JsonPointerBasedFilter;
+import com.fasterxml.jackson.core.filter.TokenFilter;
+import java.io.ByteArrayInputStream;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import org.apricotstand.declaration.DeclarationSet.PlainService;
 import org.apricotstand.http.HttpRequest;
@@ -14,7 +20,9 @@
  */
 final class IdentityReader {
 
-  private static final ObjectMapper JSON = new ObjectMapper();
+  /** Keeps no names, since a body may have as many different ones as fit into it. */
+  private static final JsonFactory PARSERS =
+      JsonFactory.builder().disable(JsonFactory.Feature.CANONICALIZE_FIELD_NAMES).build();
 
   private IdentityReader() {}
 
@@ -30,14 +38,33 @@
                     .flatMap(pointer -> find(request, pointer)));
   }
 
+  /** Reads token by token, since a tree of many small values takes many times their bytes. */
   private static Optional<String> find(HttpRequest request, String pointer) {
-    try {
-      JsonNode value = JSON.readTree(request.body()).at(JsonPointer.compile(pointer));
-      return value.isValueNode() && !value.isNull() && !value.asText().isBlank()
-          ? Optional.of(value.asText())
-          : Optional.empty();
+    InputStreamReader text =
+        new InputStreamReader(new ByteArrayInputStream(request.body()), StandardCharsets.UTF_8);
+    try (JsonParser all = PARSERS.createParser(text);
+        JsonParser found =
+            new FilteringParserDelegate(
+                all,
+                new JsonPointerBasedFilter(pointer),
+                TokenFilter.Inclusion.ONLY_INCLUDE_ALL,
+                true)) {
+      Optional<String> last = Optional.empty();
+      for (JsonToken token = found.nextToken(); token != null; token = found.nextToken()) {
+        last = valueOf(found, token).filter(value -> !value.isBlank());
+        found.skipChildren();
+      }
+      return last;
     } catch (IOException | IllegalArgumentException e) {
       return Optional.empty();
     }
   }
+
+  private static Optional<String> valueOf(JsonParser parser, JsonToken token) throws IOException {
+    return switch (token) {
+      case VALUE_STRING, VALUE_TRUE, VALUE_FALSE -> Optional.of(parser.getText());
+      case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT -> Optional.of(parser.getNumberValue().toString());
+      default -> Optional.empty();
+    };
+  }
 }
