--- a/node/src/main/java/org/apricotstand/Apricotstand.java
+++ b/node/src/main/java/org/apricotstand/Apricotstand.java
@@ -1,6 +1,7 @@
 package org.apricotstand;
 
 import java.nio.file.Path;
+import org.apricotstand.configuration.CheckedDeclarations;
 import org.apricotstand.configuration.DeclarationFiles;
 import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.entry.EntryInstance;
@@ -32,6 +33,11 @@
     return DeclarationFiles.read(folderOrFile);
   }
 
+  /** Does the same as {@link #readDeclarations}, and also returns the warnings. */
+  public static CheckedDeclarations checkDeclarations(Path folderOrFile) {
+    return DeclarationFiles.check(folderOrFile);
+  }
+
   /**
    * Starts an instance and returns when it listens on its addresses. Closing it drains it first.
    */
--- a/node/src/main/java/org/apricotstand/configuration/DeclarationApplier.java
+++ b/node/src/main/java/org/apricotstand/configuration/DeclarationApplier.java
@@ -8,6 +8,9 @@
 import java.util.function.LongSupplier;
 import org.apricotstand.declaration.DeclarationDiff;
 import org.apricotstand.declaration.DeclarationSet;
+import org.apricotstand.declaration.FieldLocator.Position;
+import org.apricotstand.declaration.check.DeclarationCheck;
+import org.apricotstand.declaration.check.Finding;
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.Result;
 import org.apricotstand.model.Step;
@@ -26,7 +29,7 @@
 import org.apricotstand.revision.HeadRow;
 
 /**
- * Applies a valid set of declarations to the platform. Calls block the calling thread.
+ * Checks a set of declarations and applies it to the platform. Calls block the calling thread.
  *
  * <pre>{@code
  * DeclarationApplier applier = DeclarationApplier.withSystemClock(platform, platform);
@@ -75,12 +78,22 @@
   }
 
   /**
-   * Applies a set of declarations.
+   * Applies a set of declarations. A set with errors is refused before the platform is called;
+   * warnings do not matter here, since the command that reads the files prints them.
    *
    * @param nonce random text, different for each call
    * @param base revision on which the change was based; the current one when absent
    */
   public ApplyOutcome apply(DeclarationSet set, String nonce, OptionalLong base) {
+    Optional<Finding> error = findError(set);
+    if (error.isPresent()) {
+      return new ApplyOutcome.Refused(
+          new Failure(
+              Step.ADMISSION,
+              "declarations",
+              "invalid_declarations",
+              error.get().field() + ": " + error.get().message()));
+    }
     DeclarationContent content = DeclarationContent.encode(set);
     ApplyMachine machine =
         new ApplyMachine(content.hash(), nonce, base, clockMs.getAsLong() + MAX_RETRY_TIME_MS);
@@ -92,6 +105,12 @@
     return ((ApplyAction.Finish) action).outcome();
   }
 
+  private static Optional<Finding> findError(DeclarationSet set) {
+    return DeclarationCheck.check(set, path -> new Position("", 1, path)).stream()
+        .filter(Finding::isError)
+        .findFirst();
+  }
+
   private ApplyEvent perform(ApplyAction action, DeclarationContent content) {
     return switch (action) {
       case ApplyAction.ReadHead(long dueMs) -> {
--- a/node/src/main/java/org/apricotstand/configuration/DeclarationFiles.java
+++ b/node/src/main/java/org/apricotstand/configuration/DeclarationFiles.java
@@ -13,12 +13,14 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Stream;
 import org.apricotstand.declaration.DeclarationSet;
-import org.apricotstand.declaration.DeclarationValidator;
 import org.apricotstand.declaration.FieldLocator.Position;
 import org.apricotstand.declaration.ValidationError;
+import org.apricotstand.declaration.check.DeclarationCheck;
+import org.apricotstand.declaration.check.Finding;
 import org.apricotstand.settings.RecordSchemaValidator;
 import org.apricotstand.settings.ValidationResult;
 import org.apricotstand.settings.YamlDocument;
@@ -33,27 +35,34 @@
 public final class DeclarationFiles {
 
   private static final ObjectMapper JSON = new ObjectMapper();
+  // Field of an error that concerns a file as a whole.
+  private static final String WHOLE_FILE = "(file)";
 
   private final ObjectNode merged = JSON.createObjectNode();
   private final Map<String, Position> positions = new HashMap<>();
   private final List<ValidationError> errors = new ArrayList<>();
   // Fields that RecordSchemaValidator removed because their name or type does not match the record.
   private final Set<String> unboundFields = new HashSet<>();
-  private Position startOfFirstFile = new Position("", 1, "(file)");
+  private Position startOfFirstFile = new Position("", 1, WHOLE_FILE);
 
   private DeclarationFiles() {}
 
-  /** Reads all {@code .yaml} and {@code .yml} files of a folder, or one file. */
+  /** Reads and checks all {@code .yaml} and {@code .yml} files of a folder, or one file. */
   public static ValidationResult<DeclarationSet> read(Path folderOrFile) {
+    return check(folderOrFile).toResult();
+  }
+
+  /** Does the same as {@link #read}, and also returns the warnings. */
+  public static CheckedDeclarations check(Path folderOrFile) {
     if (Files.isRegularFile(folderOrFile)) {
-      return mergeAndValidate(List.of(YamlDocument.read(folderOrFile)));
+      return check(List.of(YamlDocument.read(folderOrFile)));
     }
     try (Stream<Path> found = Files.list(folderOrFile)) {
       List<YamlDocument> documents =
           found.filter(DeclarationFiles::isYaml).sorted().map(YamlDocument::read).toList();
       return documents.isEmpty()
           ? invalid(folderOrFile, "expected at least one .yaml file in the folder")
-          : mergeAndValidate(documents);
+          : check(documents);
     } catch (IOException e) {
       return invalid(folderOrFile, "the folder cannot be read: " + e);
     }
@@ -63,31 +72,57 @@
     return file.toString().endsWith(".yaml") || file.toString().endsWith(".yml");
   }
 
-  private static ValidationResult<DeclarationSet> invalid(Path path, String expected) {
-    return new ValidationResult.Invalid<>(
-        List.of(new ValidationError(path.toString(), 1, "(file)", expected)));
+  private static CheckedDeclarations invalid(Path path, String expected) {
+    ValidationError error = new ValidationError(path.toString(), 1, WHOLE_FILE, expected);
+    return new CheckedDeclarations(Optional.empty(), List.of(Finding.of(error)));
   }
 
-  /** Merges documents into one set and validates it. */
-  static ValidationResult<DeclarationSet> mergeAndValidate(List<YamlDocument> documents) {
+  /** Merges documents into one set and checks it. */
+  static CheckedDeclarations check(List<YamlDocument> documents) {
     DeclarationFiles files = new DeclarationFiles();
-    files.startOfFirstFile = new Position(documents.getFirst().file(), 1, "(file)");
+    files.startOfFirstFile = new Position(documents.getFirst().file(), 1, WHOLE_FILE);
+    documents.forEach(files::rejectEmpty);
     documents.forEach(files::merge);
     new RecordSchemaValidator(files::addBindingError)
         .removeInvalidFields(files.merged, DeclarationSet.class, "");
     try {
-      DeclarationSet set = JSON.treeToValue(files.merged, DeclarationSet.class);
-      DeclarationValidator.validate(set, files::locateUnlessUnbound).stream()
-          .filter(error -> !error.file().isEmpty())
-          .forEach(files.errors::add);
-      return files.errors.isEmpty()
-          ? new ValidationResult.Valid<>(set)
-          : new ValidationResult.Invalid<>(files.errors);
+      return files.check(JSON.treeToValue(files.merged, DeclarationSet.class));
     } catch (JsonProcessingException e) {
       throw new IllegalStateException("the merged declarations do not match their schema", e);
     }
   }
 
+  private CheckedDeclarations check(DeclarationSet set) {
+    List<Finding> found =
+        DeclarationCheck.check(set, this::locateUnlessUnbound).stream()
+            .filter(finding -> !finding.file().isEmpty())
+            .toList();
+    if (errors.isEmpty() && found.stream().noneMatch(Finding::isError)) {
+      return new CheckedDeclarations(Optional.of(set), found);
+    }
+    // What could not be read from the files would only repeat their errors as an empty set.
+    List<Finding> findings =
+        Stream.concat(
+                errors.stream().map(Finding::of),
+                found.stream()
+                    .filter(Finding::isError)
+                    .filter(
+                        finding ->
+                            errors.isEmpty() || !finding.rule().equals(DeclarationCheck.EMPTY_SET)))
+            .distinct()
+            .sorted(Finding.ORDER)
+            .toList();
+    return new CheckedDeclarations(Optional.empty(), findings);
+  }
+
+  private void rejectEmpty(YamlDocument document) {
+    if (document.root().isEmpty() && document.errors().isEmpty()) {
+      errors.add(
+          new ValidationError(
+              document.file(), 1, WHOLE_FILE, "expected declarations, got an empty file"));
+    }
+  }
+
   private void merge(YamlDocument document) {
     errors.addAll(document.errors());
     Map<String, Integer> offsets = new HashMap<>();
--- a/node/src/test/java/org/apricotstand/configuration/DeclarationApplierTest.java
+++ b/node/src/test/java/org/apricotstand/configuration/DeclarationApplierTest.java
@@ -58,6 +58,21 @@
     assertThat(platform.acceptedRevisions).hasSize(1);
   }
 
+  // Guards against a program that applies a set without reading it from files, and with it an error
+  // or an empty set that every instance would have to refuse or serve nothing by.
+  @Test
+  void setWithErrorsIsRefusedBeforeThePlatformIsCalled() {
+    DeclarationSet unknownModel =
+        new DeclarationSet(null, set(1, 1).adapters(), null, null, null, null);
+    for (DeclarationSet set : List.of(DeclarationSet.empty(), unknownModel)) {
+      ApplyOutcome outcome = apply(set, "n1", OptionalLong.empty());
+      assertThat(outcome).isInstanceOf(ApplyOutcome.Refused.class);
+      assertThat(((ApplyOutcome.Refused) outcome).failure().code())
+          .isEqualTo("invalid_declarations");
+    }
+    assertThat(platform.acceptedRevisions).isEmpty();
+  }
+
   // Guards against a hash that depends on the iteration order of a map, and against fields that are
   // missing from the stored form.
   @Test
--- a/node/src/test/java/org/apricotstand/configuration/DeclarationFilesTest.java
+++ b/node/src/test/java/org/apricotstand/configuration/DeclarationFilesTest.java
@@ -54,7 +54,7 @@
         java.util.stream.IntStream.range(0, texts.length)
             .mapToObj(i -> YamlDocument.of("file-" + (i + 1) + ".yaml", texts[i]))
             .toList();
-    return DeclarationFiles.mergeAndValidate(documents)
+    return DeclarationFiles.check(documents).toResult()
             instanceof ValidationResult.Invalid<DeclarationSet> invalid
         ? invalid.errors()
         : List.of();
@@ -195,6 +195,25 @@
   void sectionOfWrongTypeIsAnError() {
     assertThat(errorsOf("adapters: 7\nmodels:\n", "adapters:\n  - {name: a, model: b}\n"))
         .isNotEmpty();
-    assertThat(errorsOf("adapters:\nmodels: []\n", "adapters: []\n")).isEmpty();
+    assertThat(errorsOf("adapters:\nmodels: [{name: base}]\n", "adapters: []\n")).isEmpty();
+  }
+
+  // Guards against an empty file, or files without a declaration, that pass as a valid set and
+  // remove everything when they are applied.
+  @Test
+  void emptyFilesAndSetsAreErrors() {
+    ValidationError emptyFile =
+        new ValidationError("file-1.yaml", 1, "(file)", "expected declarations, got an empty file");
+    assertThat(errorsOf("")).containsExactly(emptyFile);
+    assertThat(errorsOf("# only a comment\n")).containsExactly(emptyFile);
+    assertThat(errorsOf("", VALID)).containsExactly(emptyFile);
+    ValidationError emptySet =
+        new ValidationError(
+            "file-1.yaml",
+            1,
+            "(file)",
+            "expected at least one model, adapter, alias, service or target, got none");
+    assertThat(errorsOf("adapters:\nmodels: []\n", "adapters: []\n")).containsExactly(emptySet);
+    assertThat(errorsOf("policy: {stallWeight: 0.5}\n")).containsExactly(emptySet);
   }
 }
