--- a/cli/src/main/java/org/apricotstand/cli/ApplyCommand.java
+++ b/cli/src/main/java/org/apricotstand/cli/ApplyCommand.java
@@ -7,13 +7,13 @@
 import java.util.OptionalLong;
 import java.util.UUID;
 import org.apricotstand.Apricotstand;
+import org.apricotstand.configuration.CheckedDeclarations;
 import org.apricotstand.configuration.DeclarationApplier;
 import org.apricotstand.declaration.DeclarationSet;
 import org.apricotstand.model.Failure;
 import org.apricotstand.model.Result;
 import org.apricotstand.revision.AcceptedRevision;
 import org.apricotstand.revision.ApplyOutcome;
-import org.apricotstand.settings.ValidationResult;
 
 /** Applies a set of declaration files as a whole. */
 @Parameters(commandDescription = "applies a set of declaration files as a whole")
@@ -31,14 +31,13 @@
 
   @Override
   public int run() {
-    return switch (Apricotstand.readDeclarations(files.requiredPath())) {
-      case ValidationResult.Valid<DeclarationSet>(DeclarationSet set) -> apply(set);
-      case ValidationResult.Invalid<DeclarationSet> invalid -> {
-        System.err.println(invalid.report());
-        System.err.println("not accepted: " + invalid.errors().size() + " error(s) in the files");
-        yield ExitCodes.INVALID_FILE;
-      }
-    };
+    CheckedDeclarations checked = Apricotstand.checkDeclarations(files.requiredPath());
+    checked.findings().forEach(System.err::println);
+    if (checked.set().isEmpty()) {
+      System.err.println("not accepted: " + checked.findings().size() + " error(s) in the files");
+      return ExitCodes.INVALID_FILE;
+    }
+    return apply(checked.set().get());
   }
 
   private int apply(DeclarationSet set) {
--- a/cli/src/main/java/org/apricotstand/cli/ExitCodes.java
+++ b/cli/src/main/java/org/apricotstand/cli/ExitCodes.java
@@ -21,6 +21,9 @@
   /** The change was sent but its answer was lost; it may have been accepted. */
   static final int OUTCOME_UNKNOWN = 5;
 
+  /** The checked files have no errors but warnings. */
+  static final int WARNINGS = 6;
+
   /** Explanation of the exit codes, printed with the help of each command. */
   static final String HELP =
       """
@@ -31,6 +34,7 @@
           3  a file has errors, listed as FILE:LINE: FIELD: EXPECTED; nothing was changed
           4  conflict with another accepted change; nothing was changed
           5  the answer to a change was lost; the change may have been accepted
+          6  check found warnings and no errors
       """;
 
   private ExitCodes() {}
