--- /dev/null
+++ b/core/src/main/java/org/apricotstand/quota/QuotaBounds.java
@@ -0,0 +1,45 @@
+package org.apricotstand.quota;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Bound on what all instances together may admit of one tenant: in any window, {@code (rate x
+ * window + burst) x (1 + over) + slack}.
+ *
+ * @param windowMs length of the window
+ * @param over tolerated part beyond the limit
+ * @param slack tolerated units beyond that
+ */
+public record QuotaBounds(long windowMs, double over, double slack) {
+
+  /** Bounds that hold unless the settings name others. */
+  public static final QuotaBounds DEFAULT = new QuotaBounds(8_000, 0.1, 11_000);
+
+  /**
+   * Part of the tolerance that enlarges the buckets. The rest covers requests larger than a bucket
+   * and views of the fleet that differ between instances.
+   */
+  private static final double BUCKET_FRACTION = 0.5;
+
+  private static final double MS_PER_S = 1_000;
+
+  /** Creates bounds. */
+  public QuotaBounds {
+    checkArgument(windowMs > 0, "window must be positive: %s", windowMs);
+    checkArgument(over >= 0 && slack >= 0, "tolerances must not be negative: %s, %s", over, slack);
+  }
+
+  /** Returns the units that all instances together may admit in a window. */
+  public double perWindow(QuotaLimit limit) {
+    return (limit.ratePerS() * windowMs / MS_PER_S + limit.burst()) * (1 + over) + slack;
+  }
+
+  /**
+   * Returns the capacity of the buckets of all instances together. It does not contain the slack,
+   * which may be many times the limit of a small tenant.
+   */
+  double capacity(QuotaLimit limit) {
+    double limitPerWindow = limit.ratePerS() * windowMs / MS_PER_S + limit.burst();
+    return limit.burst() + BUCKET_FRACTION * over * limitPerWindow;
+  }
+}
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -27,6 +27,7 @@
 import org.apricotstand.peer.PeerLinks;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.StateEntry;
+import org.apricotstand.quota.QuotaShares;
 
 /**
  * Exchanges the state of the fleet with the neighbors that the {@link Overlay} chooses: reports of
@@ -84,6 +85,7 @@
   private final Set<String> useRecipients = new HashSet<>();
   private final Map<String, Map<String, Long>> interestUntilMs = new HashMap<>();
   private final SharedTables tables;
+  private final QuotaExchange quotas;
   private final Set<String> leavingInstances = new HashSet<>();
   private Set<String> liveInstances = Set.of();
   private FleetState.InstanceStatus publishedStatus;
@@ -114,6 +116,7 @@
     this.self = self;
     this.lastTickMs = clock.getAsLong();
     this.incarnation = incarnation;
+    this.quotas = new QuotaExchange(clock, self.name(), localLoad);
     this.peers = peers;
     this.localLoad = localLoad;
     this.ownerOf = ownerOf;
@@ -143,23 +146,10 @@
     Map<String, TargetLoad> loads = relayed.loads();
     ownReports.stream()
         .filter(report -> report.sequence() == includedReport)
-        .forEach(report -> subtract(loads, report));
+        .forEach(report -> RelayedState.subtract(loads, report));
     return loads;
   }
 
-  private static void subtract(Map<String, TargetLoad> loads, PeerMessage.MemberReport report) {
-    Map<String, TargetLoad> own = new HashMap<>();
-    RelayedState.add(own, report.started(), report.waiting());
-    own.forEach(
-        (id, load) ->
-            loads.computeIfPresent(
-                id,
-                (target, total) ->
-                    new TargetLoad(
-                        Math.max(0, total.started() - load.started()),
-                        Math.max(0, total.waiting() - load.waiting()))));
-  }
-
   /** Returns the time after which each use of an adapter has reached the owner of its engine. */
   long usageReportLagMs() {
     // One period until the own report, one until the relay passes the sums on.
@@ -171,6 +161,16 @@
     return Math.clamp(periodMs, MIN_REPORT_PERIOD_MS, MAX_REPORT_PERIOD_MS);
   }
 
+  /** Returns the state from which the shares of limits of tenants follow. */
+  QuotaExchange quotas() {
+    return quotas;
+  }
+
+  /** Returns the fractions of the limits of tenants that this instance may use. */
+  QuotaShares quotaShares() {
+    return quotas.shares(overlay.relay().orElse(self.name()));
+  }
+
   /** Publishes what an engine of this instance holds. */
   void publishHoldings(FleetState.EngineHoldings holdings, long fencingNumber) {
     String key = "holdings/" + holdings.engine();
@@ -378,6 +378,9 @@
               includedReport = own.sequence();
             });
     publishMembers(nowMs);
+    if (overlay.relay().isEmpty()) {
+      quotas.onReportIncluded(own.sequence());
+    }
     sendUpdates(overlay.neighbors().keySet());
     members.sequences().forEach(this::confirmReport);
     sendAdaptersInUse();
@@ -398,7 +401,12 @@
     sequence++;
     PeerMessage.MemberReport report =
         new PeerMessage.MemberReport(
-            sequence, started, waiting, MemberReports.toLists(localLoad.adaptersInUse()), arrivals);
+            sequence,
+            started,
+            waiting,
+            MemberReports.toLists(localLoad.adaptersInUse()),
+            arrivals,
+            quotas.takeDemand(sequence));
     ownReports.addLast(report);
     if (ownReports.size() > REMEMBERED_REPORTS) {
       ownReports.removeFirst();
@@ -426,7 +434,9 @@
             self.name(),
             members.sum(PeerMessage.MemberReport::started),
             members.sum(PeerMessage.MemberReport::waiting),
-            members.takeArrivals());
+            members.takeArrivals(),
+            members.demand(),
+            quotas.scope());
     publish("load/" + self.name(), incarnation, load);
     applyLoad(load, nowMs);
   }
@@ -462,7 +472,7 @@
               .map(this::withAge)
               .toList();
       boolean requested = overlay.isUplink(neighbor);
-      UpdateId id = new UpdateId(requested, missing.stream().map(EntryId::of).toList());
+      UpdateId id = UpdateId.of(requested, missing);
       updates.putIfAbsent(id, new PeerMessage.StateUpdate(requested, missing));
       receivers.computeIfAbsent(id, key -> new ArrayList<>()).add(new InstanceId(neighbor));
     }
@@ -482,16 +492,6 @@
     return new StateEntry(entry.key(), entry.epoch(), entry.sequence(), entry.domain(), aged);
   }
 
-  /** Identifies an update by the versions of its entries, without comparing their content. */
-  private record UpdateId(boolean requested, List<EntryId> entries) {}
-
-  private record EntryId(String key, long epoch, long sequence) {
-
-    static EntryId of(StateEntry entry) {
-      return new EntryId(entry.key(), entry.epoch(), entry.sequence());
-    }
-  }
-
   /** Tells the owner of each engine which adapters are in use there. */
   private void sendAdaptersInUse() {
     Map<String, Map<String, Set<String>>> byOwner = new HashMap<>();
@@ -549,7 +549,10 @@
         overlay.recordRequested(from, true, nowMs);
         members.put(from, report, nowMs);
       }
-      case PeerMessage.ReportIncluded included -> includedReport = included.sequence();
+      case PeerMessage.ReportIncluded included -> {
+        includedReport = included.sequence();
+        quotas.onReportIncluded(included.sequence());
+      }
       case PeerMessage.AdaptersInUse use -> {
         answerIfNeeded(from, nowMs);
         useSilentFromMs.put(from, nowMs + Overlay.SILENCE_TIMEOUT_MS);
@@ -666,6 +669,7 @@
 
   private void applyLoad(FleetState.RelayedLoad load, long nowMs) {
     relayed.put(load, nowMs);
+    quotas.onLoad(load, Set.copyOf(relayed.instancesOf(load.relay())));
     updateLiveInstances();
     listener.onInstancesHeard(Set.copyOf(relayed.instancesOf(load.relay())));
     listener.onArrivals(load.arrivals());
--- a/node/src/main/java/org/apricotstand/fleet/LocalLoadTracker.java
+++ b/node/src/main/java/org/apricotstand/fleet/LocalLoadTracker.java
@@ -19,6 +19,8 @@
   private final Map<AdapterAtTarget, Integer> requestsByAdapter = new ConcurrentHashMap<>();
   private final Map<AdapterKey, Integer> arrivals = new ConcurrentHashMap<>();
 
+  private final Map<String, Long> offeredByTenant = new ConcurrentHashMap<>();
+
   private record AdapterAtTarget(String target, AdapterKey key) {}
 
   /** Counts a new request for an adapter. */
@@ -81,11 +83,25 @@
     return inUse;
   }
 
+  /** Counts the cost of a request of a tenant with a limit, whether it is admitted or not. */
+  public void recordOffered(String tenant, long cost) {
+    offeredByTenant.merge(tenant, cost, Long::sum);
+  }
+
   /** Returns the number of new requests by adapter since the last call. */
   public Map<AdapterKey, Integer> takeArrivals() {
-    Map<AdapterKey, Integer> taken = new HashMap<>();
-    for (AdapterKey key : arrivals.keySet()) {
-      Integer count = arrivals.remove(key);
+    return takeAll(arrivals);
+  }
+
+  /** Returns the cost of the requests by tenant since the last call. */
+  public Map<String, Long> takeOffered() {
+    return takeAll(offeredByTenant);
+  }
+
+  private static <K, V> Map<K, V> takeAll(Map<K, V> counts) {
+    Map<K, V> taken = new HashMap<>();
+    for (K key : counts.keySet()) {
+      V count = counts.remove(key);
       if (count != null) {
         taken.put(key, count);
       }
--- a/node/src/main/java/org/apricotstand/fleet/MemberReports.java
+++ b/node/src/main/java/org/apricotstand/fleet/MemberReports.java
@@ -73,6 +73,20 @@
     return sums;
   }
 
+  /** Returns the demand of all members, by tenant. */
+  Map<String, Long> demand() {
+    Map<String, Long> sums = new TreeMap<>();
+    members
+        .values()
+        .forEach(
+            member ->
+                member
+                    .report
+                    .demand()
+                    .forEach((tenant, demand) -> sums.merge(tenant, demand, Long::sum)));
+    return sums;
+  }
+
   /** Returns the adapters that requests of any member use, by engine id. */
   Map<String, Set<String>> adaptersInUse() {
     Map<String, Set<String>> inUse = new TreeMap<>();
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/fleet/QuotaExchange.java
@@ -0,0 +1,72 @@
+package org.apricotstand.fleet;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+import org.apricotstand.peer.FleetState;
+import org.apricotstand.quota.DemandEstimate;
+import org.apricotstand.quota.FleetQuotas;
+import org.apricotstand.quota.QuotaLimit;
+import org.apricotstand.quota.QuotaShares;
+
+/**
+ * What the exchange carries for the quotas of tenants: the demand in reports and in sums. Carries
+ * nothing while no tenant has a limit. Not thread-safe; used on the control thread only.
+ */
+final class QuotaExchange {
+
+  private final LongSupplier clock;
+  private final LocalLoadTracker localLoad;
+  private final FleetQuotas quotas;
+  private final DemandEstimate estimate;
+
+  /** Creates the exchange of an instance whose tenants have no limits. */
+  QuotaExchange(LongSupplier clock, String self, LocalLoadTracker localLoad) {
+    this.clock = clock;
+    this.localLoad = localLoad;
+    this.quotas = new FleetQuotas(self);
+    this.estimate = new DemandEstimate(clock.getAsLong());
+  }
+
+  /** Sets the limits of all tenants that have one. */
+  void setLimits(Map<String, QuotaLimit> limits) {
+    quotas.setLimits(limits);
+  }
+
+  /** Sets the number of registered instances with this one; 0 while it is not known. */
+  void setInstances(int instances) {
+    quotas.setInstances(instances);
+  }
+
+  /** Returns the demand for the report with a number, which is sent now. */
+  Map<String, Long> takeDemand(long sequence) {
+    // Taken also without limits, so that a limit that is set later finds no old demand.
+    Map<String, Long> offered = localLoad.takeOffered();
+    long nowMs = clock.getAsLong();
+    Map<String, Long> demand =
+        quotas.hasLimits() ? new TreeMap<>(estimate.update(offered, nowMs)) : Map.of();
+    quotas.recordReport(sequence, demand, nowMs);
+    return demand;
+  }
+
+  /** Records that the sums of the relay include a report of this instance. */
+  void onReportIncluded(long sequence) {
+    quotas.confirmReport(sequence, clock.getAsLong());
+  }
+
+  /** Returns the hash of the relays that this instance hears; 0 without limits. */
+  long scope() {
+    return quotas.hasLimits() ? quotas.scope(clock.getAsLong()) : 0;
+  }
+
+  /** Records what a relay published for the instances that report to it. */
+  void onLoad(FleetState.RelayedLoad load, Set<String> members) {
+    quotas.putRelay(load.relay(), members, load.scope(), load.demand(), clock.getAsLong());
+  }
+
+  /** Returns the fractions of the limits that this instance may use. */
+  QuotaShares shares(String ownRelay) {
+    return quotas.hasLimits() ? quotas.shares(ownRelay, clock.getAsLong()) : QuotaShares.NONE;
+  }
+}
--- a/node/src/main/java/org/apricotstand/fleet/RelayedState.java
+++ b/node/src/main/java/org/apricotstand/fleet/RelayedState.java
@@ -9,6 +9,7 @@
 import org.apricotstand.dispatch.TargetLoad;
 import org.apricotstand.overlay.Overlay;
 import org.apricotstand.peer.FleetState;
+import org.apricotstand.peer.PeerMessage;
 
 /**
  * What the relays of the fleet publish: which instances are alive, and the requests of all of them
@@ -83,4 +84,18 @@
     started.forEach((id, count) -> sums.merge(id, new TargetLoad(count, 0), TargetLoad::plus));
     waiting.forEach((id, count) -> sums.merge(id, new TargetLoad(0, count), TargetLoad::plus));
   }
+
+  /** Removes the requests of a report that are included in the loads of the targets. */
+  static void subtract(Map<String, TargetLoad> loads, PeerMessage.MemberReport report) {
+    Map<String, TargetLoad> own = new HashMap<>();
+    add(own, report.started(), report.waiting());
+    own.forEach(
+        (id, load) ->
+            loads.computeIfPresent(
+                id,
+                (target, total) ->
+                    new TargetLoad(
+                        Math.max(0, total.started() - load.started()),
+                        Math.max(0, total.waiting() - load.waiting()))));
+  }
 }
--- a/node/src/main/java/org/apricotstand/peer/FleetState.java
+++ b/node/src/main/java/org/apricotstand/peer/FleetState.java
@@ -1,5 +1,6 @@
 package org.apricotstand.peer;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -50,13 +51,25 @@
    * @param started number of requests whose answer has begun, by target id
    * @param waiting number of requests whose answer has not begun, by target id
    * @param arrivals number of requests since the last version, by adapter
+   * @param demand units a second that callers offer, by tenant with a limit; left out if empty, as
+   *     by instances of earlier versions
+   * @param scope hash of the relays that this relay hears, where tenants have limits; otherwise 0
+   *     and left out
    */
   record RelayedLoad(
       String relay,
       Map<String, Integer> started,
       Map<String, Integer> waiting,
-      Map<String, Integer> arrivals)
-      implements FleetState {}
+      Map<String, Integer> arrivals,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Long> demand,
+      @JsonInclude(JsonInclude.Include.NON_DEFAULT) long scope)
+      implements FleetState {
+
+    /** Creates the load at a relay. */
+    public RelayedLoad {
+      demand = demand == null ? Map.of() : demand;
+    }
+  }
 
   /**
    * The adapters of an engine, as known to its owner.
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.apricotstand.peer;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
@@ -216,14 +217,23 @@
    * @param waiting number of requests whose answer has not begun, by target id
    * @param inUse adapters in use, by engine id
    * @param arrivals number of requests since the last report, by adapter
+   * @param demand units a second that callers offer, by tenant with a limit; left out if empty, as
+   *     by instances of earlier versions
    */
   record MemberReport(
       long sequence,
       Map<String, Integer> started,
       Map<String, Integer> waiting,
       Map<String, List<String>> inUse,
-      Map<String, Integer> arrivals)
-      implements PeerMessage {}
+      Map<String, Integer> arrivals,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Long> demand)
+      implements PeerMessage {
+
+    /** Creates a report. */
+    public MemberReport {
+      demand = demand == null ? Map.of() : demand;
+    }
+  }
 
   /**
    * Tells a member which of its reports the load published last by its relay includes.
