--- a/core/src/main/java/org/apricotstand/quota/FleetQuotas.java
+++ b/core/src/main/java/org/apricotstand/quota/FleetQuotas.java
@@ -9,7 +9,6 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.TreeSet;
 
@@ -19,29 +18,27 @@
  * states.
  *
  * <p>Each registered instance has an equal part of each limit. Instances in mutual contact form a
- * group, which divides the equal parts of its members by demand: a fixed part equally, the rest by
- * demand; as long as demand is lower than the limit, what remains is divided too. Instances outside
- * of the group keep their equal parts. Relays publish a hash of the relays that they hear, and only
- * relays that publish the same one are in the same group, so that no instance is in two groups.
+ * group, which has the equal parts of its members. Of that, each member keeps what it has used in
+ * the last window, and what nobody has used is divided: a part equally, the rest by demand.
+ * Instances outside of the group keep their equal parts. Relays publish a hash of the relays that
+ * they hear, and only relays that publish the same one are in the same group, so that no instance
+ * is in two groups.
  *
  * <p>A share shrinks at once and grows {@link #SETTLING_MS} later: for that time each instance
- * counts its own demand with its minimum, the demand of the others with its maximum and its share
- * with its minimum. By then the others have seen the demand for which the share grows.
+ * counts its own use and demand with their minimum, those of the others with their maximum, and its
+ * share with its minimum. By then the others have seen the demand for which the share grows.
  *
  * <pre>{@code
- * quotas.recordReport(sequence, demand, nowMs);
+ * quotas.recordReport(sequence, uses, nowMs);
  * quotas.confirmReport(sequence, nowMs);
- * quotas.putRelay(relay, members, scope, demand, nowMs);
+ * quotas.putRelay(relay, members, scope, uses, nowMs);
  * QuotaShares shares = quotas.shares(relay, nowMs);
  * }</pre>
  */
 public final class FleetQuotas {
 
-  /** Part of a group's limit that is divided equally however uneven the demand is. */
-  static final double FIXED_FRACTION = 0.2;
-
-  /** Part of the limit beyond the demand that is divided equally; the rest follows demand. */
-  private static final double EQUAL_ROOM_FRACTION = 0.6;
+  /** Part of what is unused that is divided equally; the rest is divided by demand. */
+  private static final double EQUAL_FRACTION = 0.5;
 
   /** Time until all instances in contact have seen what one of them published. */
   static final long SETTLING_MS = 1_200;
@@ -61,17 +58,19 @@
   private static final int MAX_UNCONFIRMED = 32;
 
   private final String self;
+  private final QuotaBounds bounds;
   private final Map<String, Relay> relays = new HashMap<>();
   private final Deque<Report> sentReports = new ArrayDeque<>();
   private final Deque<Report> confirmedReports = new ArrayDeque<>();
   private final Map<String, Deque<Timed>> recentFractions = new HashMap<>();
   private final Deque<Timed> recentEqualParts = new ArrayDeque<>();
   private Map<String, QuotaLimit> limits = Map.of();
+  private QuotaShares lastShares = QuotaShares.NONE;
   private int instances;
   private long confirmedSentMs = Long.MIN_VALUE / 2;
   private long lastCallMs = Long.MIN_VALUE / 2;
 
-  /** What a relay published last, and its recent demand. */
+  /** What a relay published last, and its recent sums. */
   private static final class Relay {
     private final Deque<Report> recent = new ArrayDeque<>();
     private Set<String> members = Set.of();
@@ -79,14 +78,15 @@
     private long heardMs;
   }
 
-  /** Demand that counts from a time on. */
-  private record Report(long sequence, Map<String, Long> demand, long fromMs) {}
+  /** What counts from a time on. */
+  private record Report(long sequence, Map<String, TenantUse> uses, long fromMs) {}
 
   private record Timed(double value, long fromMs) {}
 
   /** Creates the quotas of an instance that knows no other one. */
-  public FleetQuotas(String self) {
+  public FleetQuotas(String self, QuotaBounds bounds) {
     this.self = self;
+    this.bounds = bounds;
   }
 
   /** Sets the limits of all tenants that have one. */
@@ -107,9 +107,9 @@
   }
 
   /** Records a report that is sent to the relay, or that this instance counts as its own relay. */
-  public void recordReport(long sequence, Map<String, Long> demand, long nowMs) {
+  public void recordReport(long sequence, Map<String, TenantUse> uses, long nowMs) {
     checkPause(nowMs);
-    sentReports.addLast(new Report(sequence, demand, nowMs));
+    sentReports.addLast(new Report(sequence, uses, nowMs));
     if (sentReports.size() > MAX_UNCONFIRMED) {
       sentReports.removeFirst();
     }
@@ -124,7 +124,7 @@
         .ifPresent(
             report -> {
               confirmedSentMs = report.fromMs;
-              confirmedReports.addLast(new Report(sequence, report.demand, nowMs));
+              confirmedReports.addLast(new Report(sequence, report.uses, nowMs));
               trim(confirmedReports, nowMs);
             });
     sentReports.removeIf(report -> report.sequence <= sequence);
@@ -135,16 +135,16 @@
    *
    * @param members instances whose demand is included
    * @param scope hash of the relays that it hears; 0 if it does not tell
-   * @param demand units a second, by tenant
+   * @param uses sums over these instances, by tenant
    */
   public void putRelay(
-      String name, Set<String> members, long scope, Map<String, Long> demand, long nowMs) {
+      String name, Set<String> members, long scope, Map<String, TenantUse> uses, long nowMs) {
     checkPause(nowMs);
     Relay relay = relays.computeIfAbsent(name, key -> new Relay());
     relay.members = members;
     relay.scope = scope;
     relay.heardMs = nowMs;
-    relay.recent.addLast(new Report(0, demand, nowMs));
+    relay.recent.addLast(new Report(0, uses, nowMs));
     trim(relay.recent, nowMs);
   }
 
@@ -179,22 +179,22 @@
    */
   public QuotaShares shares(String ownRelay, long nowMs) {
     checkPause(nowMs);
-    relays.values().removeIf(relay -> nowMs - relay.heardMs > RELAY_TIMEOUT_MS + SETTLING_MS);
+    relays.values().removeIf(relay -> nowMs - relay.heardMs > RELAY_TIMEOUT_MS + bounds.windowMs());
     if (instances == 0) {
       return QuotaShares.NONE;
     }
     double equalPart = minimum(recentEqualParts, 1.0 / instances, nowMs);
     List<Relay> group = group(ownRelay, nowMs);
-    OptionalLong oldestMs = group.stream().mapToLong(relay -> relay.heardMs).min();
-    Map<String, Double> fractions =
-        group.isEmpty() ? Map.of() : fractionsIn(group, equalPart, nowMs);
-    Map<String, Double> usable = settle(fractions, equalPart, nowMs);
-    long validUntilMs =
-        oldestMs.isEmpty()
-            ? nowMs
-            : Math.min(
-                confirmedSentMs + REPORT_TIMEOUT_MS, oldestMs.getAsLong() + RELAY_TIMEOUT_MS);
-    return new QuotaShares(equalPart, usable, validUntilMs);
+    if (group.isEmpty()) {
+      recentFractions.clear();
+      lastShares = lastShares.withoutContact(equalPart, nowMs);
+      return lastShares;
+    }
+    long oldestMs = group.stream().mapToLong(relay -> relay.heardMs).min().orElseThrow();
+    long validUntilMs = Math.min(confirmedSentMs + REPORT_TIMEOUT_MS, oldestMs + RELAY_TIMEOUT_MS);
+    Map<String, Double> usable = settle(fractionsIn(group, equalPart, nowMs), equalPart, nowMs);
+    lastShares = new QuotaShares(equalPart, usable, validUntilMs, validUntilMs + bounds.windowMs());
+    return lastShares;
   }
 
   /** Returns the relays in mutual contact with the own one; empty if this instance is cut off. */
@@ -215,57 +215,73 @@
   private Map<String, Double> fractionsIn(List<Relay> group, double equalPart, long nowMs) {
     Set<String> members = new HashSet<>();
     group.forEach(relay -> members.addAll(relay.members));
-    Map<String, Double> totals = new HashMap<>();
-    for (Relay relay : group) {
-      maximum(relay.recent, nowMs)
-          .forEach((tenant, demand) -> totals.merge(tenant, (double) demand, Double::sum));
-    }
+    Map<String, TenantUse> totals = sums(group, nowMs);
+    Map<String, Double> lostUses = lostUses(group, members, nowMs);
     int count = Math.min(instances, members.size());
-    double groupPart = count * equalPart;
     Map<String, Double> fractions = new HashMap<>();
     totals.forEach(
         (tenant, total) -> {
           QuotaLimit limit = limits.get(tenant);
-          if (limit != null && total > 0) {
-            double own = Math.min(ownMinimum(tenant, nowMs), total);
-            double rate = share(own, total, groupPart * limit.ratePerS(), count);
-            fractions.put(tenant, rate / limit.ratePerS());
+          if (limit != null) {
+            double divided = bounds.divided(limit);
+            double groupLimit =
+                Math.min(count * equalPart * divided, divided - lostUses.getOrDefault(tenant, 0.0));
+            fractions.put(
+                tenant, share(ownMinimum(tenant, nowMs), total, groupLimit, count) / divided);
           }
         });
     return fractions;
   }
 
+  /** Returns what instances outside of the group had used when they were last heard of. */
+  private Map<String, Double> lostUses(List<Relay> group, Set<String> members, long nowMs) {
+    Map<String, Double> lost = new HashMap<>();
+    for (Relay relay : relays.values()) {
+      long missing = relay.members.stream().filter(name -> !members.contains(name)).count();
+      if (missing > 0 && !group.contains(relay)) {
+        double part = (double) missing / relay.members.size();
+        maximum(relay.recent, nowMs)
+            .forEach((tenant, use) -> lost.merge(tenant, part * use.used(), Double::sum));
+      }
+    }
+    return lost;
+  }
+
+  private static Map<String, TenantUse> sums(List<Relay> group, long nowMs) {
+    Map<String, TenantUse> totals = new HashMap<>();
+    for (Relay relay : group) {
+      maximum(relay.recent, nowMs)
+          .forEach((tenant, use) -> totals.merge(tenant, use, TenantUse::plus));
+    }
+    return totals;
+  }
+
   /**
-   * Returns the part of a limit for one of several instances. It falls with the total demand and
-   * rises with the own one, and the parts of all instances add up to the limit.
+   * Returns the part of a limit for one of several instances. It falls with the totals and rises
+   * with the own figures, and the parts of all instances add up to the limit.
    */
-  private static double share(double own, double total, double limit, int count) {
-    double divisible = (1 - FIXED_FRACTION) * limit;
-    double fixed = FIXED_FRACTION * limit / count;
-    if (total >= divisible) {
-      return fixed + divisible * own / total;
-    }
-    double room = divisible - total;
-    double equalRoom = EQUAL_ROOM_FRACTION * room / count;
-    return fixed + own + equalRoom + (1 - EQUAL_ROOM_FRACTION) * room * own / total;
+  private static double share(TenantUse own, TenantUse total, double limit, int count) {
+    double unused = Math.max(0, limit - total.used());
+    double demandPart =
+        total.demandPerS() == 0 ? 1.0 / count : (double) own.demandPerS() / total.demandPerS();
+    return own.used() + unused * (EQUAL_FRACTION / count + (1 - EQUAL_FRACTION) * demandPart);
   }
 
-  /** Returns the smallest own demand that the relay counted within the settling time. */
-  private double ownMinimum(String tenant, long nowMs) {
+  /** Returns the smallest own figures that the relay counted within the settling time. */
+  private TenantUse ownMinimum(String tenant, long nowMs) {
     trim(confirmedReports, nowMs);
     return confirmedReports.stream()
-        .mapToLong(report -> report.demand.getOrDefault(tenant, 0L))
-        .min()
-        .orElse(0);
+        .map(report -> report.uses.getOrDefault(tenant, TenantUse.NONE))
+        .reduce(TenantUse::min)
+        .orElse(TenantUse.NONE);
   }
 
-  /** Returns the largest demand of each tenant within the settling time. */
-  private static Map<String, Long> maximum(Deque<Report> reports, long nowMs) {
+  /** Returns the largest figures of each tenant within the settling time. */
+  private static Map<String, TenantUse> maximum(Deque<Report> reports, long nowMs) {
     trim(reports, nowMs);
-    Map<String, Long> largest = new HashMap<>();
+    Map<String, TenantUse> largest = new HashMap<>();
     reports.forEach(
-        report ->
-            report.demand.forEach((tenant, demand) -> largest.merge(tenant, demand, Math::max)));
+        report -> report.uses.forEach((tenant, use) -> largest.merge(tenant, use, TenantUse::max)));
     return largest;
   }
 
@@ -276,7 +292,10 @@
         .forEach(
             tenant ->
                 recentFractions.computeIfAbsent(
-                    tenant, key -> new ArrayDeque<>(List.of(new Timed(equalPart, nowMs)))));
+                    tenant,
+                    key ->
+                        new ArrayDeque<>(
+                            List.of(new Timed(lastShares.fraction(tenant, nowMs), nowMs)))));
     Map<String, Double> usable = new HashMap<>();
     for (Iterator<Map.Entry<String, Deque<Timed>>> all = recentFractions.entrySet().iterator();
         all.hasNext(); ) {
@@ -341,6 +360,7 @@
       sentReports.clear();
       confirmedReports.clear();
       recentFractions.clear();
+      lastShares = lastShares.withoutContact(lastShares.equalPart(), nowMs);
       confirmedSentMs = Long.MIN_VALUE / 2;
     }
   }
--- a/core/src/main/java/org/apricotstand/quota/QuotaBounds.java
+++ b/core/src/main/java/org/apricotstand/quota/QuotaBounds.java
@@ -16,10 +16,10 @@
   public static final QuotaBounds DEFAULT = new QuotaBounds(8_000, 0.1, 11_000);
 
   /**
-   * Part of the tolerance that enlarges the buckets. The rest covers requests larger than a bucket
-   * and views of the fleet that differ between instances.
+   * Part of the tolerance beyond the limit that is divided between the instances. The rest covers
+   * views of the fleet that differ between them for longer than shares take to settle.
    */
-  private static final double BUCKET_FRACTION = 0.5;
+  private static final double DIVIDED_FRACTION = 0.8;
 
   private static final double MS_PER_S = 1_000;
 
@@ -35,11 +35,11 @@
   }
 
   /**
-   * Returns the capacity of the buckets of all instances together. It does not contain the slack,
-   * which may be many times the limit of a small tenant.
+   * Returns the units in a window that are divided between the instances. They do not contain the
+   * slack, which may be many times the limit of a small tenant.
    */
-  double capacity(QuotaLimit limit) {
+  double divided(QuotaLimit limit) {
     double limitPerWindow = limit.ratePerS() * windowMs / MS_PER_S + limit.burst();
-    return limit.burst() + BUCKET_FRACTION * over * limitPerWindow;
+    return limitPerWindow * (1 + DIVIDED_FRACTION * over);
   }
 }
--- a/core/src/main/java/org/apricotstand/quota/QuotaShares.java
+++ b/core/src/main/java/org/apricotstand/quota/QuotaShares.java
@@ -4,17 +4,20 @@
 
 /**
  * Fractions of the limits that this instance may use. They are valid until a time that follows from
- * the age of the news; after it, the equal part applies, also in a process that was paused.
+ * the age of the news; after it, at most the equal part applies, also in a process that was paused.
  *
  * @param equalPart part of each limit that is kept for this instance whatever its demand; 0 while
  *     the number of instances is not known
  * @param fractions fraction of the limit, by tenant; the equal part for tenants that are not listed
- * @param validUntilMs monotonic time from which only the equal part may be used
+ * @param validUntilMs monotonic time from which the fractions are not valid
+ * @param equalFromMs monotonic time from which the whole equal part may be used: what other
+ *     instances had used of it has left the window by then
  */
-public record QuotaShares(double equalPart, Map<String, Double> fractions, long validUntilMs) {
+public record QuotaShares(
+    double equalPart, Map<String, Double> fractions, long validUntilMs, long equalFromMs) {
 
   /** Shares of an instance that does not know the fleet yet. */
-  public static final QuotaShares NONE = new QuotaShares(0, Map.of(), 0);
+  public static final QuotaShares NONE = new QuotaShares(0, Map.of(), 0, 0);
 
   /** Creates shares that do not change with the map. */
   public QuotaShares {
@@ -23,6 +26,15 @@
 
   /** Returns the fraction of the limit of a tenant that this instance may use now. */
   public double fraction(String tenant, long nowMs) {
-    return nowMs < validUntilMs ? fractions.getOrDefault(tenant, equalPart) : equalPart;
+    double fraction = fractions.getOrDefault(tenant, equalPart);
+    if (nowMs < validUntilMs) {
+      return fraction;
+    }
+    return nowMs < equalFromMs ? Math.min(fraction, equalPart) : equalPart;
+  }
+
+  /** Returns the shares of an instance that is out of contact from now on. */
+  QuotaShares withoutContact(double newEqualPart, long nowMs) {
+    return new QuotaShares(newEqualPart, fractions, Math.min(validUntilMs, nowMs), equalFromMs);
   }
 }
--- a/core/src/main/java/org/apricotstand/quota/TenantQuotas.java
+++ b/core/src/main/java/org/apricotstand/quota/TenantQuotas.java
@@ -17,18 +17,25 @@
  */
 public final class TenantQuotas {
 
+  /** Part of the own share that may be used at once; the rest is spread over the window. */
+  private static final double BURST_FRACTION = 0.25;
+
+  private static final double MS_PER_S = 1_000;
+
   private final QuotaBounds bounds;
   private final Map<String, Account> accounts = new HashMap<>();
   private QuotaShares shares = QuotaShares.NONE;
 
   /** The limit of a tenant and what this instance has left of it. */
   private static final class Account {
-    private final TokenBucket bucket;
+    private final UseWindow used;
+    private final TokenBucket pace;
     private QuotaLimit limit;
 
-    private Account(QuotaLimit limit, long nowMs) {
+    private Account(QuotaLimit limit, long windowMs, long nowMs) {
       this.limit = limit;
-      this.bucket = new TokenBucket(nowMs);
+      this.used = new UseWindow(windowMs, nowMs);
+      this.pace = new TokenBucket(nowMs);
     }
   }
 
@@ -42,7 +49,9 @@
     accounts.keySet().retainAll(limits.keySet());
     limits.forEach(
         (tenant, limit) -> {
-          Account account = accounts.computeIfAbsent(tenant, name -> new Account(limit, nowMs));
+          Account account =
+              accounts.computeIfAbsent(
+                  tenant, name -> new Account(limit, bounds.windowMs(), nowMs));
           account.limit = limit;
         });
   }
@@ -60,31 +69,53 @@
   /** Takes the cost of a request; returns false if it exceeds the share of this instance. */
   public boolean tryTake(String tenant, double cost, long nowMs) {
     Account account = accounts.get(tenant);
-    return account == null || bucketOf(tenant, account, nowMs).tryTake(cost, nowMs);
+    if (account == null) {
+      return true;
+    }
+    double share = updateShare(tenant, account, nowMs);
+    boolean isTaken = account.used.sum(nowMs) + cost <= share && account.pace.tryTake(cost, nowMs);
+    if (isTaken) {
+      account.used.add(cost, nowMs);
+    }
+    return isTaken;
   }
 
   /** Gives back the cost of a request that no target has run. */
-  public void giveBack(String tenant, double cost, long nowMs) {
+  public void giveBack(String tenant, double cost, long takenMs, long nowMs) {
     Account account = accounts.get(tenant);
     if (account != null) {
-      bucketOf(tenant, account, nowMs).giveBack(cost);
+      updateShare(tenant, account, nowMs);
+      account.pace.giveBack(cost);
+      if (nowMs - takenMs < bounds.windowMs()) {
+        account.used.add(-cost, nowMs);
+      }
     }
   }
 
-  /**
-   * Returns the time until the share of this instance has room for a request; {@code
-   * Long.MAX_VALUE} while this instance has no share.
-   */
+  /** Returns the time until the share of this instance may have room for a request. */
   public long waitMs(String tenant, double cost, long nowMs) {
     Account account = accounts.get(tenant);
-    return account == null ? 0 : bucketOf(tenant, account, nowMs).waitMs(cost, nowMs);
+    if (account == null) {
+      return 0;
+    }
+    double share = updateShare(tenant, account, nowMs);
+    double missing = account.used.sum(nowMs) + cost - share;
+    // What is used leaves the window evenly in the mean.
+    double windowWaitMs =
+        missing <= 0 ? 0 : bounds.windowMs() * Math.min(1, missing / Math.max(share, cost));
+    return Math.max((long) windowWaitMs, account.pace.waitMs(cost, nowMs));
+  }
+
+  /** Returns what this instance has admitted of a tenant in the last window. */
+  public long used(String tenant, long nowMs) {
+    Account account = accounts.get(tenant);
+    return account == null ? 0 : (long) Math.ceil(account.used.sum(nowMs));
   }
 
-  /** Returns the bucket of a tenant, sized by the share that is valid now. */
-  private TokenBucket bucketOf(String tenant, Account account, long nowMs) {
-    double fraction = shares.fraction(tenant, nowMs);
-    account.bucket.setSize(
-        fraction * account.limit.ratePerS(), fraction * bounds.capacity(account.limit), nowMs);
-    return account.bucket;
+  /** Sizes the pace by the share that is valid now and returns the units of it in a window. */
+  private double updateShare(String tenant, Account account, long nowMs) {
+    double share = shares.fraction(tenant, nowMs) * bounds.divided(account.limit);
+    account.pace.setSize(share * MS_PER_S / bounds.windowMs(), BURST_FRACTION * share, nowMs);
+    return share;
   }
 }
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -27,6 +27,7 @@
 import org.apricotstand.peer.PeerLinks;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.StateEntry;
+import org.apricotstand.quota.QuotaBounds;
 import org.apricotstand.quota.QuotaShares;
 
 /**
@@ -111,12 +112,13 @@
       PeerLinks peers,
       LocalLoadTracker localLoad,
       Function<String, String> ownerOf,
+      QuotaBounds quotaBounds,
       FleetExchangeListener listener) {
     this.clock = clock;
     this.self = self;
     this.lastTickMs = clock.getAsLong();
     this.incarnation = incarnation;
-    this.quotas = new QuotaExchange(clock, self.name(), localLoad);
+    this.quotas = new QuotaExchange(clock, self.name(), quotaBounds, localLoad);
     this.peers = peers;
     this.localLoad = localLoad;
     this.ownerOf = ownerOf;
@@ -313,25 +315,13 @@
     boolean changed =
         publishedStatus == null
             || publishedStatus.leaving() != status.leaving()
-            || !leaseVersions(publishedStatus).equals(leaseVersions(status));
+            || !publishedStatus.leaseVersions().equals(status.leaseVersions());
     if (changed) {
       publishedStatus = status;
       publish("instance/" + self.name(), incarnation, status);
     }
   }
 
-  /** Returns the version of each lease; negative once it has expired without a renewal. */
-  private static Map<String, Long> leaseVersions(FleetState.InstanceStatus status) {
-    Map<String, Long> versions = new HashMap<>();
-    status
-        .leases()
-        .forEach(
-            (engine, lease) ->
-                versions.put(
-                    engine, lease.remainingMs() > 0 ? lease.rowVersion() : -lease.rowVersion()));
-    return versions;
-  }
-
   private void removeSilent(long nowMs) {
     members.removeSilent(nowMs);
     relayed.silentRelays(nowMs).forEach(this::removeRelay);
@@ -406,7 +396,7 @@
             waiting,
             MemberReports.toLists(localLoad.adaptersInUse()),
             arrivals,
-            quotas.takeDemand(sequence));
+            quotas.takeUses(sequence));
     ownReports.addLast(report);
     if (ownReports.size() > REMEMBERED_REPORTS) {
       ownReports.removeFirst();
@@ -435,7 +425,7 @@
             members.sum(PeerMessage.MemberReport::started),
             members.sum(PeerMessage.MemberReport::waiting),
             members.takeArrivals(),
-            members.demand(),
+            members.tenants(),
             quotas.scope());
     publish("load/" + self.name(), incarnation, load);
     applyLoad(load, nowMs);
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -28,6 +28,7 @@
 import org.apricotstand.port.ServingSettings;
 import org.apricotstand.port.TargetListener;
 import org.apricotstand.port.TargetSource;
+import org.apricotstand.quota.QuotaBounds;
 import org.apricotstand.request.FleetNotifier;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
@@ -125,6 +126,7 @@
             peers,
             localLoad,
             this::ownerOf,
+            QuotaBounds.DEFAULT,
             this);
     this.refusalTable =
         new RefusalTable(
--- a/node/src/main/java/org/apricotstand/fleet/LocalLoadTracker.java
+++ b/node/src/main/java/org/apricotstand/fleet/LocalLoadTracker.java
@@ -20,6 +20,7 @@
   private final Map<AdapterKey, Integer> arrivals = new ConcurrentHashMap<>();
 
   private final Map<String, Long> offeredByTenant = new ConcurrentHashMap<>();
+  private final Map<String, Long> admittedByTenant = new ConcurrentHashMap<>();
 
   private record AdapterAtTarget(String target, AdapterKey key) {}
 
@@ -88,16 +89,26 @@
     offeredByTenant.merge(tenant, cost, Long::sum);
   }
 
+  /** Counts the cost of a request that was admitted; negative for one that gave it back. */
+  public void recordAdmitted(String tenant, long cost) {
+    admittedByTenant.merge(tenant, cost, Long::sum);
+  }
+
   /** Returns the number of new requests by adapter since the last call. */
   public Map<AdapterKey, Integer> takeArrivals() {
     return takeAll(arrivals);
   }
 
-  /** Returns the cost of the requests by tenant since the last call. */
+  /** Returns the cost of all requests by tenant since the last call. */
   public Map<String, Long> takeOffered() {
     return takeAll(offeredByTenant);
   }
 
+  /** Returns the cost of the admitted requests by tenant since the last call. */
+  public Map<String, Long> takeAdmitted() {
+    return takeAll(admittedByTenant);
+  }
+
   private static <K, V> Map<K, V> takeAll(Map<K, V> counts) {
     Map<K, V> taken = new HashMap<>();
     for (K key : counts.keySet()) {
--- a/node/src/main/java/org/apricotstand/fleet/MemberReports.java
+++ b/node/src/main/java/org/apricotstand/fleet/MemberReports.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import org.apricotstand.overlay.Overlay;
 import org.apricotstand.peer.PeerMessage;
+import org.apricotstand.quota.TenantUse;
 
 /**
  * The newest report of each instance for which this one relays, and their sums. Reports of silent
@@ -73,17 +74,17 @@
     return sums;
   }
 
-  /** Returns the demand of all members, by tenant. */
-  Map<String, Long> demand() {
-    Map<String, Long> sums = new TreeMap<>();
+  /** Returns the demand and the use of all members, by tenant. */
+  Map<String, TenantUse> tenants() {
+    Map<String, TenantUse> sums = new TreeMap<>();
     members
         .values()
         .forEach(
             member ->
                 member
                     .report
-                    .demand()
-                    .forEach((tenant, demand) -> sums.merge(tenant, demand, Long::sum)));
+                    .tenants()
+                    .forEach((tenant, use) -> sums.merge(tenant, use, TenantUse::plus)));
     return sums;
   }
 
--- a/node/src/main/java/org/apricotstand/fleet/QuotaExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/QuotaExchange.java
@@ -5,10 +5,12 @@
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
 import org.apricotstand.peer.FleetState;
-import org.apricotstand.quota.DemandEstimate;
 import org.apricotstand.quota.FleetQuotas;
+import org.apricotstand.quota.QuotaBounds;
 import org.apricotstand.quota.QuotaLimit;
 import org.apricotstand.quota.QuotaShares;
+import org.apricotstand.quota.TenantUse;
+import org.apricotstand.quota.TenantUseMeter;
 
 /**
  * What the exchange carries for the quotas of tenants: the demand in reports and in sums. Carries
@@ -19,14 +21,14 @@
   private final LongSupplier clock;
   private final LocalLoadTracker localLoad;
   private final FleetQuotas quotas;
-  private final DemandEstimate estimate;
+  private final TenantUseMeter meter;
 
   /** Creates the exchange of an instance whose tenants have no limits. */
-  QuotaExchange(LongSupplier clock, String self, LocalLoadTracker localLoad) {
+  QuotaExchange(LongSupplier clock, String self, QuotaBounds bounds, LocalLoadTracker localLoad) {
     this.clock = clock;
     this.localLoad = localLoad;
-    this.quotas = new FleetQuotas(self);
-    this.estimate = new DemandEstimate(clock.getAsLong());
+    this.quotas = new FleetQuotas(self, bounds);
+    this.meter = new TenantUseMeter(bounds.windowMs(), clock.getAsLong());
   }
 
   /** Sets the limits of all tenants that have one. */
@@ -39,15 +41,16 @@
     quotas.setInstances(instances);
   }
 
-  /** Returns the demand for the report with a number, which is sent now. */
-  Map<String, Long> takeDemand(long sequence) {
+  /** Returns what the report with a number contains, which is sent now. */
+  Map<String, TenantUse> takeUses(long sequence) {
     // Taken also without limits, so that a limit that is set later finds no old demand.
     Map<String, Long> offered = localLoad.takeOffered();
+    Map<String, Long> admitted = localLoad.takeAdmitted();
     long nowMs = clock.getAsLong();
-    Map<String, Long> demand =
-        quotas.hasLimits() ? new TreeMap<>(estimate.update(offered, nowMs)) : Map.of();
-    quotas.recordReport(sequence, demand, nowMs);
-    return demand;
+    Map<String, TenantUse> uses =
+        quotas.hasLimits() ? new TreeMap<>(meter.update(offered, admitted, nowMs)) : Map.of();
+    quotas.recordReport(sequence, uses, nowMs);
+    return uses;
   }
 
   /** Records that the sums of the relay include a report of this instance. */
@@ -62,7 +65,7 @@
 
   /** Records what a relay published for the instances that report to it. */
   void onLoad(FleetState.RelayedLoad load, Set<String> members) {
-    quotas.putRelay(load.relay(), members, load.scope(), load.demand(), clock.getAsLong());
+    quotas.putRelay(load.relay(), members, load.scope(), load.tenants(), clock.getAsLong());
   }
 
   /** Returns the fractions of the limits that this instance may use. */
--- a/node/src/main/java/org/apricotstand/peer/FleetState.java
+++ b/node/src/main/java/org/apricotstand/peer/FleetState.java
@@ -3,9 +3,11 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.apricotstand.enginelease.LeaseStatus;
+import org.apricotstand.quota.TenantUse;
 
 /**
  * Content of an entry of the fleet's state. The type names in the annotation and the names of the
@@ -33,7 +35,18 @@
    * @param leases all engine leases that it holds, by engine id
    */
   record InstanceStatus(String instance, boolean leaving, Map<String, LeaseStatus> leases)
-      implements FleetState {}
+      implements FleetState {
+
+    /** Returns the version of each lease; negative once it has expired without a renewal. */
+    public Map<String, Long> leaseVersions() {
+      Map<String, Long> versions = new HashMap<>();
+      leases.forEach(
+          (engine, lease) ->
+              versions.put(
+                  engine, lease.remainingMs() > 0 ? lease.rowVersion() : -lease.rowVersion()));
+      return versions;
+    }
+  }
 
   /**
    * The instances that a relay hears from, which are therefore alive.
@@ -51,8 +64,8 @@
    * @param started number of requests whose answer has begun, by target id
    * @param waiting number of requests whose answer has not begun, by target id
    * @param arrivals number of requests since the last version, by adapter
-   * @param demand units a second that callers offer, by tenant with a limit; left out if empty, as
-   *     by instances of earlier versions
+   * @param tenants demand and use by tenant with a limit; left out if empty, as by instances of
+   *     earlier versions
    * @param scope hash of the relays that this relay hears, where tenants have limits; otherwise 0
    *     and left out
    */
@@ -61,13 +74,13 @@
       Map<String, Integer> started,
       Map<String, Integer> waiting,
       Map<String, Integer> arrivals,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Long> demand,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, TenantUse> tenants,
       @JsonInclude(JsonInclude.Include.NON_DEFAULT) long scope)
       implements FleetState {
 
     /** Creates the load at a relay. */
     public RelayedLoad {
-      demand = demand == null ? Map.of() : demand;
+      tenants = tenants == null ? Map.of() : tenants;
     }
   }
 
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import java.util.Map;
+import org.apricotstand.quota.TenantUse;
 
 /**
  * A message between two instances. Each record is one message type; the type names in the
@@ -217,8 +218,8 @@
    * @param waiting number of requests whose answer has not begun, by target id
    * @param inUse adapters in use, by engine id
    * @param arrivals number of requests since the last report, by adapter
-   * @param demand units a second that callers offer, by tenant with a limit; left out if empty, as
-   *     by instances of earlier versions
+   * @param tenants demand and use by tenant with a limit; left out if empty, as by instances of
+   *     earlier versions
    */
   record MemberReport(
       long sequence,
@@ -226,12 +227,12 @@
       Map<String, Integer> waiting,
       Map<String, List<String>> inUse,
       Map<String, Integer> arrivals,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, Long> demand)
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, TenantUse> tenants)
       implements PeerMessage {
 
     /** Creates a report. */
     public MemberReport {
-      demand = demand == null ? Map.of() : demand;
+      tenants = tenants == null ? Map.of() : tenants;
     }
   }
 
--- a/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
+++ b/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
@@ -22,6 +22,7 @@
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.port.RowChange;
 import org.apricotstand.port.TableSharing;
+import org.apricotstand.quota.QuotaBounds;
 import org.apricotstand.residency.AdapterKey;
 
 /**
@@ -102,7 +103,14 @@
       links.clear();
       exchange =
           new FleetExchange(
-              () -> nowMs, identity, incarnation, this, load, target -> ownerOf(target), this);
+              () -> nowMs,
+              identity,
+              incarnation,
+              this,
+              load,
+              target -> ownerOf(target),
+              QuotaBounds.DEFAULT,
+              this);
       exchange.tables().subscribe(TABLE, READ_PERIOD_MS, this);
       registered.add(identity);
       publishHoldings();
--- a/node/src/test/java/org/apricotstand/fleet/TenantQuotasOfFleetTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/TenantQuotasOfFleetTest.java
@@ -87,6 +87,7 @@
       instance.load.recordOffered(TENANT, next);
       offered += next;
       if (own.quotas.tryTake(TENANT, next, nowMs)) {
+        instance.load.recordAdmitted(TENANT, next);
         admitted += next;
       }
     }
