--- a/core/src/main/java/org/apricotstand/quota/TenantQuotas.java
+++ b/core/src/main/java/org/apricotstand/quota/TenantQuotas.java
@@ -72,7 +72,7 @@
   /** Takes the cost of a request; returns false if it exceeds the share of this instance. */
   public boolean tryTake(String tenant, double cost, long nowMs) {
     Account account = accounts.get(tenant);
-    if (account == null) {
+    if (account == null || cost <= 0) {
       return true;
     }
     double share = updateShare(tenant, account, nowMs);
@@ -89,9 +89,7 @@
     if (account != null) {
       updateShare(tenant, account, nowMs);
       account.pace.giveBack(cost);
-      if (nowMs - takenMs < bounds.windowMs()) {
-        account.used.add(-cost, nowMs);
-      }
+      account.used.takeBack(cost, takenMs, nowMs);
     }
   }
 
--- a/core/src/main/java/org/apricotstand/quota/UseWindow.java
+++ b/core/src/main/java/org/apricotstand/quota/UseWindow.java
@@ -16,13 +16,23 @@
     newestSlot = Math.floorDiv(nowMs, slotMs);
   }
 
-  /** Adds to the use; negative to take back. */
+  /** Adds to the use. */
   void add(double use, long nowMs) {
     advance(nowMs);
     usedBySlot[indexOf(newestSlot)] += use;
     sum += use;
   }
 
+  /** Takes use back that was added at a time, unless it has left the window. */
+  void takeBack(double use, long addedMs, long nowMs) {
+    advance(nowMs);
+    long slot = Math.floorDiv(addedMs, slotMs);
+    if (newestSlot - slot < usedBySlot.length) {
+      usedBySlot[indexOf(slot)] -= use;
+      sum -= use;
+    }
+  }
+
   /** Returns the use in the window that ends now. */
   double sum(long nowMs) {
     advance(nowMs);
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -28,7 +28,7 @@
 import org.apricotstand.port.ServingSettings;
 import org.apricotstand.port.TargetListener;
 import org.apricotstand.port.TargetSource;
-import org.apricotstand.quota.QuotaBounds;
+import org.apricotstand.quota.QuotaShares;
 import org.apricotstand.request.FleetNotifier;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
@@ -65,6 +65,9 @@
    */
   private static final long START_MS = 5_000;
 
+  /** Period in which the shares of limits are computed; they are also computed with each view. */
+  private static final long QUOTA_SHARES_PERIOD_MS = 200;
+
   private static final long REFUSAL_READ_RETRY_MS = 300;
 
   /** Number of adapters of which an engine keeps copies. */
@@ -90,6 +93,7 @@
   private FleetEventListener eventListener = FleetEventListener.NONE;
   private RoutingPlan plan;
   private List<TargetEntry> targets = List.of();
+  private boolean configurationStale;
   private boolean publishScheduled;
   private boolean leaving;
   private boolean starting = true;
@@ -97,6 +101,8 @@
   private volatile boolean released = true;
   private Set<String> publishedEnginesWithOwner = Set.of();
   private volatile FleetView view = FleetView.EMPTY;
+  private volatile QuotaShares quotaShares = QuotaShares.NONE;
+  private long nextQuotaSharesMs;
 
   /** Creates the service; its view is empty until it is started. */
   public FleetService(
@@ -126,7 +132,7 @@
             peers,
             localLoad,
             this::ownerOf,
-            QuotaBounds.DEFAULT,
+            settings.quotaBounds(),
             this);
     this.refusalTable =
         new RefusalTable(
@@ -161,6 +167,17 @@
     return view;
   }
 
+  /** Returns the newest fractions of the limits of tenants that this instance may use. */
+  public QuotaShares quotaShares() {
+    return quotaShares;
+  }
+
+  private void updateQuotaShares() {
+    nextQuotaSharesMs = ControlThread.nowMs() + QUOTA_SHARES_PERIOD_MS;
+    exchange.quotas().setInstances(knownInstances.count(exchange.liveInstances()));
+    quotaShares = exchange.quotaShares();
+  }
+
   @Override
   public void start() {
     peers.addListener(this);
@@ -214,10 +231,42 @@
     }
     LOG.info("configuration_in_force", "version", newPlan.version());
     plan = newPlan;
+    exchange.configurationWatch().setAsking(hasTenants());
     updateEngines();
     schedulePublish();
   }
 
+  @Override
+  public void onConfigurationRow(long rowVersion) {
+    exchange.configurationWatch().freshness().recordRow(rowVersion);
+  }
+
+  @Override
+  public void onConfigurationRead(long sentMs) {
+    exchange.configurationWatch().freshness().recordRead(sentMs);
+    onConfigurationConfirmed();
+  }
+
+  @Override
+  public boolean mustReadConfiguration() {
+    return hasTenants()
+        && settings
+            .freshness()
+            .mustRead(
+                exchange.configurationWatch().freshness().confirmedMs(), ControlThread.nowMs());
+  }
+
+  @Override
+  public void onConfigurationConfirmed() {
+    if (hasTenants()) {
+      schedulePublish();
+    }
+  }
+
+  private boolean hasTenants() {
+    return plan != null && plan.hasTenants();
+  }
+
   @Override
   public void onVersionDeclared(AdapterKey key, long version) {
     Long before = declaredVersions.get(key);
@@ -561,9 +610,13 @@
   private void tick() {
     engineOwner.tick();
     released = engineOwner.isReleased();
+    logStaleness();
     exchange.tick(leaving, engineOwner.leaseStatuses());
     refusalTable.tick();
     long nowMs = ControlThread.nowMs();
+    if (nowMs >= nextQuotaSharesMs) {
+      updateQuotaShares();
+    }
     if (starting && nowMs >= startEndMs) {
       starting = false;
       updateInstances();
@@ -577,6 +630,22 @@
     }
   }
 
+  /** Logs when requests with known keys begin to be refused, and when they are admitted again. */
+  private void logStaleness() {
+    long nowMs = ControlThread.nowMs();
+    long confirmedMs = exchange.configurationWatch().freshness().confirmedMs();
+    boolean isStale = hasTenants() && !settings.freshness().canAdmit(confirmedMs, nowMs);
+    if (isStale == configurationStale) {
+      return;
+    }
+    configurationStale = isStale;
+    if (isStale) {
+      LOG.warn("configuration_stale", "version", plan.version(), "age_ms", nowMs - confirmedMs);
+    } else {
+      LOG.info("configuration_fresh", "version", plan.version(), "age_ms", nowMs - confirmedMs);
+    }
+  }
+
   private Set<String> enginesWithOwner() {
     return targets.stream()
         .filter(target -> !target.leaving())
@@ -600,10 +669,12 @@
 
   private void publish() {
     publishScheduled = false;
+    updateQuotaShares();
     publishedEnginesWithOwner = enginesWithOwner();
     view =
         new FleetView(
             plan,
+            exchange.configurationWatch().freshness().confirmedMs(),
             targets.stream()
                 .filter(target -> !target.leaving())
                 .collect(Collectors.groupingBy(TargetEntry::service)),
--- a/node/src/main/java/org/apricotstand/port/ServingSettings.java
+++ b/node/src/main/java/org/apricotstand/port/ServingSettings.java
@@ -1,6 +1,8 @@
 package org.apricotstand.port;
 
 import java.net.InetSocketAddress;
+import org.apricotstand.quota.QuotaBounds;
+import org.apricotstand.tenant.FreshnessBounds;
 
 /**
  * Settings of one instance.
@@ -19,6 +21,8 @@
  * @param retryWindowMs length of the window over which requests and retries are counted
  * @param relayCapacity declared capacity of the machine to relay messages between instances
  * @param answerLimits bounds of what is read of an answer without passing it on
+ * @param freshness bounds of the age of the configuration
+ * @param quotaBounds bound on what all instances together may admit of one tenant
  */
 public record ServingSettings(
     String name,
@@ -33,4 +37,6 @@
     double retryAllowance,
     long retryWindowMs,
     int relayCapacity,
-    AnswerLimits answerLimits) {}
+    AnswerLimits answerLimits,
+    FreshnessBounds freshness,
+    QuotaBounds quotaBounds) {}
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -44,6 +44,9 @@
   /** Code of requests that end because a step of this instance failed. */
   static final String INTERNAL_ERROR = "internal_error";
 
+  /** Code of requests that exceed the quota of their tenant. */
+  static final String QUOTA_EXCEEDED = "quota_exceeded";
+
   /** Time after which a caller may send a request again that was refused for crashing targets. */
   static final long CRASHING_REQUEST_RETRY_MS = 60_000;
 
@@ -65,6 +68,8 @@
   private final CallerRequest request;
   private final Reply reply;
   private final Route route;
+  private final Admission admission;
+  private final QuotaTicket quota;
   private final String service;
   private final String requestId;
   private final AdapterKey adapter;
@@ -86,20 +91,29 @@
   private long sentAfterMs = NOT_REACHED;
   private long firstByteAfterMs = NOT_REACHED;
   private boolean retryReserved;
+  private boolean isRunPossible;
   private HttpResponse answerHead;
   private boolean ended;
 
   RequestFlow(
-      RequestRouter router, CallerRequest request, Reply reply, Route route, String service) {
+      RequestRouter router,
+      CallerRequest request,
+      Reply reply,
+      Route route,
+      Admission admission,
+      QuotaTicket quota,
+      String service) {
     this.router = router;
     this.request = request;
     this.reply = reply;
     this.route = route;
+    this.admission = admission;
+    this.quota = quota;
     this.service = service;
     this.requestId = request.headers().get(router.headerNames().requestId());
     String model = request.headers().get(router.headerNames().model());
     boolean isEngineService =
-        router.view().plan().service(service).flatMap(spec -> spec.engine()).isPresent();
+        admission.plan().service(service).flatMap(spec -> spec.engine()).isPresent();
     this.adapter = isEngineService && model != null ? AdapterKey.parse(model) : null;
     this.traits =
         new RequestTraits(
@@ -116,7 +130,8 @@
     this.turnWait = new TurnWait(router.loop(), router.pacer());
     this.eventSplitter = route.resumable() ? new EventSplitter() : null;
     this.targetRequests =
-        new TargetRequestFactory(request, router.headerNames(), route.priority(), callerDeadlineMs);
+        new TargetRequestFactory(
+            request, router.headerNames(), admission, route.priority(), callerDeadlineMs);
   }
 
   private long callerTimeoutMs(HttpHeaders headers) {
@@ -327,10 +342,15 @@
   }
 
   private void send(TargetEntry target) {
+    if (!quota.tryRenew()) {
+      refuseBeyondQuota();
+      return;
+    }
     if (retryReserved) {
       retryReserved = false;
       router.retryBudget(service).recordRetry(ControlThread.nowMs());
     }
+    isRunPossible = true;
     currentAttempt = new Attempt(this, router, target, eventSplitter);
     sentAfterMs = ageMs();
     lastTargetId = target.id();
@@ -347,6 +367,14 @@
     }
   }
 
+  private void refuseBeyondQuota() {
+    if (isAnswerStarted() || runs > 0) {
+      abort(QUOTA_EXCEEDED);
+    } else {
+      fail(429, QUOTA_EXCEEDED, quota.retryAfterMs());
+    }
+  }
+
   /**
    * Cancels an attempt of an idempotent request without an answer so far, and retries at another
    * target if there is one.
@@ -374,7 +402,10 @@
   private boolean tryTakeRetry(int runsSoFar) {
     boolean mayRunAgain =
         isAnswerStarted() ? canResume() : route.isIdempotent() || route.resumable();
-    return mayRunAgain && runsSoFar < route.maxAttempts() && tryReserveRetry();
+    return mayRunAgain
+        && runsSoFar < route.maxAttempts()
+        && quota.tryTakeRuns(runsSoFar + 1)
+        && tryReserveRetry();
   }
 
   /** Reserves the retry that the next {@link #send} uses, unless one is reserved already. */
@@ -390,6 +421,7 @@
 
   void onRejected(Attempt attempt, int status) {
     rejections++;
+    isRunPossible = false;
     recordRejection(attempt.target(), status);
     if (rejections < MAX_REJECTIONS && tryReserveRetry()) {
       dispatch();
@@ -435,6 +467,7 @@
         traits.all().map(Trait::encode).toList());
     if (failure instanceof SendFailure.NotSent) {
       connectFailures++;
+      isRunPossible = false;
       router.health().recordUnreachable(attempt.target().id(), nowMs);
       excludedTargetIds.add(attempt.target().id());
       if (connectFailures < MAX_CONNECT_FAILURES) {
@@ -445,6 +478,7 @@
       return;
     }
     runs++;
+    isRunPossible = false;
     router.health().recordFailure(attempt.target().id(), nowMs);
     if (failure instanceof SendFailure.ConnectionLost) {
       router.crashWatch().onAttemptLost(attempt.target(), traits, attempt.isAnswerConfirmed());
@@ -471,6 +505,7 @@
   private void finish(String code, int status) {
     ended = true;
     turnWait.giveUp();
+    quota.settle(runs + (isRunPossible ? 1 : 0));
     if (retryReserved) {
       retryReserved = false;
       router.retryBudget(service).releaseRetry();
@@ -488,6 +523,8 @@
         requestId,
         "route",
         route.name(),
+        "tenant",
+        admission.tenantName(),
         "code",
         code,
         "status",
@@ -593,12 +630,14 @@
   /** Ends the request, whose answer is complete; the attempt then passes the rest of it on. */
   void onAnswered(int status) {
     runs++;
+    isRunPossible = false;
     finish("answered", status);
   }
 
   /** Sends the request again after an answer that is not passed on, unless it may not run again. */
   void onAnswerDiscarded(TargetEntry target, boolean retryGranted) {
     runs++;
+    isRunPossible = false;
     router.health().recordFailure(target.id(), ControlThread.nowMs());
     excludedTargetIds.add(target.id());
     if (retryGranted || tryTakeRetry(runs)) {
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -32,6 +32,7 @@
 import org.apricotstand.port.AnswerLimits;
 import org.apricotstand.port.HeaderNames;
 import org.apricotstand.port.ServingSettings;
+import org.apricotstand.quota.QuotaShares;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
 import org.apricotstand.route.Route;
@@ -70,6 +71,8 @@
   private final CrashWatch crashWatch;
   private final TargetPacer pacer;
   private final HeldBytes<HeldAnswer> heldBytes;
+  private final AdmissionCheck admissionCheck;
+  private final QuotaGate quotaGate;
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final AllowanceShare retryShare;
@@ -92,6 +95,7 @@
       ServingSettings settings,
       HeaderNames headerNames,
       Supplier<FleetView> view,
+      Supplier<QuotaShares> quotaShares,
       LocalLoadTracker loadTracker,
       FleetNotifier fleetNotifier,
       Metrics metrics,
@@ -104,10 +108,20 @@
         new TargetConnectionPool(loop, headerNames, settings.answerLimits().maxSkippedBytes());
     this.heldBytes = new HeldBytes<>(settings.answerLimits().maxHeldTotalBytes());
     this.retryShare = new AllowanceShare(settings.retryWindowMs());
+    this.admissionCheck = new AdmissionCheck(settings.freshness(), ControlThread::nowMs);
     this.loadTracker = loadTracker;
     this.fleetNotifier = fleetNotifier;
     this.metrics = metrics;
     this.random = random;
+    this.quotaGate =
+        new QuotaGate(
+            settings.quotaBounds(),
+            quotaShares,
+            loadTracker,
+            headerNames,
+            metrics,
+            random,
+            ControlThread::nowMs);
     this.pacer = new TargetPacer(settings.name(), ControlThread::nowMs, fleetNotifier);
     this.crashWatch =
         new CrashWatch(
@@ -174,18 +188,35 @@
       reply.fail(404, "no_route", 0);
       return new EndedCall();
     }
+    Admission admission;
+    switch (admissionCheck.check(request.headers(), route.get(), fleetView)) {
+      case AdmissionCheck.Admitted admitted -> admission = admitted.admission();
+      case AdmissionCheck.Refused refused -> {
+        recordRefusal(request, refused.status(), refused.code());
+        reply.fail(refused.status(), refused.code(), refused.retryAfterMs());
+        return new EndedCall();
+      }
+    }
     if (!endsBeforeShutdown(request, route.get())) {
       recordRefusal(request, 503, SHUTTING_DOWN);
       reply.fail(503, SHUTTING_DOWN, withJitter(SHUTDOWN_RETRY_MS));
       return new EndedCall();
     }
     String service = route.get().serviceFor(random.nextDouble());
-    RequestFlow flow = new RequestFlow(this, request, reply, route.get(), service);
+    quotaGate.setPlan(admission.plan());
+    QuotaTicket quota = quotaGate.ticket(admission, request.headers());
+    RequestFlow flow =
+        new RequestFlow(this, request, reply, route.get(), admission, quota, service);
     if (crashWatch.findRefused(flow.traits()).isPresent()) {
       recordRefusal(request, 503, RequestFlow.CRASHES_TARGETS);
       reply.fail(503, RequestFlow.CRASHES_TARGETS, RequestFlow.CRASHING_REQUEST_RETRY_MS);
       return new EndedCall();
     }
+    if (!quota.tryStart()) {
+      recordRefusal(request, 429, RequestFlow.QUOTA_EXCEEDED);
+      reply.fail(429, RequestFlow.QUOTA_EXCEEDED, quota.retryAfterMs());
+      return new EndedCall();
+    }
     retryBudget(service).recordRequest(ControlThread.nowMs());
     flow.start();
     return flow;
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -74,7 +74,15 @@
     Random random = new Random(incarnation ^ settings.name().hashCode());
     RequestRouter router =
         new RequestRouter(
-            loop, settings, systems.headers(), fleet::view, loadTracker, fleet, metrics, random);
+            loop,
+            settings,
+            systems.headers(),
+            fleet::view,
+            fleet::quotaShares,
+            loadTracker,
+            fleet,
+            metrics,
+            random);
     fleet.setEventListener(new TrafficThreadListener(loop, router));
     fleet.setViewListener(() -> loop.execute(router::onViewChanged));
     callers =
--- a/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
+++ b/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
@@ -329,6 +329,10 @@
     nowMs = endMs;
   }
 
+  long nowMs() {
+    return nowMs;
+  }
+
   Instance get(String name) {
     return instances.get(name);
   }
--- /dev/null
+++ b/node/src/test/java/org/apricotstand/request/TenantQuotaRequestTest.java
@@ -0,0 +1,185 @@
+package org.apricotstand.request;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.apricotstand.control.ControlThread;
+import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.fleet.FleetView;
+import org.apricotstand.quota.QuotaShares;
+import org.apricotstand.route.CallerLimits;
+import org.apricotstand.route.RequestKind;
+import org.apricotstand.route.Route;
+import org.apricotstand.route.RoutingPlan;
+import org.apricotstand.route.ServiceSpec;
+import org.apricotstand.route.WeightedService;
+import org.apricotstand.tenant.Quota;
+import org.apricotstand.tenant.QuotaUnit;
+import org.apricotstand.tenant.Tenant;
+import org.apricotstand.tenant.TenantKeys;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class TenantQuotaRequestTest extends RequestRouterFixture {
+
+  private static final String AUTHORIZATION = "Authorization: Bearer k1\r\n";
+
+  private void serve(Quota quota, RequestKind kind, int maxAttempts, TargetEntry... entries)
+      throws IOException {
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/p/",
+            kind,
+            5_000,
+            500,
+            2_000,
+            maxAttempts,
+            0,
+            false,
+            List.of(new WeightedService("s", 1)));
+    Tenant tenant = new Tenant("hule930", OptionalInt.empty(), quota);
+    RoutingPlan plan =
+        new RoutingPlan(
+            1,
+            List.of(route),
+            List.of(new ServiceSpec("s", 100, Optional.empty())),
+            new CallerLimits(16_384, 65_536, 3_000, 15_000),
+            Optional.of(TenantKeys.builder().add(tenant, List.of("k1")).build()));
+    view =
+        new FleetView(
+            plan,
+            confirmedMs,
+            Map.of("s", List.of(entries)),
+            Map.of(),
+            Set.of(),
+            Map.of(),
+            Map.of(),
+            Set.of("n"),
+            1);
+    quotaShares = new QuotaShares(1, Map.of(), Set.of(), ControlThread.nowMs() + 600_000, 0);
+  }
+
+  private static Quota tokens(double ratePerS, double burst) {
+    return new Quota(QuotaUnit.TOKENS, 200, ratePerS, burst);
+  }
+
+  /** Sends requests until one is refused and returns how many were served. */
+  private int countServed(String headers) throws IOException {
+    for (int served = 0; served < 100; served++) {
+      String answer = call(AUTHORIZATION + headers);
+      if (answer.startsWith("HTTP/1.1 429 ")) {
+        assertThat(answer.toLowerCase()).contains("retry-after: ");
+        return served;
+      }
+      assertThat(answer).endsWith("done");
+    }
+    return 100;
+  }
+
+  private long admittedCost() {
+    return loadTracker.takeAdmitted().getOrDefault("hule930", 0L);
+  }
+
+  // Guards against costs that follow something else than the header, and against a malformed
+  // header that makes a request free or ends it.
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "'X-Token-Count: 300,200'|500",
+        "'X-Token-Count: 300, 200'|500",
+        "'X-Token-Count: 300 200'|500",
+        "'X-Other: 1'|200",
+        "'X-Token-Count: 300'|200",
+        "'X-Token-Count: -300,200'|200",
+        "'X-Token-Count: 9999999999,1'|200",
+        "'X-Token-Count: 1,2,3'|200",
+        "'X-Token-Count: a,b'|200"
+      })
+  void aRequestCostsTheTokensThatItDeclares(String header, long cost) throws IOException {
+    serve(tokens(1e6, 1e6), RequestKind.NON_IDEMPOTENT, 1, target("t1", ANSWERS_DONE));
+    // The bucket of a new instance is empty at first.
+    call(AUTHORIZATION);
+    await(() -> call(AUTHORIZATION + header + "\r\n").endsWith("done"));
+    loadTracker.takeAdmitted();
+    assertThat(call(AUTHORIZATION + header + "\r\n")).endsWith("done");
+    assertThat(admittedCost()).isEqualTo(cost);
+  }
+
+  // Guards against a quota that refuses nothing, or refuses without a time to retry after.
+  @Test
+  void requestsBeyondTheQuotaAreRefusedWithATime() throws Exception {
+    serve(tokens(100, 1_000), RequestKind.NON_IDEMPOTENT, 1, target("t1", ANSWERS_DONE));
+    await(() -> call(AUTHORIZATION + "X-Token-Count: 1,1\r\n").endsWith("done"));
+    int served = countServed("X-Token-Count: 100,100\r\n");
+    assertWithMessage("served of a limit of 1800 in 8 s, 200 each").that(served).isAtMost(10);
+    assertThat(countHeads()).isAtMost(served + 1);
+  }
+
+  // Guards against counting tokens for tenants whose unit is requests.
+  @Test
+  void requestsCountAsOneByUnit() throws IOException {
+    Quota quota = new Quota(QuotaUnit.REQUESTS, 0, 1_000, 1_000);
+    serve(quota, RequestKind.NON_IDEMPOTENT, 1, target("t1", ANSWERS_DONE));
+    await(() -> call(AUTHORIZATION + "X-Token-Count: 700,300\r\n").endsWith("done"));
+    assertThat(admittedCost()).isEqualTo(1);
+  }
+
+  // Guards against requests that no target ran and that use up the quota all the same.
+  @Test
+  void aRequestThatNoTargetRunsGivesItsCostBack() throws IOException {
+    serve(tokens(1e6, 1e6), RequestKind.NON_IDEMPOTENT, 1, target("t1", ANSWERS_DONE));
+    await(() -> call(AUTHORIZATION).endsWith("done"));
+    loadTracker.takeAdmitted();
+    TargetEntry closed = new TargetEntry("t2", "s", "127.0.0.1", 1, "d", 8, false, 1, Map.of());
+    serve(tokens(1e6, 1e6), RequestKind.NON_IDEMPOTENT, 1, closed);
+    assertThat(call(AUTHORIZATION)).startsWith("HTTP/1.1 503 ");
+    assertThat(admittedCost()).isEqualTo(0);
+  }
+
+  // Guards against retries that run at two targets and count once, and against retries that count
+  // twice although the first target did not run the request.
+  @Test
+  void aRetryCountsAgainOnlyIfTheRequestMayHaveRun() throws IOException {
+    ScriptedTarget.Script closes = (id, number, out) -> false;
+    serve(tokens(1e6, 1e6), RequestKind.IDEMPOTENT, 3, target("t1", ANSWERS_DONE));
+    await(() -> call(AUTHORIZATION).endsWith("done"));
+    loadTracker.takeAdmitted();
+    serve(tokens(1e6, 1e6), RequestKind.IDEMPOTENT, 3, target("t2", closes), target("t3", closes));
+    call(AUTHORIZATION);
+    assertThat(admittedCost()).isEqualTo(400);
+    TargetEntry closed = new TargetEntry("t4", "s", "127.0.0.1", 1, "d", 8, false, 1, Map.of());
+    serve(tokens(1e6, 1e6), RequestKind.IDEMPOTENT, 3, closed, target("t5", ANSWERS_DONE));
+    assertThat(call(AUTHORIZATION)).endsWith("done");
+    assertThat(admittedCost()).isEqualTo(200);
+  }
+
+  // Guards against limits that hold for tenants without one.
+  @Test
+  void aTenantWithoutALimitIsNotCounted() throws IOException {
+    serve(Quota.UNLIMITED, RequestKind.NON_IDEMPOTENT, 1, target("t1", ANSWERS_DONE));
+    quotaShares = QuotaShares.NONE;
+    assertThat(call(AUTHORIZATION)).endsWith("done");
+    assertThat(loadTracker.takeOffered()).isEmpty();
+  }
+
+  private interface Condition {
+    boolean holds() throws IOException;
+  }
+
+  private static void await(Condition condition) throws IOException {
+    long endMs = ControlThread.nowMs() + TEST_TIMEOUT_MS;
+    while (!condition.holds()) {
+      assertWithMessage("condition in time").that(ControlThread.nowMs()).isLessThan(endMs);
+    }
+  }
+}
