--- a/core/src/main/java/org/apricotstand/quota/FleetQuotas.java
+++ b/core/src/main/java/org/apricotstand/quota/FleetQuotas.java
@@ -252,7 +252,7 @@
     totals.forEach(
         (tenant, total) -> {
           QuotaLimit limit = limits.get(tenant);
-          if (limit != null && total.demandPerS() > OVERLOAD_RATIO * limit.ratePerS()) {
+          if (limit != null && total.offered() > OVERLOAD_RATIO * bounds.ratePerWindow(limit)) {
             tenants.add(tenant);
           }
         });
@@ -292,7 +292,7 @@
     }
     double unused = limit - total.used();
     double demandPart =
-        total.demandPerS() == 0 ? 1.0 / count : (double) own.demandPerS() / total.demandPerS();
+        total.offered() == 0 ? 1.0 / count : (double) own.offered() / total.offered();
     return own.used() + unused * (EQUAL_FRACTION / count + (1 - EQUAL_FRACTION) * demandPart);
   }
 
--- a/core/src/main/java/org/apricotstand/quota/QuotaBounds.java
+++ b/core/src/main/java/org/apricotstand/quota/QuotaBounds.java
@@ -31,7 +31,12 @@
 
   /** Returns the units that all instances together may admit in a window. */
   public double perWindow(QuotaLimit limit) {
-    return (limit.ratePerS() * windowMs / MS_PER_S + limit.burst()) * (1 + over) + slack;
+    return (ratePerWindow(limit) + limit.burst()) * (1 + over) + slack;
+  }
+
+  /** Returns the units of the rate in a window, without the burst. */
+  double ratePerWindow(QuotaLimit limit) {
+    return limit.ratePerS() * windowMs / MS_PER_S;
   }
 
   /**
@@ -39,7 +44,6 @@
    * slack, which may be many times the limit of a small tenant.
    */
   double divided(QuotaLimit limit) {
-    double limitPerWindow = limit.ratePerS() * windowMs / MS_PER_S + limit.burst();
-    return limitPerWindow * (1 + DIVIDED_FRACTION * over);
+    return (ratePerWindow(limit) + limit.burst()) * (1 + DIVIDED_FRACTION * over);
   }
 }
--- a/core/src/main/java/org/apricotstand/quota/TenantUseMeter.java
+++ b/core/src/main/java/org/apricotstand/quota/TenantUseMeter.java
@@ -13,10 +13,8 @@
   /** Time over which demand is averaged: several requests at the mean rate of an instance. */
   private static final double AVERAGING_MS = 2_000;
 
-  private static final double MS_PER_S = 1_000;
-
-  /** A smaller demand, in units a second, counts as none. */
-  private static final double MIN_DEMAND_PER_S = 0.5;
+  /** A smaller demand, in units a window, counts as none. */
+  private static final double MIN_OFFERED = 0.05;
 
   private final long windowMs;
   private final Map<String, Meter> meters = new HashMap<>();
@@ -24,7 +22,7 @@
 
   private static final class Meter {
     private final UseWindow used;
-    private double demandPerS;
+    private double offered;
 
     private Meter(long windowMs, long nowMs) {
       used = new UseWindow(windowMs, nowMs);
@@ -51,20 +49,19 @@
     double elapsedMs = Math.max(1, nowMs - updatedMs);
     updatedMs = nowMs;
     double weight = 1 - Math.exp(-elapsedMs / AVERAGING_MS);
-    meters.values().forEach(meter -> meter.demandPerS *= 1 - weight);
+    meters.values().forEach(meter -> meter.offered *= 1 - weight);
     offered.forEach(
-        (tenant, cost) ->
-            meterOf(tenant, nowMs).demandPerS += weight * cost * MS_PER_S / elapsedMs);
+        (tenant, cost) -> meterOf(tenant, nowMs).offered += weight * cost * windowMs / elapsedMs);
     admitted.forEach((tenant, cost) -> meterOf(tenant, nowMs).used.add(cost, nowMs));
     Map<String, TenantUse> uses = new HashMap<>();
     for (Iterator<Map.Entry<String, Meter>> all = meters.entrySet().iterator(); all.hasNext(); ) {
       Map.Entry<String, Meter> entry = all.next();
       Meter meter = entry.getValue();
       long used = (long) Math.ceil(meter.used.sum(nowMs));
-      if (used == 0 && meter.demandPerS < MIN_DEMAND_PER_S) {
+      if (used == 0 && meter.offered < MIN_OFFERED) {
         all.remove();
       } else {
-        uses.put(entry.getKey(), new TenantUse((long) Math.ceil(meter.demandPerS), used));
+        uses.put(entry.getKey(), new TenantUse((long) Math.ceil(meter.offered), used));
       }
     }
     return uses;
--- a/node/src/main/java/org/apricotstand/peer/PeerCodec.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerCodec.java
@@ -1,5 +1,7 @@
 package org.apricotstand.peer;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.buffer.ByteBuf;
@@ -8,12 +10,19 @@
 import io.netty.handler.codec.MessageToMessageCodec;
 import java.io.IOException;
 import java.util.List;
+import org.apricotstand.quota.TenantUse;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /** Encodes messages as MessagePack frames and decodes them. */
 final class PeerCodec extends MessageToMessageCodec<ByteBuf, PeerMessage> {
 
-  private static final ObjectMapper MAPPER = new ObjectMapper(new MessagePackFactory());
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper(new MessagePackFactory()).addMixIn(TenantUse.class, ArrayForm.class);
+
+  /** Encodes a type without the names of its components, since messages contain it many times. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  @JsonPropertyOrder({"offered", "used"})
+  private interface ArrayForm {}
 
   @Override
   protected void encode(ChannelHandlerContext context, PeerMessage message, List<Object> out)
@@ -30,6 +39,10 @@
   @Override
   protected void decode(ChannelHandlerContext context, ByteBuf frame, List<Object> out)
       throws IOException {
-    out.add(MAPPER.readValue(ByteBufUtil.getBytes(frame), PeerMessage.class));
+    out.add(fromBytes(ByteBufUtil.getBytes(frame)));
+  }
+
+  static PeerMessage fromBytes(byte[] bytes) throws IOException {
+    return MAPPER.readValue(bytes, PeerMessage.class);
   }
 }
