--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -231,6 +231,7 @@
     }
     LOG.info("configuration_in_force", "version", newPlan.version());
     plan = newPlan;
+    exchange.quotas().setLimits(newPlan.quotaLimits());
     exchange.configurationWatch().setAsking(hasTenants());
     updateEngines();
     schedulePublish();
--- a/node/src/main/java/org/apricotstand/fleet/QuotaExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/QuotaExchange.java
@@ -4,6 +4,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
+import org.apricotstand.observe.EventLog;
 import org.apricotstand.peer.FleetState;
 import org.apricotstand.quota.FleetQuotas;
 import org.apricotstand.quota.QuotaBounds;
@@ -18,10 +19,13 @@
  */
 final class QuotaExchange {
 
+  private static final EventLog LOG = EventLog.of(QuotaExchange.class);
+
   private final LongSupplier clock;
   private final LocalLoadTracker localLoad;
   private final FleetQuotas quotas;
   private final TenantUseMeter meter;
+  private boolean inContact;
 
   /** Creates the exchange of an instance whose tenants have no limits. */
   QuotaExchange(LongSupplier clock, String self, QuotaBounds bounds, LocalLoadTracker localLoad) {
@@ -70,6 +74,19 @@
 
   /** Returns the fractions of the limits that this instance may use. */
   QuotaShares shares(String ownRelay) {
-    return quotas.hasLimits() ? quotas.shares(ownRelay, clock.getAsLong()) : QuotaShares.NONE;
+    if (!quotas.hasLimits()) {
+      return QuotaShares.NONE;
+    }
+    long nowMs = clock.getAsLong();
+    QuotaShares shares = quotas.shares(ownRelay, nowMs);
+    logContact(nowMs < shares.validUntilMs(), shares.equalPart());
+    return shares;
+  }
+
+  private void logContact(boolean isInContact, double equalPart) {
+    if (inContact != isInContact) {
+      inContact = isInContact;
+      LOG.info("quota_contact_changed", "in_contact", isInContact, "equal_part", equalPart);
+    }
   }
 }
