--- a/node/src/test/java/org/apricotstand/fleet/TenantQuotasOfFleetTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/TenantQuotasOfFleetTest.java
@@ -297,4 +297,39 @@
     moveDemand(fleet, 3, 8, 3_000);
     assertWithinBound("small fleet");
   }
+
+  // Guards against instances that use a share and are lost, so that others use it once more.
+  @Test
+  void killedInstancesStayWithinTheBound() {
+    SimulatedFleet fleet = startedFleet(63, 3, 12);
+    weights = instance -> instance.identity.domain().equals("d0") ? 30 : 1;
+    demandPerS = 5 * LIMIT.ratePerS();
+    play(fleet, 20_000);
+    fleet.where(instance -> instance.identity.domain().equals("d0")).forEach(fleet::kill);
+    weights = instance -> instance.identity.domain().equals("d1") ? 30 : 1;
+    play(fleet, 20_000);
+    fleet.where(i -> i.identity.domain().equals("d1")).stream().limit(5).forEach(fleet::kill);
+    play(fleet, 20_000);
+    assertWithinBound("killed");
+  }
+
+  // Guards against a limit smaller than one request of each instance: the equal part is then worth
+  // no request, and the bound must hold although each instance has a few of them.
+  @Test
+  void aSmallLimitIsUsedAndStaysWithinTheBound() {
+    limit = new QuotaLimit(6_000, 6_000);
+    SimulatedFleet fleet = startedFleet(63, 3, 13);
+    weights = TenantQuotasOfFleetTest::skew;
+    demandPerS = 0.5 * limit.ratePerS();
+    // What each instance gets is less than one request, so nothing is claimed on what is served.
+    play(fleet, 70_000);
+    weights = instance -> instance.identity.name().equals("n5") ? 1 : 0;
+    play(fleet, 10_000);
+    assertServed("small limit, one instance", admittedPart(fleet, 60_000), 0.95);
+    weights = instance -> 1;
+    demandPerS = 10 * limit.ratePerS();
+    play(fleet, 30_000);
+    double largest = largestWindow();
+    assertWithMessage("largest window").that(largest).isAtMost(BOUNDS.perWindow(limit));
+  }
 }
