Compute the shares of limits five times a second, not with each view

Cause: each message of load published a view, so that shares were computed 20 times a second for each tenant. Change: only at the period.

--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -65,7 +65,7 @@
    */
   private static final long START_MS = 5_000;
 
-  /** Period in which the shares of limits are computed; they are also computed with each view. */
+  /** Period in which the shares of limits are computed, which takes time for each tenant. */
   private static final long QUOTA_SHARES_PERIOD_MS = 200;
 
   private static final long REFUSAL_READ_RETRY_MS = 300;
@@ -670,7 +670,6 @@
 
   private void publish() {
     publishScheduled = false;
-    updateQuotaShares();
     publishedEnginesWithOwner = enginesWithOwner();
     view =
         new FleetView(
