--- a/core/src/main/java/org/apricotstand/route/RoutingPlan.java
+++ b/core/src/main/java/org/apricotstand/route/RoutingPlan.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.apricotstand.quota.QuotaLimit;
 import org.apricotstand.tenant.Tenant;
 import org.apricotstand.tenant.TenantKeys;
 
@@ -90,6 +91,16 @@
     return tenantKeys.map(TenantKeys::tenants).orElse(List.of());
   }
 
+  /** Returns the limits of the tenants that have one, by name. */
+  public Map<String, QuotaLimit> quotaLimits() {
+    return tenants().stream()
+        .filter(tenant -> tenant.quota().isLimited())
+        .collect(
+            Collectors.toUnmodifiableMap(
+                Tenant::name,
+                tenant -> new QuotaLimit(tenant.quota().ratePerS(), tenant.quota().burst())));
+  }
+
   /** Returns the tenant of an API key, if the key belongs to one; takes constant time. */
   public Optional<Tenant> findTenant(String apiKey) {
     return tenantKeys.flatMap(keys -> keys.find(apiKey));
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -27,6 +27,8 @@
 import org.apricotstand.peer.PeerLinks;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.peer.StateEntry;
+import org.apricotstand.quota.QuotaBounds;
+import org.apricotstand.quota.QuotaShares;
 
 /**
  * Exchanges the state of the fleet with the neighbors that the {@link Overlay} chooses: reports of
@@ -84,6 +86,7 @@
   private final Set<String> useRecipients = new HashSet<>();
   private final Map<String, Map<String, Long>> interestUntilMs = new HashMap<>();
   private final SharedTables tables;
+  private final QuotaExchange quotas;
   private final ConfigurationWatch configurationWatch;
   private final Set<String> leavingInstances = new HashSet<>();
   private Set<String> liveInstances = Set.of();
@@ -110,11 +113,13 @@
       PeerLinks peers,
       LocalLoadTracker localLoad,
       Function<String, String> ownerOf,
+      QuotaBounds quotaBounds,
       FleetExchangeListener listener) {
     this.clock = clock;
     this.self = self;
     this.lastTickMs = clock.getAsLong();
     this.incarnation = incarnation;
+    this.quotas = new QuotaExchange(clock, self.name(), quotaBounds, localLoad);
     this.peers = peers;
     this.localLoad = localLoad;
     this.ownerOf = ownerOf;
@@ -146,23 +151,10 @@
     Map<String, TargetLoad> loads = relayed.loads();
     ownReports.stream()
         .filter(report -> report.sequence() == includedReport)
-        .forEach(report -> subtract(loads, report));
+        .forEach(report -> RelayedState.subtract(loads, report));
     return loads;
   }
 
-  private static void subtract(Map<String, TargetLoad> loads, PeerMessage.MemberReport report) {
-    Map<String, TargetLoad> own = new HashMap<>();
-    RelayedState.add(own, report.started(), report.waiting());
-    own.forEach(
-        (id, load) ->
-            loads.computeIfPresent(
-                id,
-                (target, total) ->
-                    new TargetLoad(
-                        Math.max(0, total.started() - load.started()),
-                        Math.max(0, total.waiting() - load.waiting()))));
-  }
-
   /** Returns the time after which each use of an adapter has reached the owner of its engine. */
   long usageReportLagMs() {
     // One period until the own report, one until the relay passes the sums on.
@@ -174,6 +166,16 @@
     return Math.clamp(periodMs, MIN_REPORT_PERIOD_MS, MAX_REPORT_PERIOD_MS);
   }
 
+  /** Returns the state from which the shares of limits of tenants follow. */
+  QuotaExchange quotas() {
+    return quotas;
+  }
+
+  /** Returns the fractions of the limits of tenants that this instance may use. */
+  QuotaShares quotaShares() {
+    return quotas.shares(overlay.relay().orElse(self.name()));
+  }
+
   /** Publishes what an engine of this instance holds. */
   void publishHoldings(FleetState.EngineHoldings holdings, long fencingNumber) {
     String key = "holdings/" + holdings.engine();
@@ -317,25 +319,13 @@
     boolean changed =
         publishedStatus == null
             || publishedStatus.leaving() != status.leaving()
-            || !leaseVersions(publishedStatus).equals(leaseVersions(status));
+            || !publishedStatus.leaseVersions().equals(status.leaseVersions());
     if (changed) {
       publishedStatus = status;
       publish("instance/" + self.name(), incarnation, status);
     }
   }
 
-  /** Returns the version of each lease; negative once it has expired without a renewal. */
-  private static Map<String, Long> leaseVersions(FleetState.InstanceStatus status) {
-    Map<String, Long> versions = new HashMap<>();
-    status
-        .leases()
-        .forEach(
-            (engine, lease) ->
-                versions.put(
-                    engine, lease.remainingMs() > 0 ? lease.rowVersion() : -lease.rowVersion()));
-    return versions;
-  }
-
   private void removeSilent(long nowMs) {
     members.removeSilent(nowMs);
     relayed.silentRelays(nowMs).forEach(this::removeRelay);
@@ -382,6 +372,9 @@
               includedReport = own.sequence();
             });
     publishMembers(nowMs);
+    if (overlay.relay().isEmpty()) {
+      quotas.onReportIncluded(own.sequence());
+    }
     sendUpdates(overlay.neighbors().keySet());
     members.sequences().forEach(this::confirmReport);
     sendAdaptersInUse();
@@ -402,7 +395,12 @@
     sequence++;
     PeerMessage.MemberReport report =
         new PeerMessage.MemberReport(
-            sequence, started, waiting, MemberReports.toLists(localLoad.adaptersInUse()), arrivals);
+            sequence,
+            started,
+            waiting,
+            MemberReports.toLists(localLoad.adaptersInUse()),
+            arrivals,
+            quotas.takeUses(sequence));
     ownReports.addLast(report);
     if (ownReports.size() > REMEMBERED_REPORTS) {
       ownReports.removeFirst();
@@ -430,7 +428,9 @@
             self.name(),
             members.sum(PeerMessage.MemberReport::started),
             members.sum(PeerMessage.MemberReport::waiting),
-            members.takeArrivals());
+            members.takeArrivals(),
+            members.tenants(),
+            quotas.scope());
     publish("load/" + self.name(), incarnation, load);
     applyLoad(load, nowMs);
   }
@@ -539,7 +539,10 @@
         overlay.recordRequested(from, true, nowMs);
         members.put(from, report, nowMs);
       }
-      case PeerMessage.ReportIncluded included -> includedReport = included.sequence();
+      case PeerMessage.ReportIncluded included -> {
+        includedReport = included.sequence();
+        quotas.onReportIncluded(included.sequence());
+      }
       case PeerMessage.AdaptersInUse use -> {
         answerIfNeeded(from, nowMs);
         useSilentFromMs.put(from, nowMs + Overlay.SILENCE_TIMEOUT_MS);
@@ -663,6 +666,7 @@
 
   private void applyLoad(FleetState.RelayedLoad load, long nowMs) {
     relayed.put(load, nowMs);
+    quotas.onLoad(load, Set.copyOf(relayed.instancesOf(load.relay())));
     updateLiveInstances();
     listener.onInstancesHeard(Set.copyOf(relayed.instancesOf(load.relay())));
     listener.onArrivals(load.arrivals());
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -28,6 +28,7 @@
 import org.apricotstand.port.ServingSettings;
 import org.apricotstand.port.TargetListener;
 import org.apricotstand.port.TargetSource;
+import org.apricotstand.quota.QuotaShares;
 import org.apricotstand.request.FleetNotifier;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
@@ -64,6 +65,9 @@
    */
   private static final long START_MS = 5_000;
 
+  /** Period in which the shares of limits are computed, which takes time for each tenant. */
+  private static final long QUOTA_SHARES_PERIOD_MS = 200;
+
   private static final long REFUSAL_READ_RETRY_MS = 300;
 
   /** Number of adapters of which an engine keeps copies. */
@@ -97,6 +101,8 @@
   private volatile boolean released = true;
   private Set<String> publishedEnginesWithOwner = Set.of();
   private volatile FleetView view = FleetView.EMPTY;
+  private volatile QuotaShares quotaShares = QuotaShares.NONE;
+  private long nextQuotaSharesMs;
 
   /** Creates the service; its view is empty until it is started. */
   public FleetService(
@@ -126,6 +132,7 @@
             peers,
             localLoad,
             this::ownerOf,
+            settings.quotaBounds(),
             this);
     this.refusalTable =
         new RefusalTable(
@@ -160,6 +167,17 @@
     return view;
   }
 
+  /** Returns the newest fractions of the limits of tenants that this instance may use. */
+  public QuotaShares quotaShares() {
+    return quotaShares;
+  }
+
+  private void updateQuotaShares() {
+    nextQuotaSharesMs = ControlThread.nowMs() + QUOTA_SHARES_PERIOD_MS;
+    exchange.quotas().setInstances(knownInstances.count(exchange.liveInstances()));
+    quotaShares = exchange.quotaShares();
+  }
+
   @Override
   public void start() {
     peers.addListener(this);
@@ -213,6 +231,7 @@
     }
     LOG.info("configuration_in_force", "version", newPlan.version());
     plan = newPlan;
+    exchange.quotas().setLimits(newPlan.quotaLimits());
     exchange.configurationWatch().setAsking(hasTenants());
     updateEngines();
     schedulePublish();
@@ -596,6 +615,9 @@
     exchange.tick(leaving, engineOwner.leaseStatuses());
     refusalTable.tick();
     long nowMs = ControlThread.nowMs();
+    if (nowMs >= nextQuotaSharesMs) {
+      updateQuotaShares();
+    }
     if (starting && nowMs >= startEndMs) {
       starting = false;
       updateInstances();
--- a/node/src/main/java/org/apricotstand/fleet/MemberReports.java
+++ b/node/src/main/java/org/apricotstand/fleet/MemberReports.java
@@ -11,6 +11,7 @@
 import java.util.function.Function;
 import org.apricotstand.overlay.Overlay;
 import org.apricotstand.peer.PeerMessage;
+import org.apricotstand.quota.TenantUse;
 
 /**
  * The newest report of each instance for which this one relays, and their sums. Reports of silent
@@ -73,6 +74,20 @@
     return sums;
   }
 
+  /** Returns the demand and the use of all members, by tenant. */
+  Map<String, TenantUse> tenants() {
+    Map<String, TenantUse> sums = new TreeMap<>();
+    members
+        .values()
+        .forEach(
+            member ->
+                member
+                    .report
+                    .tenants()
+                    .forEach((tenant, use) -> sums.merge(tenant, use, TenantUse::plus)));
+    return sums;
+  }
+
   /** Returns the adapters that requests of any member use, by engine id. */
   Map<String, Set<String>> adaptersInUse() {
     Map<String, Set<String>> inUse = new TreeMap<>();
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -1,9 +1,11 @@
 package org.apricotstand.peer;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import java.util.Map;
+import org.apricotstand.quota.TenantUse;
 
 /**
  * A message between two instances. Each record is one message type; the type names in the
@@ -218,14 +220,23 @@
    * @param waiting number of requests whose answer has not begun, by target id
    * @param inUse adapters in use, by engine id
    * @param arrivals number of requests since the last report, by adapter
+   * @param tenants demand and use by tenant with a limit; left out if empty, as by instances of
+   *     earlier versions
    */
   record MemberReport(
       long sequence,
       Map<String, Integer> started,
       Map<String, Integer> waiting,
       Map<String, List<String>> inUse,
-      Map<String, Integer> arrivals)
-      implements PeerMessage {}
+      Map<String, Integer> arrivals,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, TenantUse> tenants)
+      implements PeerMessage {
+
+    /** Creates a report. */
+    public MemberReport {
+      tenants = tenants == null ? Map.of() : tenants;
+    }
+  }
 
   /**
    * Tells a member which of its reports the load published last by its relay includes.
--- a/node/src/main/java/org/apricotstand/port/HeaderNames.java
+++ b/node/src/main/java/org/apricotstand/port/HeaderNames.java
@@ -21,6 +21,7 @@
  * @param leaving in an answer: {@code 1} if the target leaves and wants no further requests
  * @param lastEventId id of the event after which an interrupted stream is resumed
  * @param tenant name of the tenant whose API key the caller sent
+ * @param tokenCount tokens of the prompt and of the longest answer, two numbers
  * @param reserved names in lower case of headers that callers may not set
  */
 public record HeaderNames(
@@ -37,4 +38,5 @@
     String leaving,
     String lastEventId,
     String tenant,
+    String tokenCount,
     Set<String> reserved) {}
--- a/node/src/main/java/org/apricotstand/port/ServingSettings.java
+++ b/node/src/main/java/org/apricotstand/port/ServingSettings.java
@@ -1,6 +1,7 @@
 package org.apricotstand.port;
 
 import java.net.InetSocketAddress;
+import org.apricotstand.quota.QuotaBounds;
 import org.apricotstand.tenant.FreshnessBounds;
 
 /**
@@ -22,6 +23,7 @@
  * @param answerLimits bounds of what is read of an answer without passing it on
  * @param freshness bounds of the age of the configuration
  * @param memoryLimits bounds of the memory that callers and targets use together
+ * @param quotaBounds bound on what all instances together may admit of one tenant
  */
 public record ServingSettings(
     String name,
@@ -38,4 +40,5 @@
     int relayCapacity,
     AnswerLimits answerLimits,
     FreshnessBounds freshness,
-    MemoryLimits memoryLimits) {}
+    MemoryLimits memoryLimits,
+    QuotaBounds quotaBounds) {}
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -44,6 +44,9 @@
   /** Code of requests that end because a step of this instance failed. */
   static final String INTERNAL_ERROR = "internal_error";
 
+  /** Code of requests that exceed the quota of their tenant. */
+  static final String QUOTA_EXCEEDED = "quota_exceeded";
+
   /** Time after which a caller may send a request again that was refused for crashing targets. */
   static final long CRASHING_REQUEST_RETRY_MS = 60_000;
 
@@ -66,6 +69,7 @@
   private final Reply reply;
   private final Route route;
   private final Admission admission;
+  private final QuotaTicket quota;
   private final String service;
   private final String requestId;
   private final AdapterKey adapter;
@@ -87,6 +91,7 @@
   private long sentAfterMs = NOT_REACHED;
   private long firstByteAfterMs = NOT_REACHED;
   private boolean retryReserved;
+  private boolean isRunPossible;
   private HttpResponse answerHead;
   private boolean ended;
 
@@ -96,12 +101,14 @@
       Reply reply,
       Route route,
       Admission admission,
+      QuotaTicket quota,
       String service) {
     this.router = router;
     this.request = request;
     this.reply = reply;
     this.route = route;
     this.admission = admission;
+    this.quota = quota;
     this.service = service;
     this.requestId = request.headers().get(router.headerNames().requestId());
     String model = request.headers().get(router.headerNames().model());
@@ -335,10 +342,15 @@
   }
 
   private void send(TargetEntry target) {
+    if (!quota.tryRenew()) {
+      refuseBeyondQuota();
+      return;
+    }
     if (retryReserved) {
       retryReserved = false;
       router.retryBudget(service).recordRetry(ControlThread.nowMs());
     }
+    isRunPossible = true;
     currentAttempt = new Attempt(this, router, target, eventSplitter);
     sentAfterMs = ageMs();
     lastTargetId = target.id();
@@ -355,6 +367,14 @@
     }
   }
 
+  private void refuseBeyondQuota() {
+    if (isAnswerStarted() || runs > 0) {
+      abort(QUOTA_EXCEEDED);
+    } else {
+      fail(429, QUOTA_EXCEEDED, quota.retryAfterMs());
+    }
+  }
+
   /**
    * Cancels an attempt of an idempotent request without an answer so far, and retries at another
    * target if there is one.
@@ -382,7 +402,10 @@
   private boolean tryTakeRetry(int runsSoFar) {
     boolean mayRunAgain =
         isAnswerStarted() ? canResume() : route.isIdempotent() || route.resumable();
-    return mayRunAgain && runsSoFar < route.maxAttempts() && tryReserveRetry();
+    return mayRunAgain
+        && runsSoFar < route.maxAttempts()
+        && quota.tryTakeRuns(runsSoFar + 1)
+        && tryReserveRetry();
   }
 
   /** Reserves the retry that the next {@link #send} uses, unless one is reserved already. */
@@ -398,6 +421,7 @@
 
   void onRejected(Attempt attempt, int status) {
     rejections++;
+    isRunPossible = false;
     recordRejection(attempt.target(), status);
     if (rejections < MAX_REJECTIONS && tryReserveRetry()) {
       dispatch();
@@ -443,6 +467,7 @@
         traits.all().map(Trait::encode).toList());
     if (failure instanceof SendFailure.NotSent) {
       connectFailures++;
+      isRunPossible = false;
       router.health().recordUnreachable(attempt.target().id(), nowMs);
       excludedTargetIds.add(attempt.target().id());
       if (connectFailures < MAX_CONNECT_FAILURES) {
@@ -453,6 +478,7 @@
       return;
     }
     runs++;
+    isRunPossible = false;
     router.health().recordFailure(attempt.target().id(), nowMs);
     if (failure instanceof SendFailure.ConnectionLost) {
       router.crashWatch().onAttemptLost(attempt.target(), traits, attempt.isAnswerConfirmed());
@@ -487,6 +513,7 @@
   private void finish(String code, int status) {
     ended = true;
     turnWait.giveUp();
+    quota.settle(runs + (isRunPossible ? 1 : 0));
     if (retryReserved) {
       retryReserved = false;
       router.retryBudget(service).releaseRetry();
@@ -612,12 +639,14 @@
   /** Ends the request, whose answer is complete; the attempt then passes the rest of it on. */
   void onAnswered(int status) {
     runs++;
+    isRunPossible = false;
     finish("answered", status);
   }
 
   /** Sends the request again after an answer that is not passed on, unless it may not run again. */
   void onAnswerDiscarded(TargetEntry target, boolean retryGranted) {
     runs++;
+    isRunPossible = false;
     router.health().recordFailure(target.id(), ControlThread.nowMs());
     excludedTargetIds.add(target.id());
     if (retryGranted || tryTakeRetry(runs)) {
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -32,6 +32,7 @@
 import org.apricotstand.port.AnswerLimits;
 import org.apricotstand.port.HeaderNames;
 import org.apricotstand.port.ServingSettings;
+import org.apricotstand.quota.QuotaShares;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
 import org.apricotstand.route.Route;
@@ -71,6 +72,7 @@
   private final TargetPacer pacer;
   private final AdmissionCheck admissionCheck;
   private final MemoryLimiter memory;
+  private final QuotaGate quotaGate;
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final AllowanceShare retryShare;
@@ -93,6 +95,7 @@
       ServingSettings settings,
       HeaderNames headerNames,
       Supplier<FleetView> view,
+      Supplier<QuotaShares> quotaShares,
       LocalLoadTracker loadTracker,
       FleetNotifier fleetNotifier,
       Metrics metrics,
@@ -111,6 +114,15 @@
     this.fleetNotifier = fleetNotifier;
     this.metrics = metrics;
     this.random = random;
+    this.quotaGate =
+        new QuotaGate(
+            settings.quotaBounds(),
+            quotaShares,
+            loadTracker,
+            headerNames,
+            metrics,
+            random,
+            ControlThread::nowMs);
     this.pacer = new TargetPacer(settings.name(), ControlThread::nowMs, fleetNotifier);
     this.crashWatch =
         new CrashWatch(
@@ -198,12 +210,20 @@
       return new EndedCall();
     }
     String service = route.get().serviceFor(random.nextDouble());
-    RequestFlow flow = new RequestFlow(this, request, reply, route.get(), admission, service);
+    quotaGate.setPlan(admission.plan());
+    QuotaTicket quota = quotaGate.ticket(admission, request.headers());
+    RequestFlow flow =
+        new RequestFlow(this, request, reply, route.get(), admission, quota, service);
     if (crashWatch.findRefused(flow.traits()).isPresent()) {
       recordRefusal(request, 503, RequestFlow.CRASHES_TARGETS);
       reply.fail(503, RequestFlow.CRASHES_TARGETS, RequestFlow.CRASHING_REQUEST_RETRY_MS);
       return new EndedCall();
     }
+    if (!quota.tryStart()) {
+      recordRefusal(request, 429, RequestFlow.QUOTA_EXCEEDED);
+      reply.fail(429, RequestFlow.QUOTA_EXCEEDED, quota.retryAfterMs());
+      return new EndedCall();
+    }
     retryBudget(service).recordRequest(ControlThread.nowMs());
     flow.start();
     return flow;
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -80,6 +80,7 @@
             settings,
             systems.headers(),
             fleet::view,
+            fleet::quotaShares,
             loadTracker,
             fleet,
             metrics,
@@ -97,15 +98,21 @@
             memory,
             settings.memoryLimits().maxConnections());
     drainRunner = new DrainRunner(loop, new InstanceDrainSteps(fleet, router, callers));
+    StatusServer status =
+        new StatusServer(
+            group, settings.readyAddress(), settings.metricsAddress(), this::isReady, metrics);
+    registerServices(control, metrics, peers, status);
+  }
+
+  /** Registers the services in the order in which they start. */
+  private void registerServices(
+      ControlThread control, Metrics metrics, PeerNetwork peers, StatusServer status) {
     kernel.register("control", control);
     kernel.register("metrics", metrics);
     kernel.register("peers", peers);
     kernel.register("fleet", fleet);
     kernel.register("callers", callers);
-    kernel.register(
-        "status",
-        new StatusServer(
-            group, settings.readyAddress(), settings.metricsAddress(), this::isReady, metrics));
+    kernel.register("status", status);
   }
 
   /**
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -31,6 +31,8 @@
 import org.apricotstand.port.HeaderNames;
 import org.apricotstand.port.MemoryLimits;
 import org.apricotstand.port.ServingSettings;
+import org.apricotstand.quota.QuotaBounds;
+import org.apricotstand.quota.QuotaShares;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
 import org.apricotstand.residency.SlotEvent;
@@ -64,6 +66,7 @@
           "x-leaving",
           "last-event-id",
           "x-tenant",
+          "x-token-count",
           Set.of("x-expect-target", "x-reserved"));
   static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
   static final long TEST_TIMEOUT_MS = 20_000;
@@ -77,6 +80,7 @@
   final List<Trait> refusals = new CopyOnWriteArrayList<>();
   final LocalLoadTracker loadTracker = new LocalLoadTracker();
   volatile FleetView view = FleetView.EMPTY;
+  volatile QuotaShares quotaShares = QuotaShares.NONE;
   volatile boolean fleetFails;
 
   /** Time at which the configuration of a view was confirmed; in the future, so never too old. */
@@ -157,7 +161,8 @@
             100,
             LIMITS,
             FreshnessBounds.DEFAULT,
-            memoryLimits);
+            memoryLimits,
+            QuotaBounds.DEFAULT);
     EventLoop loop = group.next();
     Metrics metrics = new Metrics();
     MemoryLimiter memory = new MemoryLimiter(memoryLimits, LIMITS, metrics);
@@ -167,6 +172,7 @@
             settings,
             NAMES,
             () -> view,
+            () -> quotaShares,
             loadTracker,
             new RecordingFleet(),
             metrics,
