Send a second attempt of a late request

Cause: the decisions about hedged requests were not used.

Change: HedgeRace sends a second attempt when the first is late. The first success of the two answers; the other is cancelled, and no byte of it is passed on, since an attempt writes only after the choice at its head. If one fails, the other goes on without a retry; after the second failure the usual retry applies. Setting hedging.maxShare (default 0) turns it on; without it a request has neither a race nor a timer more. CrashSuspects tells whether a request is suspected.

--- a/core/src/main/java/org/apricotstand/route/RoutingPlan.java
+++ b/core/src/main/java/org/apricotstand/route/RoutingPlan.java
@@ -7,6 +7,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.stream.Collectors;
 import org.apricotstand.tenant.Tenant;
@@ -60,6 +61,11 @@
                 ImmutableListMultimap.toImmutableListMultimap(Route::host, Function.identity()));
   }
 
+  /** Returns the names of all routes. */
+  public Set<String> routeNames() {
+    return routesByHost.values().stream().map(Route::name).collect(Collectors.toSet());
+  }
+
   /** Returns the version of the configuration; newer versions are greater. */
   public long version() {
     return version;
--- a/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
+++ b/core/src/main/java/org/apricotstand/suspect/CrashSuspects.java
@@ -344,6 +344,16 @@
     return refusal != null && nowMs < refusal.untilMs;
   }
 
+  /** Returns whether one of the traits may be the cause of a crash. */
+  public boolean isSuspected(Collection<Trait> traits, long nowMs) {
+    return traits.stream()
+        .anyMatch(
+            trait -> {
+              Suspicion suspicion = suspicions.get(trait);
+              return suspicion != null && !isExpired(trait, suspicion, nowMs);
+            });
+  }
+
   /** Returns whether any trait is or was refused; if not, none needs to be looked up. */
   public boolean hasRefusals() {
     return !refusals.isEmpty();
--- a/core/src/test/java/org/apricotstand/suspect/CrashSuspectsTest.java
+++ b/core/src/test/java/org/apricotstand/suspect/CrashSuspectsTest.java
@@ -51,6 +51,17 @@
     assertThat(isRefused(request("f"), 2)).isFalse();
   }
 
+  // Guards against a second attempt of a request that may have crashed one target already.
+  @Test
+  void suspectsTheRequestsOfACrashUntilItExpires() {
+    assertThat(suspects.isSuspected(List.of(request("f")), 0)).isFalse();
+    crash("t1#1", 0, request("f"));
+    assertThat(suspects.isSuspected(List.of(request("g"), request("f")), 1)).isTrue();
+    assertThat(suspects.isSuspected(List.of(request("g")), 1)).isFalse();
+    assertThat(suspects.isSuspected(List.of(request("f")), CrashSuspects.CRASH_RETENTION_MS))
+        .isFalse();
+  }
+
   @Test
   void crashesExpire() {
     crash("t1#1", 0, request("f"));
--- a/node/src/main/java/org/apricotstand/port/ServingSettings.java
+++ b/node/src/main/java/org/apricotstand/port/ServingSettings.java
@@ -21,6 +21,8 @@
  * @param relayCapacity declared capacity of the machine to relay messages between instances
  * @param answerLimits bounds of what is read of an answer without passing it on
  * @param freshness bounds of the age of the configuration
+ * @param maxHedgeShare second attempts of late requests that all instances together may send per
+ *     request; 0 sends none
  */
 public record ServingSettings(
     String name,
@@ -36,4 +38,5 @@
     long retryWindowMs,
     int relayCapacity,
     AnswerLimits answerLimits,
-    FreshnessBounds freshness) {}
+    FreshnessBounds freshness,
+    double maxHedgeShare) {}
--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -64,6 +64,15 @@
     return head != null;
   }
 
+  boolean isSuccess() {
+    return head != null && head.isSignedSuccess();
+  }
+
+  /** Returns the time since the request was sent. */
+  long ageMs() {
+    return ControlThread.nowMs() - sentMs;
+  }
+
   boolean hasFirstByte() {
     return firstByteReceived;
   }
@@ -94,10 +103,23 @@
     }
   }
 
+  /** Cancels this attempt because its target did not answer in time. */
+  void cancelAsLate() {
+    cancel();
+    recordTimeOut();
+  }
+
+  /** Records that the target did not answer in time, which may be because it has crashed. */
+  void recordTimeOut() {
+    if (isSent() && !firstByteReceived) {
+      router.crashWatch().onAttemptTimedOut(target, flow.traits());
+    }
+  }
+
   private void close() {
     if (!closed) {
       closed = true;
-      flow.onAttemptClosed();
+      flow.onAttemptClosed(this);
       router.heldBytes().remove(this);
       router.loadTracker().recordEnd(target.id(), flow.adapter(), firstByteReceived);
     }
@@ -111,12 +133,17 @@
       giveUp("success without signature");
       return;
     }
+    if (flow.isHedged() && !head.isSignedSuccess()) {
+      leaveToOther();
+      return;
+    }
     retryGranted = !head.isNotExecuted() && head.isFailure() && flow.tryTakeRetry();
     discardAnswer = head.isNotExecuted() || retryGranted;
     if (discardAnswer) {
       connection.closeAfterAnswer();
       return;
     }
+    flow.onAnswerChosen(this);
     if (flow.isAnswerStarted()) {
       continueAnswer();
     } else if (isStreamed()) {
@@ -124,6 +151,16 @@
     }
   }
 
+  /** Ends this attempt, whose answer is no success, while the other one is in flight. */
+  private void leaveToOther() {
+    cancel();
+    if (head.isNotExecuted()) {
+      flow.onRejected(this, head.status());
+    } else {
+      flow.onAnswerRejected(this, head.isFailure());
+    }
+  }
+
   /**
    * Takes the answer as the rest of the stream that the caller has, unless it is something else.
    */
--- a/node/src/main/java/org/apricotstand/request/CrashWatch.java
+++ b/node/src/main/java/org/apricotstand/request/CrashWatch.java
@@ -114,6 +114,11 @@
     return suspects.findRefused(traits.all().toList(), clock.getAsLong());
   }
 
+  /** Returns whether a request shares a trait with requests of targets that crashed. */
+  boolean isSuspected(RequestTraits traits) {
+    return !suspects.isEmpty() && suspects.isSuspected(traits.all().toList(), clock.getAsLong());
+  }
+
   /**
    * Records that a target lost the connection of a request, and probes the target once for all
    * requests that it loses at the same time. If it does not respond, or if it is replaced soon
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -27,9 +27,9 @@
 
 /**
  * Handles one request from its arrival to the end of its answer; runs on the traffic thread. The
- * request waits until an engine has its adapter, and is sent to one target at a time. It is sent
- * again only if the previous target proved that it did not run the request, or if the route allows
- * more than one run.
+ * request waits until an engine has its adapter, and is sent to one target at a time, or to a
+ * second one while the first is late (see {@link HedgeRace}). It is sent again only if the previous
+ * target proved that it did not run the request, or if the route allows more than one run.
  */
 final class RequestFlow implements CallHandler.ActiveCall {
 
@@ -77,9 +77,14 @@
   private final TargetRequestFactory targetRequests;
   private final LoadWait loadWait;
   private final TurnWait turnWait;
+
+  /** Null if the request cannot be hedged. */
+  private final HedgeRace hedgeRace;
+
   private ScheduledFuture<?> deadlineTimer;
   private ScheduledFuture<?> refusalTimer;
   private Attempt currentAttempt;
+
   private String lastTargetId = "";
   private int runs;
   private int rejections;
@@ -121,6 +126,7 @@
             deadlineMs,
             request.arrivedMs() + route.targetLatencyMs());
     this.turnWait = new TurnWait(router.loop(), router.pacer());
+    this.hedgeRace = HedgeRace.createOrNull(this, router, route);
     this.eventSplitter = route.resumable() ? new EventSplitter() : null;
     this.targetRequests =
         new TargetRequestFactory(
@@ -136,6 +142,11 @@
     return service;
   }
 
+  /** Returns the number of attempts that have ended and may have run the request. */
+  int runs() {
+    return runs;
+  }
+
   AdapterKey adapter() {
     return adapter;
   }
@@ -148,6 +159,10 @@
     return excludedTargetIds.contains(target.id());
   }
 
+  void exclude(TargetEntry target) {
+    excludedTargetIds.add(target.id());
+  }
+
   /** Returns whether the request has asked for a load at the target and still waits for it. */
   boolean hasRequestedLoad(TargetEntry target) {
     return target.id().equals(loadWait.engine());
@@ -166,7 +181,7 @@
     guard(this::dispatch);
   }
 
-  private ScheduledFuture<?> schedule(Runnable step, long delayMs) {
+  ScheduledFuture<?> schedule(Runnable step, long delayMs) {
     return router.loop().schedule(() -> guard(step), delayMs, TimeUnit.MILLISECONDS);
   }
 
@@ -189,10 +204,17 @@
       reply.abort();
       return;
     }
+    cancelAttempts();
+    abort(INTERNAL_ERROR);
+  }
+
+  private void cancelAttempts() {
+    if (hedgeRace != null) {
+      hedgeRace.cancel();
+    }
     if (currentAttempt != null) {
       currentAttempt.cancel();
     }
-    abort(INTERNAL_ERROR);
   }
 
   /** Refuses the request if its adapter is not loaded shortly before the caller disconnects. */
@@ -232,9 +254,7 @@
   /** Ends the request now: as not run, with a time to retry after, unless a target may run it. */
   private void cancelAndEnd(String code, long retryAfterMs) {
     boolean isSent = currentAttempt != null;
-    if (isSent) {
-      currentAttempt.cancel();
-    }
+    cancelAttempts();
     if (isSent || isAnswerStarted() || runs > 0) {
       abort(code);
     } else {
@@ -335,23 +355,35 @@
   }
 
   private void send(TargetEntry target) {
+    Attempt attempt = createAttempt(target);
+    currentAttempt = attempt;
+    sentAfterMs = ageMs();
+    lastTargetId = target.id();
+    transmit(attempt);
+    if (hedgeRace != null && runs == 0) {
+      hedgeRace.start(attempt);
+    }
+  }
+
+  Attempt createAttempt(TargetEntry target) {
+    return new Attempt(this, router, target, eventSplitter);
+  }
+
+  void transmit(Attempt attempt) {
     if (retryReserved) {
       retryReserved = false;
       router.retryBudget(service).recordRetry(ControlThread.nowMs());
     }
-    currentAttempt = new Attempt(this, router, target, eventSplitter);
-    sentAfterMs = ageMs();
-    lastTargetId = target.id();
+    TargetEntry target = attempt.target();
     long version = adapter == null ? 0 : router.view().declaredVersion(adapter);
     String lastEventId = eventSplitter == null ? null : eventSplitter.lastEventId();
     TargetRequest targetRequest = targetRequests.create(target, version, lastEventId);
     router.loadTracker().recordSent(target.id(), adapter);
-    Attempt current = currentAttempt;
-    router.connections().send(target, targetRequest, current, current::onConnected);
+    router.connections().send(target, targetRequest, attempt, attempt::onConnected);
     if (route.isIdempotent()) {
       long leftMs = deadlineMs - ControlThread.nowMs();
       long headTimeoutMs = Math.max(MIN_HEAD_TIMEOUT_MS, (long) (HEAD_TIMEOUT_FRACTION * leftMs));
-      schedule(() -> onHeadTimeout(current), headTimeoutMs);
+      schedule(() -> onHeadTimeout(attempt), headTimeoutMs);
     }
   }
 
@@ -363,17 +395,15 @@
     if (attempt.isClosed() || attempt.hasHead()) {
       return;
     }
-    if (hasOtherTarget(attempt.target()) && tryTakeRetry()) {
+    if (isHedged()) {
+      attempt.cancel();
+      onAttemptLost(attempt, new SendFailure.Silent("no answer in time"), false);
+    } else if (router.hasOtherTarget(this, attempt.target()) && tryTakeRetry()) {
       attempt.cancel();
       onAttemptLost(attempt, new SendFailure.Silent("no answer in time"), true);
     }
   }
 
-  private boolean hasOtherTarget(TargetEntry target) {
-    return router.view().targetsOf(service).stream()
-        .anyMatch(other -> !other.id().equals(target.id()) && !isExcluded(other));
-  }
-
   /** Takes a retry from the budget if the route allows another run after one more. */
   boolean tryTakeRetry() {
     return tryTakeRetry(runs + 1);
@@ -386,7 +416,7 @@
   }
 
   /** Reserves the retry that the next {@link #send} uses, unless one is reserved already. */
-  private boolean tryReserveRetry() {
+  boolean tryReserveRetry() {
     retryReserved = retryReserved || router.tryReserveRetry(service);
     return retryReserved;
   }
@@ -399,6 +429,9 @@
   void onRejected(Attempt attempt, int status) {
     rejections++;
     recordRejection(attempt.target(), status);
+    if (hasAttemptLeft()) {
+      return;
+    }
     if (rejections < MAX_REJECTIONS && tryReserveRetry()) {
       dispatch();
     } else {
@@ -445,6 +478,9 @@
       connectFailures++;
       router.health().recordUnreachable(attempt.target().id(), nowMs);
       excludedTargetIds.add(attempt.target().id());
+      if (hasAttemptLeft()) {
+        return;
+      }
       if (connectFailures < MAX_CONNECT_FAILURES) {
         dispatch();
       } else {
@@ -457,7 +493,11 @@
     if (failure instanceof SendFailure.ConnectionLost) {
       router.crashWatch().onAttemptLost(attempt.target(), traits, attempt.isAnswerConfirmed());
     } else if (failure instanceof SendFailure.Silent) {
-      noteTimeOut(attempt);
+      attempt.recordTimeOut();
+    }
+    if (hasAttemptLeft()) {
+      excludedTargetIds.add(attempt.target().id());
+      return;
     }
     if (retryAlreadyGranted || tryTakeRetry(runs)) {
       if (eventSplitter != null) {
@@ -470,12 +510,6 @@
     }
   }
 
-  private void noteTimeOut(Attempt attempt) {
-    if (attempt.isSent() && !attempt.hasFirstByte()) {
-      router.crashWatch().onAttemptTimedOut(attempt.target(), traits);
-    }
-  }
-
   private void fail(int status, String code, long retryAfterMs) {
     if (ended) {
       return;
@@ -536,14 +570,16 @@
     if (ended) {
       return;
     }
-    Attempt current = currentAttempt;
-    if (current != null) {
-      current.cancel();
-      noteTimeOut(current);
+    boolean isSent = currentAttempt != null;
+    if (hedgeRace != null) {
+      hedgeRace.cancelAsLate();
+    }
+    if (isSent) {
+      currentAttempt.cancelAsLate();
     }
     if (isAnswerStarted()) {
       abort("deadline");
-    } else if (current != null || runs > 0) {
+    } else if (isSent || runs > 0) {
       fail(504, "deadline", 0);
     } else {
       refuseOrAbort("adapter_not_loaded", RetryAdvice.Cause.LOADS_QUEUED);
@@ -555,9 +591,7 @@
     if (ended) {
       return;
     }
-    if (currentAttempt != null) {
-      currentAttempt.cancel();
-    }
+    cancelAttempts();
     finish("caller_gone", 0);
   }
 
@@ -601,8 +635,43 @@
     reply.writeHead(head);
   }
 
-  void onAttemptClosed() {
-    currentAttempt = null;
+  /** Goes on with the other attempt if two are in flight. */
+  void onAttemptClosed(Attempt attempt) {
+    currentAttempt = hedgeRace == null ? null : hedgeRace.onAttemptClosed(attempt, currentAttempt);
+    if (currentAttempt != null) {
+      lastTargetId = currentAttempt.target().id();
+    }
+  }
+
+  /** Returns whether two attempts are in flight. */
+  boolean isHedged() {
+    return hedgeRace != null && hedgeRace.isRunning();
+  }
+
+  /** Returns whether the other one of two attempts is in flight after one has ended. */
+  private boolean hasAttemptLeft() {
+    return currentAttempt != null;
+  }
+
+  /** Lets an attempt answer the request; no byte of an answer is passed on before. */
+  void onAnswerChosen(Attempt attempt) {
+    if (hedgeRace != null) {
+      hedgeRace.onAnswerChosen(attempt, currentAttempt);
+    }
+  }
+
+  /** Counts an attempt that is cancelled for another one. */
+  void recordRunOf(Attempt attempt) {
+    runs += attempt.isSent() ? 1 : 0;
+  }
+
+  /** Records an answer that is no success, while the other attempt goes on. */
+  void onAnswerRejected(Attempt attempt, boolean isFailure) {
+    runs++;
+    excludedTargetIds.add(attempt.target().id());
+    if (isFailure) {
+      router.health().recordFailure(attempt.target().id(), ControlThread.nowMs());
+    }
   }
 
   void onFirstByte() {
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.Availability;
 import org.apricotstand.dispatch.Candidate;
@@ -24,6 +25,10 @@
 import org.apricotstand.front.CallHandler;
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.front.Reply;
+import org.apricotstand.hedge.HedgeAllowance;
+import org.apricotstand.hedge.HedgeDecision;
+import org.apricotstand.hedge.HedgePolicy;
+import org.apricotstand.hedge.HedgeSituation;
 import org.apricotstand.limit.AllowanceShare;
 import org.apricotstand.limit.HeldBytes;
 import org.apricotstand.limit.WindowedRetryBudget;
@@ -74,6 +79,7 @@
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final AllowanceShare retryShare;
+  private final Optional<Hedging> hedging;
   private final Set<RequestFlow> activeFlows = new LinkedHashSet<>();
   private final Set<RequestFlow> waitingFlows = new LinkedHashSet<>();
   private final Set<PlanWait> planWaits = new LinkedHashSet<>();
@@ -111,6 +117,10 @@
     this.metrics = metrics;
     this.random = random;
     this.pacer = new TargetPacer(settings.name(), ControlThread::nowMs, fleetNotifier);
+    this.hedging =
+        settings.maxHedgeShare() > 0
+            ? Optional.of(new Hedging(settings.maxHedgeShare(), metrics))
+            : Optional.empty();
     this.crashWatch =
         new CrashWatch(
             loop,
@@ -204,6 +214,7 @@
       return new EndedCall();
     }
     retryBudget(service).recordRequest(ControlThread.nowMs());
+    hedging.ifPresent(known -> known.recordRequest(service));
     flow.start();
     return flow;
   }
@@ -269,11 +280,8 @@
   }
 
   Optional<Candidate> choose(RequestFlow flow) {
-    FleetView fleetView = view.get();
     List<Candidate> candidates =
-        fleetView.targetsOf(flow.service()).stream()
-            .filter(target -> !flow.isExcluded(target))
-            .map(target -> toCandidate(fleetView, target, flow))
+        candidates(flow)
             .filter(candidate -> candidate.sendDelayMs() <= flow.maxSendDelayMs())
             .toList();
     return flow.adapter() == null
@@ -281,6 +289,39 @@
         : TargetChooser.chooseEngine(flow.adapter().toString(), settings.domain(), candidates);
   }
 
+  /** Decides whether and where a second attempt of a late request is sent. */
+  HedgeDecision decideHedge(
+      RequestFlow flow, Route route, Attempt first, HedgeAllowance allowance) {
+    AdapterKey key = flow.adapter();
+    HedgeSituation situation =
+        new HedgeSituation(
+            route,
+            flow.runs(),
+            first.hasHead(),
+            crashWatch.isSuspected(flow.traits()),
+            waitingFlows.stream().anyMatch(other -> other.service().equals(flow.service())),
+            first.target().id(),
+            Set.of(),
+            key == null ? null : key.toString(),
+            settings.domain(),
+            candidates(flow).toList());
+    return HedgePolicy.decide(situation, allowance, flow::tryReserveRetry);
+  }
+
+  /** Returns whether the service has another target that a request may be sent to. */
+  boolean hasOtherTarget(RequestFlow flow, TargetEntry target) {
+    return view.get().targetsOf(flow.service()).stream()
+        .anyMatch(other -> !other.id().equals(target.id()) && !flow.isExcluded(other));
+  }
+
+  /** Returns the targets of the service but those that the request excludes. */
+  private Stream<Candidate> candidates(RequestFlow flow) {
+    FleetView fleetView = view.get();
+    return fleetView.targetsOf(flow.service()).stream()
+        .filter(target -> !flow.isExcluded(target))
+        .map(target -> toCandidate(fleetView, target, flow));
+  }
+
   /** Returns whether a target limits requests, so that this instance cannot send one now. */
   boolean isLimited(TargetEntry target) {
     return pacer.delayMs(target).orElse(1) > 0;
@@ -376,6 +417,11 @@
     pacer.recordLimitEnd(incarnation);
   }
 
+  /** Returns the state of hedging; empty if it is off. */
+  Optional<Hedging> hedging() {
+    return hedging;
+  }
+
   TargetPacer pacer() {
     return pacer;
   }
@@ -408,7 +454,9 @@
     connections.sweep(incarnations);
     crashWatch.checkReplacements();
     pacer.retain(incarnations);
-    health.retain(liveTargets.stream().map(TargetEntry::id).collect(Collectors.toSet()));
+    Set<String> ids = liveTargets.stream().map(TargetEntry::id).collect(Collectors.toSet());
+    health.retain(ids);
+    hedging.ifPresent(known -> known.sweep(view.get().plan(), ids, ControlThread.nowMs()));
   }
 
   AnswerLimits answerLimits() {
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -87,6 +87,8 @@
    */
   double retryRatio = 5;
 
+  double maxHedgeShare;
+
   CallerServer server;
   RequestRouter router;
 
@@ -153,7 +155,8 @@
             10_000,
             100,
             LIMITS,
-            FreshnessBounds.DEFAULT);
+            FreshnessBounds.DEFAULT,
+            maxHedgeShare);
     EventLoop loop = group.next();
     Metrics metrics = new Metrics();
     router =
