--- a/node/src/main/java/org/apricotstand/port/ServingSettings.java
+++ b/node/src/main/java/org/apricotstand/port/ServingSettings.java
@@ -24,6 +24,8 @@
  * @param freshness bounds of the age of the configuration
  * @param memoryLimits bounds of the memory that callers and targets use together
  * @param quotaBounds bound on what all instances together may admit of one tenant
+ * @param maxHedgeShare second attempts of late requests that all instances together may send per
+ *     request; 0 sends none
  */
 public record ServingSettings(
     String name,
@@ -41,4 +43,5 @@
     AnswerLimits answerLimits,
     FreshnessBounds freshness,
     MemoryLimits memoryLimits,
-    QuotaBounds quotaBounds) {}
+    QuotaBounds quotaBounds,
+    double maxHedgeShare) {}
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -21,15 +21,14 @@
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.route.RequestKind;
 import org.apricotstand.route.Route;
-import org.apricotstand.suspect.Trait;
 import org.apricotstand.upstream.SendFailure;
 import org.apricotstand.upstream.TargetRequest;
 
 /**
  * Handles one request from its arrival to the end of its answer; runs on the traffic thread. The
- * request waits until an engine has its adapter, and is sent to one target at a time. It is sent
- * again only if the previous target proved that it did not run the request, or if the route allows
- * more than one run.
+ * request waits until an engine has its adapter, and is sent to one target at a time, or to a
+ * second one while the first is late (see {@link HedgeRace}). It is sent again only if the previous
+ * target proved that it did not run the request, or if the route allows more than one run.
  */
 final class RequestFlow implements CallHandler.ActiveCall {
 
@@ -81,9 +80,14 @@
   private final TargetRequestFactory targetRequests;
   private final LoadWait loadWait;
   private final TurnWait turnWait;
+
+  /** Null if the request cannot be hedged. */
+  private final HedgeRace hedgeRace;
+
   private ScheduledFuture<?> deadlineTimer;
   private ScheduledFuture<?> refusalTimer;
   private Attempt currentAttempt;
+
   private String lastTargetId = "";
   private int runs;
   private int rejections;
@@ -91,7 +95,10 @@
   private long sentAfterMs = NOT_REACHED;
   private long firstByteAfterMs = NOT_REACHED;
   private boolean retryReserved;
-  private boolean isRunPossible;
+
+  /** Attempts that were sent and of which it is not known whether they ran. */
+  private int unsettledAttempts;
+
   private HttpResponse answerHead;
   private boolean ended;
 
@@ -128,6 +135,7 @@
             deadlineMs,
             request.arrivedMs() + route.targetLatencyMs());
     this.turnWait = new TurnWait(router.loop(), router.pacer());
+    this.hedgeRace = HedgeRace.createOrNull(this, router, route);
     this.eventSplitter = route.resumable() ? new EventSplitter() : null;
     this.targetRequests =
         new TargetRequestFactory(
@@ -143,6 +151,11 @@
     return service;
   }
 
+  /** Returns the number of attempts that have ended and may have run the request. */
+  int runs() {
+    return runs;
+  }
+
   AdapterKey adapter() {
     return adapter;
   }
@@ -155,6 +168,10 @@
     return excludedTargetIds.contains(target.id());
   }
 
+  void exclude(TargetEntry target) {
+    excludedTargetIds.add(target.id());
+  }
+
   /** Returns whether the request has asked for a load at the target and still waits for it. */
   boolean hasRequestedLoad(TargetEntry target) {
     return target.id().equals(loadWait.engine());
@@ -173,7 +190,7 @@
     guard(this::dispatch);
   }
 
-  private ScheduledFuture<?> schedule(Runnable step, long delayMs) {
+  ScheduledFuture<?> schedule(Runnable step, long delayMs) {
     return router.loop().schedule(() -> guard(step), delayMs, TimeUnit.MILLISECONDS);
   }
 
@@ -196,10 +213,17 @@
       reply.abort();
       return;
     }
+    cancelAttempts();
+    abort(INTERNAL_ERROR);
+  }
+
+  private void cancelAttempts() {
+    if (hedgeRace != null) {
+      hedgeRace.cancel();
+    }
     if (currentAttempt != null) {
       currentAttempt.cancel();
     }
-    abort(INTERNAL_ERROR);
   }
 
   /** Refuses the request if its adapter is not loaded shortly before the caller disconnects. */
@@ -239,9 +263,7 @@
   /** Ends the request now: as not run, with a time to retry after, unless a target may run it. */
   private void cancelAndEnd(String code, long retryAfterMs) {
     boolean isSent = currentAttempt != null;
-    if (isSent) {
-      currentAttempt.cancel();
-    }
+    cancelAttempts();
     if (isSent || isAnswerStarted() || runs > 0) {
       abort(code);
     } else {
@@ -346,24 +368,36 @@
       refuseBeyondQuota();
       return;
     }
+    Attempt attempt = createAttempt(target);
+    currentAttempt = attempt;
+    sentAfterMs = ageMs();
+    lastTargetId = target.id();
+    transmit(attempt);
+    if (hedgeRace != null && runs == 0) {
+      hedgeRace.start(attempt);
+    }
+  }
+
+  Attempt createAttempt(TargetEntry target) {
+    return new Attempt(this, router, target, eventSplitter);
+  }
+
+  void transmit(Attempt attempt) {
     if (retryReserved) {
       retryReserved = false;
       router.retryBudget(service).recordRetry(ControlThread.nowMs());
     }
-    isRunPossible = true;
-    currentAttempt = new Attempt(this, router, target, eventSplitter);
-    sentAfterMs = ageMs();
-    lastTargetId = target.id();
+    unsettledAttempts++;
+    TargetEntry target = attempt.target();
     long version = adapter == null ? 0 : router.view().declaredVersion(adapter);
     String lastEventId = eventSplitter == null ? null : eventSplitter.lastEventId();
     TargetRequest targetRequest = targetRequests.create(target, version, lastEventId);
     router.loadTracker().recordSent(target.id(), adapter);
-    Attempt current = currentAttempt;
-    router.connections().send(target, targetRequest, current, current::onConnected);
+    router.connections().send(target, targetRequest, attempt, attempt::onConnected);
     if (route.isIdempotent()) {
       long leftMs = deadlineMs - ControlThread.nowMs();
       long headTimeoutMs = Math.max(MIN_HEAD_TIMEOUT_MS, (long) (HEAD_TIMEOUT_FRACTION * leftMs));
-      current.setHeadTimer(schedule(() -> onHeadTimeout(current), headTimeoutMs));
+      attempt.setHeadTimer(schedule(() -> onHeadTimeout(attempt), headTimeoutMs));
     }
   }
 
@@ -383,17 +417,15 @@
     if (attempt.isClosed() || attempt.hasHead()) {
       return;
     }
-    if (hasOtherTarget(attempt.target()) && tryTakeRetry()) {
+    if (isHedged()) {
+      attempt.cancel();
+      onAttemptLost(attempt, new SendFailure.Silent("no answer in time"), false);
+    } else if (router.hasOtherTarget(this, attempt.target()) && tryTakeRetry()) {
       attempt.cancel();
       onAttemptLost(attempt, new SendFailure.Silent("no answer in time"), true);
     }
   }
 
-  private boolean hasOtherTarget(TargetEntry target) {
-    return router.view().targetsOf(service).stream()
-        .anyMatch(other -> !other.id().equals(target.id()) && !isExcluded(other));
-  }
-
   /** Takes a retry from the budget if the route allows another run after one more. */
   boolean tryTakeRetry() {
     return tryTakeRetry(runs + 1);
@@ -409,7 +441,7 @@
   }
 
   /** Reserves the retry that the next {@link #send} uses, unless one is reserved already. */
-  private boolean tryReserveRetry() {
+  boolean tryReserveRetry() {
     retryReserved = retryReserved || router.tryReserveRetry(service);
     return retryReserved;
   }
@@ -421,8 +453,13 @@
 
   void onRejected(Attempt attempt, int status) {
     rejections++;
-    isRunPossible = false;
-    recordRejection(attempt.target(), status);
+    unsettledAttempts--;
+    if (!router.recordRejection(attempt.target(), adapter, status)) {
+      excludedTargetIds.add(attempt.target().id());
+    }
+    if (hasAttemptLeft()) {
+      return;
+    }
     if (rejections < MAX_REJECTIONS && tryReserveRetry()) {
       dispatch();
     } else {
@@ -430,46 +467,17 @@
     }
   }
 
-  /**
-   * Records that a target did not run the request. An engine that lacks the adapter (status 421) is
-   * reported to its owner and may be chosen again; any other target is excluded for this request.
-   */
-  private void recordRejection(TargetEntry target, int status) {
-    long nowMs = ControlThread.nowMs();
-    if (adapter == null) {
-      excludedTargetIds.add(target.id());
-      router.health().recordFailure(target.id(), nowMs);
-    } else if (status == 421) {
-      router.recordMissing(target.id(), adapter);
-    } else {
-      router.health().recordFailure(target.id(), nowMs);
-      excludedTargetIds.add(target.id());
-    }
-  }
-
   void onAttemptLost(Attempt attempt, SendFailure failure, boolean retryAlreadyGranted) {
     long nowMs = ControlThread.nowMs();
-    LOG.info(
-        "attempt_lost",
-        "request",
-        requestId,
-        "target",
-        attempt.target().id(),
-        "failure",
-        failure.getClass().getSimpleName(),
-        "detail",
-        failure.detail(),
-        "answering",
-        isAnswerStarted(),
-        "begun",
-        attempt.hasFirstByte(),
-        "traits",
-        traits.all().map(Trait::encode).toList());
+    RequestLog.attemptLost(requestId, attempt, failure, isAnswerStarted(), traits);
     if (failure instanceof SendFailure.NotSent) {
       connectFailures++;
-      isRunPossible = false;
+      unsettledAttempts--;
       router.health().recordUnreachable(attempt.target().id(), nowMs);
       excludedTargetIds.add(attempt.target().id());
+      if (hasAttemptLeft()) {
+        return;
+      }
       if (connectFailures < MAX_CONNECT_FAILURES) {
         dispatch();
       } else {
@@ -478,12 +486,16 @@
       return;
     }
     runs++;
-    isRunPossible = false;
+    unsettledAttempts--;
     router.health().recordFailure(attempt.target().id(), nowMs);
     if (failure instanceof SendFailure.ConnectionLost) {
       router.crashWatch().onAttemptLost(attempt.target(), traits, attempt.isAnswerConfirmed());
     } else if (failure instanceof SendFailure.Silent) {
-      noteTimeOut(attempt);
+      attempt.recordTimeOut();
+    }
+    if (hasAttemptLeft()) {
+      excludedTargetIds.add(attempt.target().id());
+      return;
     }
     if (retryAlreadyGranted || tryTakeRetry(runs)) {
       if (eventSplitter != null) {
@@ -496,12 +508,6 @@
     }
   }
 
-  private void noteTimeOut(Attempt attempt) {
-    if (attempt.isSent() && !attempt.hasFirstByte()) {
-      router.crashWatch().onAttemptTimedOut(attempt.target(), traits);
-    }
-  }
-
   private void fail(int status, String code, long retryAfterMs) {
     if (ended) {
       return;
@@ -513,7 +519,7 @@
   private void finish(String code, int status) {
     ended = true;
     turnWait.giveUp();
-    quota.settle(runs + (isRunPossible ? 1 : 0));
+    quota.settle(runs + unsettledAttempts);
     if (retryReserved) {
       retryReserved = false;
       router.retryBudget(service).releaseRetry();
@@ -525,34 +531,21 @@
     }
     router.waitingFlows().remove(this);
     router.metrics().count("request.ended." + code);
-    LOG.info(
-        "request_ended",
-        "request",
-        requestId,
-        "route",
-        route.name(),
-        "tenant",
-        admission.tenantName(),
-        "code",
-        code,
-        "status",
-        status,
-        "target",
-        lastTargetId,
-        "adapter",
-        adapter,
-        "wanted_from",
-        loadWait.engine(),
-        "runs",
-        runs,
-        "rejections",
-        rejections,
-        "sent_after_ms",
-        sentAfterMs,
-        "first_byte_after_ms",
-        firstByteAfterMs,
-        "age_ms",
-        ageMs());
+    RequestLog.requestEnded(
+        new RequestLog.End(
+            requestId,
+            route.name(),
+            admission.tenantName(),
+            code,
+            status,
+            lastTargetId,
+            adapter,
+            loadWait.engine(),
+            runs,
+            rejections,
+            sentAfterMs,
+            firstByteAfterMs,
+            ageMs()));
   }
 
   private long ageMs() {
@@ -563,14 +556,16 @@
     if (ended) {
       return;
     }
-    Attempt current = currentAttempt;
-    if (current != null) {
-      current.cancel();
-      noteTimeOut(current);
+    boolean isSent = currentAttempt != null;
+    if (hedgeRace != null) {
+      hedgeRace.cancelAsLate();
+    }
+    if (isSent) {
+      currentAttempt.cancelAsLate();
     }
     if (isAnswerStarted()) {
       abort("deadline");
-    } else if (current != null || runs > 0) {
+    } else if (isSent || runs > 0) {
       fail(504, "deadline", 0);
     } else {
       refuseOrAbort("adapter_not_loaded", RetryAdvice.Cause.LOADS_QUEUED);
@@ -582,9 +577,7 @@
     if (ended) {
       return;
     }
-    if (currentAttempt != null) {
-      currentAttempt.cancel();
-    }
+    cancelAttempts();
     finish("caller_gone", 0);
   }
 
@@ -628,8 +621,50 @@
     reply.writeHead(head);
   }
 
-  void onAttemptClosed() {
-    currentAttempt = null;
+  /** Goes on with the other attempt if two are in flight. */
+  void onAttemptClosed(Attempt attempt) {
+    currentAttempt = hedgeRace == null ? null : hedgeRace.onAttemptClosed(attempt, currentAttempt);
+    if (currentAttempt != null) {
+      lastTargetId = currentAttempt.target().id();
+    }
+  }
+
+  /** Returns whether two attempts are in flight. */
+  boolean isHedged() {
+    return hedgeRace != null && hedgeRace.isRunning();
+  }
+
+  /** Returns whether the other one of two attempts is in flight after one has ended. */
+  private boolean hasAttemptLeft() {
+    return currentAttempt != null;
+  }
+
+  /** Lets an attempt answer the request; no byte of an answer is passed on before. */
+  void onAnswerChosen(Attempt attempt) {
+    if (hedgeRace != null) {
+      hedgeRace.onAnswerChosen(attempt, currentAttempt);
+    }
+  }
+
+  /** Takes the cost of a second attempt beside the one in flight; returns whether it is taken. */
+  boolean tryTakeSecondRun() {
+    return quota.tryTakeRuns(runs + unsettledAttempts + 1);
+  }
+
+  /** Counts an attempt that is cancelled for another one. */
+  void recordRunOf(Attempt attempt) {
+    unsettledAttempts--;
+    runs += attempt.isSent() ? 1 : 0;
+  }
+
+  /** Records an answer that is no success, while the other attempt goes on. */
+  void onAnswerRejected(Attempt attempt, boolean isFailure) {
+    runs++;
+    unsettledAttempts--;
+    excludedTargetIds.add(attempt.target().id());
+    if (isFailure) {
+      router.health().recordFailure(attempt.target().id(), ControlThread.nowMs());
+    }
   }
 
   void onFirstByte() {
@@ -639,14 +674,14 @@
   /** Ends the request, whose answer is complete; the attempt then passes the rest of it on. */
   void onAnswered(int status) {
     runs++;
-    isRunPossible = false;
+    unsettledAttempts--;
     finish("answered", status);
   }
 
   /** Sends the request again after an answer that is not passed on, unless it may not run again. */
   void onAnswerDiscarded(TargetEntry target, boolean retryGranted) {
     runs++;
-    isRunPossible = false;
+    unsettledAttempts--;
     router.health().recordFailure(target.id(), ControlThread.nowMs());
     excludedTargetIds.add(target.id());
     if (retryGranted || tryTakeRetry(runs)) {
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.Availability;
 import org.apricotstand.dispatch.Candidate;
@@ -24,6 +25,10 @@
 import org.apricotstand.front.CallHandler;
 import org.apricotstand.front.CallerRequest;
 import org.apricotstand.front.Reply;
+import org.apricotstand.hedge.HedgeAllowance;
+import org.apricotstand.hedge.HedgeDecision;
+import org.apricotstand.hedge.HedgePolicy;
+import org.apricotstand.hedge.HedgeSituation;
 import org.apricotstand.limit.AllowanceShare;
 import org.apricotstand.limit.WindowedRetryBudget;
 import org.apricotstand.memory.MemoryLimiter;
@@ -76,6 +81,7 @@
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final AllowanceShare retryShare;
+  private final Optional<Hedging> hedging;
   private final Set<RequestFlow> activeFlows = new LinkedHashSet<>();
   private final Set<RequestFlow> waitingFlows = new LinkedHashSet<>();
   private final Set<PlanWait> planWaits = new LinkedHashSet<>();
@@ -124,6 +130,10 @@
             random,
             ControlThread::nowMs);
     this.pacer = new TargetPacer(settings.name(), ControlThread::nowMs, fleetNotifier);
+    this.hedging =
+        settings.maxHedgeShare() > 0
+            ? Optional.of(new Hedging(settings.maxHedgeShare(), metrics))
+            : Optional.empty();
     this.crashWatch =
         new CrashWatch(
             loop,
@@ -225,6 +235,7 @@
       return new EndedCall();
     }
     retryBudget(service).recordRequest(ControlThread.nowMs());
+    hedging.ifPresent(known -> known.recordRequest(service));
     flow.start();
     return flow;
   }
@@ -290,11 +301,8 @@
   }
 
   Optional<Candidate> choose(RequestFlow flow) {
-    FleetView fleetView = view.get();
     List<Candidate> candidates =
-        fleetView.targetsOf(flow.service()).stream()
-            .filter(target -> !flow.isExcluded(target))
-            .map(target -> toCandidate(fleetView, target, flow))
+        candidates(flow)
             .filter(candidate -> candidate.sendDelayMs() <= flow.maxSendDelayMs())
             .toList();
     return flow.adapter() == null
@@ -302,6 +310,39 @@
         : TargetChooser.chooseEngine(flow.adapter().toString(), settings.domain(), candidates);
   }
 
+  /** Decides whether and where a second attempt of a late request is sent. */
+  HedgeDecision decideHedge(
+      RequestFlow flow, Route route, Attempt first, HedgeAllowance allowance) {
+    AdapterKey key = flow.adapter();
+    HedgeSituation situation =
+        new HedgeSituation(
+            route,
+            flow.runs(),
+            first.hasHead(),
+            crashWatch.isSuspected(flow.traits()),
+            waitingFlows.stream().anyMatch(other -> other.service().equals(flow.service())),
+            first.target().id(),
+            Set.of(),
+            key == null ? null : key.toString(),
+            settings.domain(),
+            candidates(flow).toList());
+    return HedgePolicy.decide(situation, allowance, flow::tryReserveRetry);
+  }
+
+  /** Returns whether the service has another target that a request may be sent to. */
+  boolean hasOtherTarget(RequestFlow flow, TargetEntry target) {
+    return view.get().targetsOf(flow.service()).stream()
+        .anyMatch(other -> !other.id().equals(target.id()) && !flow.isExcluded(other));
+  }
+
+  /** Returns the targets of the service but those that the request excludes. */
+  private Stream<Candidate> candidates(RequestFlow flow) {
+    FleetView fleetView = view.get();
+    return fleetView.targetsOf(flow.service()).stream()
+        .filter(target -> !flow.isExcluded(target))
+        .map(target -> toCandidate(fleetView, target, flow));
+  }
+
   /** Returns whether a target limits requests, so that this instance cannot send one now. */
   boolean isLimited(TargetEntry target) {
     return pacer.delayMs(target).orElse(1) > 0;
@@ -355,6 +396,22 @@
     return residency.warm().contains(key) ? Availability.WARM : Availability.COLD;
   }
 
+  /**
+   * Records that a target did not run a request. An engine that lacks the adapter (status 421) is
+   * reported to its owner.
+   *
+   * @param adapter adapter that the request names; null for a plain service
+   * @return whether the request may be sent to the target again
+   */
+  boolean recordRejection(TargetEntry target, AdapterKey adapter, int status) {
+    if (adapter != null && status == 421) {
+      recordMissing(target.id(), adapter);
+      return true;
+    }
+    health.recordFailure(target.id(), ControlThread.nowMs());
+    return false;
+  }
+
   /**
    * Records that an engine refused a request because it lacks the adapter, and tells its owner. The
    * adapter counts as missing until the owner reports the engine's residency again.
@@ -397,6 +454,11 @@
     pacer.recordLimitEnd(incarnation);
   }
 
+  /** Returns the state of hedging; empty if it is off. */
+  Optional<Hedging> hedging() {
+    return hedging;
+  }
+
   TargetPacer pacer() {
     return pacer;
   }
@@ -429,7 +491,9 @@
     connections.sweep(incarnations);
     crashWatch.checkReplacements();
     pacer.retain(incarnations);
-    health.retain(liveTargets.stream().map(TargetEntry::id).collect(Collectors.toSet()));
+    Set<String> ids = liveTargets.stream().map(TargetEntry::id).collect(Collectors.toSet());
+    health.retain(ids);
+    hedging.ifPresent(known -> known.sweep(view.get().plan(), ids, ControlThread.nowMs()));
   }
 
   AnswerLimits answerLimits() {
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -93,6 +93,8 @@
    */
   double retryRatio = 5;
 
+  double maxHedgeShare;
+
   CallerServer server;
   RequestRouter router;
 
@@ -162,7 +164,8 @@
             LIMITS,
             FreshnessBounds.DEFAULT,
             memoryLimits,
-            QuotaBounds.DEFAULT);
+            QuotaBounds.DEFAULT,
+            maxHedgeShare);
     EventLoop loop = group.next();
     Metrics metrics = new Metrics();
     MemoryLimiter memory = new MemoryLimiter(memoryLimits, LIMITS, metrics);
