Settle the quota of a request by the runs that took place

The cost of an unused second attempt stood for a later run, so that this run counted in an earlier window; a hedge that was refused kept its cost until the request ended, so that other requests of the tenant got 429; a cost that was given back long after it was reported lowered the reported use of a later window.

Change: the cost of the next run is taken anew when what is held for it is old; refused hedges and retries give it back at once; late give-backs stay in the reports. A declared count of zero tokens costs one. The timer of a hedge ends with its attempt, since it kept the request.

--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -40,6 +40,7 @@
   private long confirmAnswerMs;
   private long heldHeadBytes;
   private ScheduledFuture<?> headTimer;
+  private ScheduledFuture<?> hedgeTimer;
   private boolean answerConfirmed;
   private boolean closed;
 
@@ -130,7 +131,7 @@
       closed = true;
       flow.onAttemptClosed(this);
       account.close();
-      cancelHeadTimer();
+      cancelTimers();
       router.loadTracker().recordEnd(target.id(), flow.adapter(), firstByteReceived);
     }
   }
@@ -139,15 +140,23 @@
   void setHeadTimer(ScheduledFuture<?> timer) {
     headTimer = timer;
     if (closed) {
-      cancelHeadTimer();
+      cancelTimers();
     }
   }
 
-  /** Cancels the timer, which would keep the request and its body until it ends. */
-  private void cancelHeadTimer() {
+  /** Sets the timer of the hedge of this attempt, which ends with the attempt. */
+  void setHedgeTimer(ScheduledFuture<?> timer) {
+    hedgeTimer = timer;
+  }
+
+  /** Cancels the timers, which would keep the request and its body until they end. */
+  private void cancelTimers() {
     if (headTimer != null) {
       headTimer.cancel(false);
     }
+    if (hedgeTimer != null) {
+      hedgeTimer.cancel(false);
+    }
   }
 
   @Override
--- a/node/src/main/java/org/apricotstand/request/HedgeRace.java
+++ b/node/src/main/java/org/apricotstand/request/HedgeRace.java
@@ -42,11 +42,11 @@
     return second != null;
   }
 
-  /** Starts the time of an attempt, unless nothing is known of the usual times. */
-  void start(Attempt first) {
+  /** Schedules the hedge of an attempt; does nothing without an estimate of its delay. */
+  void scheduleHedge(Attempt first) {
     OptionalLong delayMs = hedging.delays().delayMs(route.name(), first.target().id());
     if (delayMs.isPresent() && !first.isClosed()) {
-      flow.schedule(() -> onLate(first), delayMs.getAsLong());
+      first.setHedgeTimer(flow.schedule(() -> onLate(first), delayMs.getAsLong()));
     }
   }
 
@@ -60,7 +60,10 @@
     }
     switch (router.decideHedge(flow, route, first, hedging.allowance(flow.service()))) {
       case HedgeDecision.Send send -> sendSecond(send.candidate().target());
-      case HedgeDecision.Refused refused -> hedging.recordRefused(refused.reason());
+      case HedgeDecision.Refused refused -> {
+        flow.giveSecondRunBack();
+        hedging.recordRefused(refused.reason());
+      }
     }
   }
 
@@ -104,7 +107,7 @@
     }
     boolean isHedgeWinner = winner == second;
     Attempt loser = isHedgeWinner ? current : second;
-    flow.recordRunOf(loser);
+    flow.settleOvertaken(loser);
     if (isHedgeWinner) {
       delays.recordOverdue(route.name(), loser.target().id(), loser.ageMs());
       hedging.recordWon();
--- a/node/src/main/java/org/apricotstand/request/QuotaGate.java
+++ b/node/src/main/java/org/apricotstand/request/QuotaGate.java
@@ -33,6 +33,12 @@
   /** Least time after which a refused caller may retry: until the shares follow its demand. */
   private static final long MIN_RETRY_MS = 500;
 
+  /**
+   * Age up to which a cost that is given back is taken off the reported use. Older costs stay in
+   * the reports until they leave the window, so that reports show too much rather than too little.
+   */
+  private static final long MAX_REPORTED_GIVE_BACK_AGE_MS = 250;
+
   private static final long LOG_PERIOD_MS = 1_000;
 
   private final TenantQuotas quotas;
@@ -87,7 +93,7 @@
     String declared = headers.get(names.tokenCount());
     Matcher numbers = declared == null ? null : TOKEN_COUNT.matcher(declared);
     return numbers != null && numbers.matches()
-        ? Long.parseLong(numbers.group(1)) + Long.parseLong(numbers.group(2))
+        ? Math.max(1, Long.parseLong(numbers.group(1)) + Long.parseLong(numbers.group(2)))
         : quota.plainTokens();
   }
 
@@ -122,7 +128,10 @@
   void giveBack(String tenant, long cost, long takenMs) {
     quotas.setShares(shares.get());
     quotas.giveBack(tenant, cost, takenMs, clock.getAsLong());
-    tracker.recordAdmitted(tenant, -cost);
+    // Reported use must not sink by what has left the window or was reported in another part of it.
+    if (clock.getAsLong() - takenMs <= MAX_REPORTED_GIVE_BACK_AGE_MS) {
+      tracker.recordAdmitted(tenant, -cost);
+    }
   }
 
   /** Returns the time after which a refused request may be sent again, spread over half of it. */
--- a/node/src/main/java/org/apricotstand/request/QuotaTicket.java
+++ b/node/src/main/java/org/apricotstand/request/QuotaTicket.java
@@ -31,12 +31,22 @@
       return true;
     }
     gate.recordOffered(tenant, cost);
-    return tryTakeRuns(1);
+    return tryTakeRun(0);
   }
 
-  /** Takes the cost until it is taken for a number of runs; returns whether it is. */
-  boolean tryTakeRuns(int runs) {
-    while (tenant != null && takenMs.size() < runs) {
+  /**
+   * Takes the cost of the next run, again if it was taken long ago; returns whether it is taken.
+   *
+   * @param possibleRuns runs so far and attempts that may become runs, whose cost is taken already
+   */
+  boolean tryTakeRun(int possibleRuns) {
+    if (tenant == null) {
+      return true;
+    }
+    if (takenMs.size() > possibleRuns && gate.nowMs() - takenMs.peekLast() > MAX_WAIT_MS) {
+      settle(possibleRuns);
+    }
+    while (takenMs.size() <= possibleRuns) {
       if (!gate.tryTake(tenant, cost)) {
         return false;
       }
@@ -45,16 +55,6 @@
     return true;
   }
 
-  /** Takes the cost of the next run again if it was taken long ago; returns whether it is taken. */
-  boolean tryRenew() {
-    if (tenant == null || takenMs.isEmpty() || gate.nowMs() - takenMs.peekLast() <= MAX_WAIT_MS) {
-      return true;
-    }
-    int runs = takenMs.size();
-    gate.giveBack(tenant, cost, takenMs.removeLast());
-    return tryTakeRuns(runs);
-  }
-
   /** Gives back what was taken for more runs than there may have been. */
   void settle(int possibleRuns) {
     while (takenMs.size() > possibleRuns) {
@@ -62,7 +62,7 @@
     }
   }
 
-  /** Returns the time after which the request may be sent again; it was refused. */
+  /** Returns the time after which a refused request may be sent again. */
   long retryAfterMs() {
     return gate.retryAfterMs(tenant, cost);
   }
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -1,6 +1,5 @@
 package org.apricotstand.request;
 
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
@@ -96,7 +95,7 @@
   private long firstByteAfterMs = NOT_REACHED;
   private boolean retryReserved;
 
-  /** Attempts that were sent and of which it is not known whether they ran. */
+  /** Attempts in flight, each of which may run the request; settled when their outcome is known. */
   private int unsettledAttempts;
 
   private HttpResponse answerHead;
@@ -125,7 +124,8 @@
     this.traits =
         new RequestTraits(
             request, adapter, request.headers().get(router.headerNames().promptParts()));
-    this.callerDeadlineMs = request.arrivedMs() + callerTimeoutMs(request.headers());
+    this.callerDeadlineMs =
+        TargetRequestFactory.callerDeadlineMs(request, router.headerNames(), route.timeoutMs());
     this.deadlineMs =
         Math.min(callerDeadlineMs, request.arrivedMs() + route.timeoutMs()) - ANSWER_MARGIN_MS;
     this.loadWait =
@@ -142,11 +142,6 @@
             request, router.headerNames(), admission, route.priority(), callerDeadlineMs);
   }
 
-  private long callerTimeoutMs(HttpHeaders headers) {
-    String text = headers.get(router.headerNames().deadlineMs());
-    return text != null && text.matches("\\d{1,9}") ? Long.parseLong(text) : route.timeoutMs();
-  }
-
   String service() {
     return service;
   }
@@ -364,7 +359,7 @@
   }
 
   private void send(TargetEntry target) {
-    if (!quota.tryRenew()) {
+    if (!quota.tryTakeRun(runs + unsettledAttempts)) {
       refuseBeyondQuota();
       return;
     }
@@ -374,7 +369,7 @@
     lastTargetId = target.id();
     transmit(attempt);
     if (hedgeRace != null && runs == 0) {
-      hedgeRace.start(attempt);
+      hedgeRace.scheduleHedge(attempt);
     }
   }
 
@@ -434,10 +429,14 @@
   private boolean tryTakeRetry(int runsSoFar) {
     boolean mayRunAgain =
         isAnswerStarted() ? canResume() : route.isIdempotent() || route.resumable();
-    return mayRunAgain
-        && runsSoFar < route.maxAttempts()
-        && quota.tryTakeRuns(runsSoFar + 1)
-        && tryReserveRetry();
+    if (!mayRunAgain || runsSoFar >= route.maxAttempts() || !quota.tryTakeRun(runsSoFar)) {
+      return false;
+    }
+    boolean isReserved = tryReserveRetry();
+    if (!isReserved) {
+      quota.settle(runsSoFar);
+    }
+    return isReserved;
   }
 
   /** Reserves the retry that the next {@link #send} uses, unless one is reserved already. */
@@ -458,6 +457,7 @@
       excludedTargetIds.add(attempt.target().id());
     }
     if (hasAttemptLeft()) {
+      giveSecondRunBack();
       return;
     }
     if (rejections < MAX_REJECTIONS && tryReserveRetry()) {
@@ -476,6 +476,7 @@
       router.health().recordUnreachable(attempt.target().id(), nowMs);
       excludedTargetIds.add(attempt.target().id());
       if (hasAttemptLeft()) {
+        giveSecondRunBack();
         return;
       }
       if (connectFailures < MAX_CONNECT_FAILURES) {
@@ -646,13 +647,18 @@
     }
   }
 
-  /** Takes the cost of a second attempt beside the one in flight; returns whether it is taken. */
+  /** Takes the cost of a second run; returns false if the quota has no room. */
   boolean tryTakeSecondRun() {
-    return quota.tryTakeRuns(runs + unsettledAttempts + 1);
+    return quota.tryTakeRun(runs + unsettledAttempts);
+  }
+
+  /** Gives back the cost of a second run that does not take place. */
+  void giveSecondRunBack() {
+    quota.settle(runs + unsettledAttempts);
   }
 
-  /** Counts an attempt that is cancelled for another one. */
-  void recordRunOf(Attempt attempt) {
+  /** Settles an attempt that the other one has overtaken; it is a run only if it was sent. */
+  void settleOvertaken(Attempt attempt) {
     unsettledAttempts--;
     runs += attempt.isSent() ? 1 : 0;
   }
--- a/node/src/main/java/org/apricotstand/request/TargetRequestFactory.java
+++ b/node/src/main/java/org/apricotstand/request/TargetRequestFactory.java
@@ -44,6 +44,13 @@
     this.callerDeadlineMs = callerDeadlineMs;
   }
 
+  /** Returns the monotonic time until which a caller waits, as its request states it. */
+  static long callerDeadlineMs(CallerRequest request, HeaderNames names, long defaultTimeoutMs) {
+    String text = request.headers().get(names.deadlineMs());
+    boolean isStated = text != null && text.matches("\\d{1,9}");
+    return request.arrivedMs() + (isStated ? Long.parseLong(text) : defaultTimeoutMs);
+  }
+
   /**
    * Returns the request for an attempt that is sent now.
    *
--- a/node/src/test/java/org/apricotstand/request/TenantQuotaRequestTest.java
+++ b/node/src/test/java/org/apricotstand/request/TenantQuotaRequestTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.fleet.FleetView;
@@ -30,6 +31,11 @@
 class TenantQuotaRequestTest extends RequestRouterFixture {
 
   private static final String AUTHORIZATION = "Authorization: Bearer k1\r\n";
+  private static final long USUAL_MS = 20;
+
+  TenantQuotaRequestTest() {
+    maxHedgeShare = 1;
+  }
 
   private void serve(Quota quota, RequestKind kind, int maxAttempts, TargetEntry... entries)
       throws IOException {
@@ -163,6 +169,49 @@
     assertThat(admittedCost()).isEqualTo(200);
   }
 
+  // Guards against hedges that run beside the first attempt and count nothing, and against hedges
+  // that count although no target ran them.
+  @Test
+  void aHedgeCountsAgainOnlyIfTheRequestMayHaveRun() throws Exception {
+    serve(tokens(1e6, 1e6), RequestKind.IDEMPOTENT, 3, target("t0", ANSWERS_DONE));
+    await(() -> call(AUTHORIZATION).endsWith("done"));
+    loadTracker.takeAdmitted();
+    ScriptedTarget.Script late =
+        (id, number, out) -> {
+          sleepForHedge();
+          ScriptedTarget.write(out, ScriptedTarget.ok("q1", "late"));
+          return true;
+        };
+    learnUsualTime("t1");
+    serve(tokens(1e6, 1e6), RequestKind.IDEMPOTENT, 3, target("t1", late), target("t2", late));
+    assertThat(call(AUTHORIZATION)).endsWith("late");
+    assertThat(router.metrics().counter("request.hedge.sent").getCount()).isEqualTo(1);
+    assertThat(admittedCost()).isEqualTo(400);
+    TargetEntry closed = new TargetEntry("t4", "s", "127.0.0.1", 1, "d", 8, false, 1, Map.of());
+    learnUsualTime("t3");
+    serve(tokens(1e6, 1e6), RequestKind.IDEMPOTENT, 3, target("t3", late), closed);
+    assertThat(call(AUTHORIZATION)).endsWith("late");
+    assertThat(admittedCost()).isEqualTo(200);
+  }
+
+  private void learnUsualTime(String target) throws Exception {
+    Runnable learn =
+        () -> {
+          for (int i = 0; i < 100; i++) {
+            router.hedging().orElseThrow().delays().recordFirstByte("r", target, USUAL_MS);
+          }
+        };
+    group.submit(learn).get(TEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private static void sleepForHedge() throws IOException {
+    try {
+      Thread.sleep(20 * USUAL_MS);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+
   // Guards against limits that hold for tenants without one.
   @Test
   void aTenantWithoutALimitIsNotCounted() throws IOException {
