Read on the head that begins behind a request in one read

Such a connection also counted as idle and had no header time-out. The time of the first byte was reset with the request before and not recorded again, and the decoder holds no raw bytes behind a line end.

The decoder now says whether it is inside a message; the first byte is recorded after the decoding, and such a decoder is never replaced. Two new tests of CallerConnectionTest failed before (no second request; no 408) and pass now.

--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -109,6 +109,10 @@
     if (ignoringInput) {
       accountForNoInput();
     } else {
+      // The part of a request that arrives in one read with the end of the one before it.
+      if (decoder.isInsideMessage()) {
+        recordFirstByte();
+      }
       account.update(Kind.HEAD, decoder.heldHeaderBytes() + decoder.heldRawBytes(), nowMs);
       account.update(Kind.BODY, body.heldBytes(), nowMs);
     }
@@ -221,7 +225,7 @@
 
   private void completeRequest() {
     long heldBytes = REQUEST_BYTES + decoder.heldHeaderBytes() + body.size();
-    decoder.resetHeldHeaderBytes();
+    decoder.onMessageEnded();
     accountForNoInput();
     CallerRequest request =
         new CallerRequest(
@@ -462,7 +466,7 @@
   /** Replaces a decoder that would keep a large buffer while the connection is idle. */
   private void replaceOversizedDecoder() {
     boolean isIdle = !isBusy() && !ignoringInput && firstByteMs == 0;
-    if (isIdle && decoder.isOversized() && decoder.heldRawBytes() == 0) {
+    if (isIdle && decoder.isOversized() && !decoder.isInsideMessage()) {
       RequestDecoder replacement = new RequestDecoder(server.limits().maxHeaderBytes());
       channel.pipeline().replace(decoder, null, replacement);
       decoder = replacement;
--- a/node/src/main/java/org/apricotstand/front/RequestDecoder.java
+++ b/node/src/main/java/org/apricotstand/front/RequestDecoder.java
@@ -14,6 +14,7 @@
   private static final int USUAL_LINE_BYTES = 2_048;
 
   private final HeaderMeter meter;
+  private boolean insideMessage;
 
   RequestDecoder(int maxHeaderBytes) {
     this(maxHeaderBytes, new HeaderMeter());
@@ -36,10 +37,16 @@
   }
 
   /** Forgets the head and the trailers of a request that is complete. */
-  void resetHeldHeaderBytes() {
+  void onMessageEnded() {
+    insideMessage = false;
     meter.reset();
   }
 
+  /** Returns whether a part of a request was read, which may have ended at a line end. */
+  boolean isInsideMessage() {
+    return insideMessage || internalBuffer().isReadable();
+  }
+
   /** Returns the memory of bytes that were read but do not form a line yet. */
   long heldRawBytes() {
     ByteBuf undecoded = internalBuffer();
@@ -59,6 +66,12 @@
     return bytes.forEachByte(next -> next == '\r' || next == '\n') < 0;
   }
 
+  @Override
+  protected HttpMessage createMessage(String[] initialLine) throws Exception {
+    insideMessage = true;
+    return super.createMessage(initialLine);
+  }
+
   @Override
   protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
     throw new IllegalArgumentException("both Content-Length and chunked Transfer-Encoding");
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -39,6 +39,10 @@
   private static final String REQUEST = "GET /p/ HTTP/1.1\r\nHost: h\r\n\r\n";
   private static final long TEST_TIMEOUT_MS = 20_000;
   private static final long IDLE_TIMEOUT_MS = 1_500;
+
+  /** Time in which the server looks at each connection at least once. */
+  private static final long SWEEP_WAIT_MS = 1_200;
+
   private static final int LONG_ANSWER_BYTES = 48_000_000;
   private static final int LAST_ANSWER_BYTES = 1_000_000;
   private static final int SLOW_READS = 40;
@@ -136,6 +140,37 @@
     }
   }
 
+  // Guards against the rest of a head that is read as a request line of its own, because the
+  // decoder
+  // is replaced after the answer to the request with a long line before it.
+  @Test
+  void aHeadThatBeginsInTheReadOfTheRequestBeforeItIsReadOn() throws Exception {
+    try (Socket socket = connect()) {
+      String longLine = "X-Long: " + "x".repeat(4_000) + "\r\n";
+      send(socket, "GET /p/ HTTP/1.1\r\nHost: h\r\n" + longLine + "\r\nGET /second HTTP/1.1\r\n");
+      answerNext();
+      requests.take();
+      TimeUnit.MILLISECONDS.sleep(SWEEP_WAIT_MS);
+      send(socket, "Host: h\r\n\r\n");
+      CallerRequest second = requests.poll(TEST_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+      assertThat(second).isNotNull();
+      assertThat(second.uri()).isEqualTo("/second");
+    }
+  }
+
+  // Guards against a head that may stay incomplete for ever because it began in the same read as
+  // the
+  // end of the request before it.
+  @Test
+  void aHeadThatBeginsInTheReadOfTheRequestBeforeItGetsATimeout() throws Exception {
+    limits = new CallerLimits(16_384, 65_536, 300, 15_000);
+    try (Socket socket = connect()) {
+      send(socket, REQUEST + "GET /second HTTP/1.1\r\n");
+      answerNext();
+      assertThat(readAll(socket)).contains("header_timeout");
+    }
+  }
+
   // Guards against a process that ends while a request is still arriving, or runs.
   @Test
   void requestsCountAsOpenFromTheirFirstByteToTheEndOfTheirAnswer() throws Exception {
