Hold nothing of requests beyond those that are queued

A caller that sent more than 17 requests at once could leave a part of a head in the decoder while its account said 0, until the connection closed. The input was ignored from then on but the decoder was kept. It is now dropped, without a refusal, and the requests before are answered as they were. The new test of CallerConnectionTest fails without the change.

--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -113,13 +113,18 @@
       if (decoder.isInsideMessage()) {
         recordFirstByte();
       }
-      account.update(Kind.HEAD, decoder.heldHeaderBytes() + decoder.heldRawBytes(), nowMs);
+      account.update(Kind.HEAD, heldHeadBytes(), nowMs);
       account.update(Kind.BODY, body.heldBytes(), nowMs);
     }
     account.update(Kind.QUEUED, queuedBytes, nowMs);
     server.memory().releaseExcess();
   }
 
+  /** Returns the memory of the head or the part of it that the decoder holds. */
+  long heldHeadBytes() {
+    return decoder == null ? 0 : decoder.heldHeaderBytes() + decoder.heldRawBytes();
+  }
+
   /** Accounts for what the caller has not taken of its answers. */
   void onOutputChanged() {
     accountForOutput();
@@ -245,7 +250,7 @@
       pipelinedRequests.add(complete);
       queuedBytes += heldBytes;
     } else {
-      ignoringInput = true;
+      ignoreInput();
     }
   }
 
--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -261,7 +261,8 @@
     memory.publish();
   }
 
-  private List<CallerConnection> callerConnections() {
+  /** Returns the open connections; runs on the loop. */
+  List<CallerConnection> callerConnections() {
     return connections.stream()
         .map(channel -> channel.pipeline().get(CallerConnection.class))
         .filter(connection -> connection != null)
--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -171,6 +171,22 @@
     }
   }
 
+  // Guards against memory of a request that is not served and not accounted for.
+  @Test
+  void nothingIsHeldOfRequestsBeyondThoseThatAreQueued() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, REQUEST.repeat(18) + "GET /p/ HTTP/1.1\r\nX-Long: " + "x".repeat(4_000));
+      assertThat(replies.poll(TEST_TIMEOUT_MS, TimeUnit.MILLISECONDS)).isNotNull();
+      CallerConnection connection = loop.submit(() -> server.callerConnections().getFirst()).get();
+      long endMs = ControlThread.nowMs() + TEST_TIMEOUT_MS;
+      while (!connection.isIgnoringInput() && ControlThread.nowMs() < endMs) {
+        TimeUnit.MILLISECONDS.sleep(10);
+      }
+      assertThat(loop.submit(connection::isIgnoringInput).get()).isTrue();
+      assertThat(loop.submit(connection::heldHeadBytes).get()).isEqualTo(0);
+    }
+  }
+
   // Guards against a process that ends while a request is still arriving, or runs.
   @Test
   void requestsCountAsOpenFromTheirFirstByteToTheEndOfTheirAnswer() throws Exception {
