Leave room for answers and output when requests run

Small requests left nothing of the memory budget, so that many of them at a target that answers nothing filled it, and requests that had run lost their answers. Answers and output that were held did not count either.

All requests now leave an eighth of the budget besides the answers and output that are held. These take at most half of it from requests, so that callers that read nothing stop no request. Large requests leave another eighth to small ones, which is a quarter in all as before. In a budget of 16 MB 1,500 requests of 8 KB run at once. The divisors are named as such.

--- a/core/src/main/java/org/apricotstand/limit/MemoryBudget.java
+++ b/core/src/main/java/org/apricotstand/limit/MemoryBudget.java
@@ -46,11 +46,20 @@
    */
   public static final int HEADER_LINE_BYTES = 200;
 
-  /** Part of the budget that large requests leave to small ones when they run. */
-  private static final int SMALL_REQUEST_SHARE = 4;
+  /** An eighth of the budget is left to answers and output that are yet to come. */
+  private static final int ANSWER_ROOM_DIVISOR = 8;
+
+  /** Large requests leave another eighth of the budget to small ones when they run. */
+  private static final int SMALL_REQUEST_ROOM_DIVISOR = 8;
+
+  /**
+   * Requests may run up to half of the budget whatever answers and output hold, so that callers
+   * that read nothing stop no request.
+   */
+  private static final int RUNNING_FLOOR_DIVISOR = 2;
 
   /** Requests below this part of the budget are small. */
-  private static final int SMALL_REQUEST_FRACTION = 64;
+  private static final int SMALL_REQUEST_DIVISOR = 64;
 
   private static final Set<Kind> INCOMPLETE = EnumSet.of(Kind.HEAD, Kind.BODY);
   private static final Set<Kind> QUEUED = EnumSet.of(Kind.QUEUED);
@@ -130,12 +139,16 @@
   }
 
   /**
-   * Returns whether a complete request may be passed on. Large requests leave a part of the budget
-   * to small ones, so that a target that answers nothing to large requests stops no small one.
+   * Returns whether a complete request may be passed on. All requests leave room for answers and
+   * output, so that a target that answers nothing costs no other request its answer. Large requests
+   * also leave a part of the budget to small ones, so that a target that answers nothing to large
+   * requests stops no small one.
    */
   public boolean canRun(long requestBytes) {
-    boolean isSmall = requestBytes <= maxBytes / SMALL_REQUEST_FRACTION;
-    long reserved = isSmall ? 0 : maxBytes / SMALL_REQUEST_SHARE;
+    long answerBytes = bytes(Kind.ANSWER) + bytes(Kind.OUTPUT) + maxBytes / ANSWER_ROOM_DIVISOR;
+    boolean isSmall = requestBytes <= maxBytes / SMALL_REQUEST_DIVISOR;
+    long smallRequestBytes = isSmall ? 0 : maxBytes / SMALL_REQUEST_ROOM_DIVISOR;
+    long reserved = Math.min(answerBytes, maxBytes / RUNNING_FLOOR_DIVISOR) + smallRequestBytes;
     return bytes(Kind.RUNNING) + requestBytes <= maxBytes - reserved;
   }
 
--- a/core/src/test/java/org/apricotstand/limit/MemoryBudgetTest.java
+++ b/core/src/test/java/org/apricotstand/limit/MemoryBudgetTest.java
@@ -134,4 +134,44 @@
     assertThat(budget.canRun(20)).isFalse();
     assertThat(budget.canRun(15)).isTrue();
   }
+
+  // Guards against small requests at a target that answers nothing, which fill the budget so that
+  // every answer and all output exceed it and are given up.
+  @Test
+  void smallRequestsLeaveRoomForAnswersAndOutput() {
+    hold("running", "", Kind.RUNNING, 865, 0);
+    assertThat(budget.canRun(10)).isTrue();
+    assertThat(budget.canRun(11)).isFalse();
+    hold("answer", "s", Kind.ANSWER, 60, 0);
+    hold("output", "", Kind.OUTPUT, 65, 0);
+    assertThat(budget.takeExcess(0)).isEqualTo(Optional.empty());
+  }
+
+  // Guards against requests that run in the memory that answers and output hold already.
+  @Test
+  void requestsLeaveRoomBesideAnswersAndOutputThatAreHeld() {
+    hold("answer", "s", Kind.ANSWER, 100, 0);
+    hold("output", "", Kind.OUTPUT, 100, 0);
+    hold("running", "", Kind.RUNNING, 665, 0);
+    assertThat(budget.canRun(10)).isTrue();
+    assertThat(budget.canRun(11)).isFalse();
+  }
+
+  // Guards against callers that read nothing, so that their output stops all requests.
+  @Test
+  void requestsRunBesideOutputThatFillsTheBudget() {
+    hold("output", "", Kind.OUTPUT, 990, 0);
+    hold("running", "", Kind.RUNNING, 490, 0);
+    assertThat(budget.canRun(10)).isTrue();
+    assertThat(budget.canRun(11)).isFalse();
+  }
+
+  // Guards against a limit that refuses requests of usual size in calm: 1,500 of 8 KB fit into the
+  // budget of a small instance.
+  @Test
+  void manySmallRequestsRunAtOnce() {
+    MemoryBudget<String> small = new MemoryBudget<>(16_777_216, 4_194_304);
+    small.open("running", "").update(Kind.RUNNING, 1_499 * 8_192L, 0);
+    assertThat(small.canRun(8_192)).isTrue();
+  }
 }
