Close refused connections last when connections run short

A refused connection in its last second was closed first for a new one, which resets it and can cost the caller the 503, 413 or 408, while a connection whose request never ends stayed. It is now chosen only if no other is left. The new test of CallerMemoryTest fails with the former order.

--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -133,8 +133,9 @@
 
   /**
    * Closes the connection that least likely carries a request that will be served: one that has
-   * sent nothing, else the one that has been idle longest, else one that is refused already or
-   * whose request began first and is not complete. Returns false if all are owed answers.
+   * sent nothing, else the one that has been idle longest, else the one whose incomplete request
+   * began first. One that is refused already goes last, since a close before its input has ended
+   * can cost its caller the refusal. Returns false if all are owed answers.
    */
   private boolean closeLeastUsed() {
     Optional<CallerConnection> chosen =
@@ -154,7 +155,9 @@
   private Optional<CallerConnection> longestArriving() {
     return callerConnections().stream()
         .filter(CallerConnection::owesNoAnswer)
-        .min(Comparator.comparingLong(CallerConnection::arrivingSinceMs));
+        .min(
+            Comparator.comparing(CallerConnection::isIgnoringInput)
+                .thenComparingLong(CallerConnection::arrivingSinceMs));
   }
 
   /** Records that a connection has no request, so that it may be closed for another one. */
--- a/node/src/test/java/org/apricotstand/front/CallerMemoryTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerMemoryTest.java
@@ -243,6 +243,24 @@
         .isEqualTo("HTTP/1.1 504");
   }
 
+  // Guards against a refusal that its caller loses because its connection is reset for a new one,
+  // while a connection stays whose request never ends.
+  @Test
+  void aRefusedConnectionIsClosedAfterThoseWhoseRequestIsNotComplete() throws Exception {
+    for (int i = 2; i < MEMORY.maxConnections(); i++) {
+      connectAndSend(REQUEST);
+      nextReply();
+    }
+    Socket arriving = connectAndSend(POST + "x");
+    Socket refused = connectAndSend("no request\r\n\r\n");
+    assertThat(new String(refused.getInputStream().readNBytes(12), StandardCharsets.ISO_8859_1))
+        .isEqualTo("HTTP/1.1 400");
+    connectAndSend(REQUEST);
+    nextReply();
+    arriving.setSoTimeout(5_000);
+    assertThat(readAll(arriving)).isEmpty();
+  }
+
   // Guards against an answer that is cut off because its connection counts as idle, while it is
   // still on its way, when another caller connects.
   @Test
