Refuse slow senders before fresh uploads when memory is short

The weight of a request that has not ended was divided by its age, so that 160 KB in steps of 8 KB each 3 s outlasted a fresh upload of 64 KB, which is more likely to be served. The weight is now the bytes times the square of the pause since the last progress, where pauses below a second hardly count. The new test of a slow sender fails with the former weight; that a stalled body goes before one of ten times its size that arrives holds as before. The weight of output is unchanged.

--- a/core/src/main/java/org/apricotstand/limit/MemoryBudget.java
+++ b/core/src/main/java/org/apricotstand/limit/MemoryBudget.java
@@ -17,11 +17,11 @@
  * is given up when it runs short.
  *
  * <p>Requests that have not ended are given up first, since a caller that never ends its request
- * costs memory without ever being served. Among them goes the one with the most bytes for its age,
- * where bytes that arrived long ago count in full. Then go requests that wait behind others on
- * their connection, then answers that are held until they are complete, and last output that is not
- * read. Requests that were passed on to a target are never given up; {@link #canRun} keeps them
- * from filling the budget.
+ * costs memory without ever being served. Among them goes the one with the most bytes and the
+ * longest pause since its last progress. Its age does not count, since slow senders would then
+ * outlast new uploads. Then go requests that wait behind others on their connection, then answers
+ * that are held until they are complete, and last output that is not read. Requests that were
+ * passed on to a target are never given up; {@link #canRun} keeps them from filling the budget.
  *
  * <p>A target in trouble sends more bytes than all others and to many requests at once. So the
  * answer that is given up is the largest one of the source whose answers hold the most, and an
@@ -58,6 +58,9 @@
    */
   private static final int RUNNING_FLOOR_DIVISOR = 2;
 
+  /** Pauses of a sender that are much shorter than this are usual and hardly count. */
+  private static final long USUAL_PAUSE_MS = 1_000;
+
   /** Requests below this part of the budget are small. */
   private static final int SMALL_REQUEST_DIVISOR = 64;
 
@@ -201,7 +204,6 @@
     private final String source;
     private final long[] bytes = new long[Kind.values().length];
     private long heldBytes;
-    private long requestSinceMs;
     private long requestProgressMs;
     private long outputSinceMs;
     private long outputProgressMs;
@@ -224,7 +226,6 @@
         return;
       }
       if (INCOMPLETE.contains(kind)) {
-        requestSinceMs = incompleteBytes() == 0 ? nowMs : requestSinceMs;
         requestProgressMs = nowMs;
       } else if (kind == Kind.OUTPUT) {
         outputSinceMs = oldBytes == 0 ? nowMs : outputSinceMs;
@@ -269,20 +270,21 @@
       return new Excess<>(holder, largest);
     }
 
+    /** Returns the bytes times the square of the pause, so that a long one outweighs many bytes. */
     private double incompleteWeight(long nowMs) {
-      return weight(incompleteBytes(), requestSinceMs, requestProgressMs, nowMs);
-    }
-
-    private double outputWeight(long nowMs) {
-      return weight(bytesOf(Kind.OUTPUT), outputSinceMs, outputProgressMs, nowMs);
+      double pauses = 1.0 + (double) (nowMs - requestProgressMs) / USUAL_PAUSE_MS;
+      return incompleteBytes() * pauses * pauses;
     }
 
     /**
-     * Returns the bytes, less the more of the age passed before the last progress. One millisecond
-     * is added to both times, so that of those that have just begun the largest weighs most.
+     * Returns the bytes of the output, less the more of its age passed before the last progress.
+     * One millisecond is added to both times, so that of those that have just begun the largest
+     * weighs most.
      */
-    private static double weight(long bytes, long sinceMs, long progressMs, long nowMs) {
-      return bytes * (1.0 + nowMs - progressMs) / (1.0 + nowMs - sinceMs);
+    private double outputWeight(long nowMs) {
+      return bytesOf(Kind.OUTPUT)
+          * (1.0 + nowMs - outputProgressMs)
+          / (1.0 + nowMs - outputSinceMs);
     }
   }
 }
--- a/core/src/test/java/org/apricotstand/limit/MemoryBudgetTest.java
+++ b/core/src/test/java/org/apricotstand/limit/MemoryBudgetTest.java
@@ -88,6 +88,33 @@
     assertThat(budget.takeExcess(9_000)).isEqualTo(excess("stalled", Kind.BODY));
   }
 
+  // Guards against a sender that keeps its memory for long by a few bytes now and then, while
+  // uploads
+  // that have just begun are refused in its place, at any time between two of its steps.
+  @Test
+  void aSlowTrickleGoesBeforeAFreshUpload() {
+    for (long sinceStepMs = 0; sinceStepMs < 3_000; sinceStepMs += 100) {
+      MemoryBudget<String> crowded = new MemoryBudget<>(200_000, 100);
+      MemoryBudget<String>.Account trickle = crowded.open("trickle", "");
+      for (int step = 1; step <= 20; step++) {
+        trickle.update(Kind.BODY, step * 8_000L, step * 3_000L);
+      }
+      long nowMs = 60_000 + sinceStepMs;
+      crowded.open("fresh", "").update(Kind.BODY, 64_000, nowMs);
+      assertThat(crowded.takeExcess(nowMs)).isEqualTo(excess("trickle", Kind.BODY));
+    }
+  }
+
+  // Guards against a large upload that is refused while it arrives, in place of a smaller one that
+  // has stopped.
+  @Test
+  void aStalledRequestGoesBeforeOneOfTenTimesItsSizeThatArrives() {
+    hold("stalled", "", Kind.BODY, 90, 0);
+    MemoryBudget<String>.Account arriving = hold("arriving", "", Kind.BODY, 100, 0);
+    arriving.update(Kind.BODY, 920, 9_000);
+    assertThat(budget.takeExcess(9_000)).isEqualTo(excess("stalled", Kind.BODY));
+  }
+
   // Guards against many small requests that are refused for one large one, all of the same age.
   @Test
   void theLargestOfTheSameAgeIsGivenUp() {
