--- a/core/src/test/java/org/apricotstand/limit/MemoryBudgetTest.java
+++ b/core/src/test/java/org/apricotstand/limit/MemoryBudgetTest.java
@@ -88,6 +88,33 @@
     assertThat(budget.takeExcess(9_000)).isEqualTo(excess("stalled", Kind.BODY));
   }
 
+  // Guards against a sender that keeps its memory for long by a few bytes now and then, while
+  // uploads
+  // that have just begun are refused in its place, at any time between two of its steps.
+  @Test
+  void aSlowTrickleGoesBeforeAFreshUpload() {
+    for (long sinceStepMs = 0; sinceStepMs < 3_000; sinceStepMs += 100) {
+      MemoryBudget<String> crowded = new MemoryBudget<>(200_000, 100);
+      MemoryBudget<String>.Account trickle = crowded.open("trickle", "");
+      for (int step = 1; step <= 20; step++) {
+        trickle.update(Kind.BODY, step * 8_000L, step * 3_000L);
+      }
+      long nowMs = 60_000 + sinceStepMs;
+      crowded.open("fresh", "").update(Kind.BODY, 64_000, nowMs);
+      assertThat(crowded.takeExcess(nowMs)).isEqualTo(excess("trickle", Kind.BODY));
+    }
+  }
+
+  // Guards against a large upload that is refused while it arrives, in place of a smaller one that
+  // has stopped.
+  @Test
+  void aStalledRequestGoesBeforeOneOfTenTimesItsSizeThatArrives() {
+    hold("stalled", "", Kind.BODY, 90, 0);
+    MemoryBudget<String>.Account arriving = hold("arriving", "", Kind.BODY, 100, 0);
+    arriving.update(Kind.BODY, 920, 9_000);
+    assertThat(budget.takeExcess(9_000)).isEqualTo(excess("stalled", Kind.BODY));
+  }
+
   // Guards against many small requests that are refused for one large one, all of the same age.
   @Test
   void theLargestOfTheSameAgeIsGivenUp() {
@@ -134,4 +161,44 @@
     assertThat(budget.canRun(20)).isFalse();
     assertThat(budget.canRun(15)).isTrue();
   }
+
+  // Guards against small requests at a target that answers nothing, which fill the budget so that
+  // every answer and all output exceed it and are given up.
+  @Test
+  void smallRequestsLeaveRoomForAnswersAndOutput() {
+    hold("running", "", Kind.RUNNING, 865, 0);
+    assertThat(budget.canRun(10)).isTrue();
+    assertThat(budget.canRun(11)).isFalse();
+    hold("answer", "s", Kind.ANSWER, 60, 0);
+    hold("output", "", Kind.OUTPUT, 65, 0);
+    assertThat(budget.takeExcess(0)).isEqualTo(Optional.empty());
+  }
+
+  // Guards against requests that run in the memory that answers and output hold already.
+  @Test
+  void requestsLeaveRoomBesideAnswersAndOutputThatAreHeld() {
+    hold("answer", "s", Kind.ANSWER, 100, 0);
+    hold("output", "", Kind.OUTPUT, 100, 0);
+    hold("running", "", Kind.RUNNING, 665, 0);
+    assertThat(budget.canRun(10)).isTrue();
+    assertThat(budget.canRun(11)).isFalse();
+  }
+
+  // Guards against callers that read nothing, so that their output stops all requests.
+  @Test
+  void requestsRunBesideOutputThatFillsTheBudget() {
+    hold("output", "", Kind.OUTPUT, 990, 0);
+    hold("running", "", Kind.RUNNING, 490, 0);
+    assertThat(budget.canRun(10)).isTrue();
+    assertThat(budget.canRun(11)).isFalse();
+  }
+
+  // Guards against a limit that refuses requests of usual size in calm: 1,500 of 8 KB fit into the
+  // budget of a small instance.
+  @Test
+  void manySmallRequestsRunAtOnce() {
+    MemoryBudget<String> small = new MemoryBudget<>(16_777_216, 4_194_304);
+    small.open("running", "").update(Kind.RUNNING, 1_499 * 8_192L, 0);
+    assertThat(small.canRun(8_192)).isTrue();
+  }
 }
--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -109,13 +109,22 @@
     if (ignoringInput) {
       accountForNoInput();
     } else {
-      account.update(Kind.HEAD, decoder.heldHeaderBytes() + decoder.heldRawBytes(), nowMs);
+      // The part of a request that arrives in one read with the end of the one before it.
+      if (decoder.isInsideMessage()) {
+        recordFirstByte();
+      }
+      account.update(Kind.HEAD, heldHeadBytes(), nowMs);
       account.update(Kind.BODY, body.heldBytes(), nowMs);
     }
     account.update(Kind.QUEUED, queuedBytes, nowMs);
     server.memory().releaseExcess();
   }
 
+  /** Returns the memory of the head or the part of it that the decoder holds. */
+  long heldHeadBytes() {
+    return decoder == null ? 0 : decoder.heldHeaderBytes() + decoder.heldRawBytes();
+  }
+
   /** Accounts for what the caller has not taken of its answers. */
   void onOutputChanged() {
     accountForOutput();
@@ -221,7 +230,7 @@
 
   private void completeRequest() {
     long heldBytes = REQUEST_BYTES + decoder.heldHeaderBytes() + body.size();
-    decoder.resetHeldHeaderBytes();
+    decoder.onMessageEnded();
     accountForNoInput();
     CallerRequest request =
         new CallerRequest(
@@ -241,7 +250,7 @@
       pipelinedRequests.add(complete);
       queuedBytes += heldBytes;
     } else {
-      ignoringInput = true;
+      ignoreInput();
     }
   }
 
@@ -462,7 +471,7 @@
   /** Replaces a decoder that would keep a large buffer while the connection is idle. */
   private void replaceOversizedDecoder() {
     boolean isIdle = !isBusy() && !ignoringInput && firstByteMs == 0;
-    if (isIdle && decoder.isOversized() && decoder.heldRawBytes() == 0) {
+    if (isIdle && decoder.isOversized() && !decoder.isInsideMessage()) {
       RequestDecoder replacement = new RequestDecoder(server.limits().maxHeaderBytes());
       channel.pipeline().replace(decoder, null, replacement);
       decoder = replacement;
