Release the account of a request whose handler throws

Each request whose handler threw before it set a close listener counted as running until the restart of the process, and its caller got a closed connection. With enough of them, every caller got 503 memory_short.

HttpConnection passed the exception on to Netty, which closes the connection, and a request without a close listener is held until its answer. The exchange now ends with 502 internal_error, or with a reset if its answer was begun, and the exception is logged.

Both new tests of HttpServerMemoryTest fail without the change.

--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apricotstand.limit.MemoryBudget.Kind;
 import org.apricotstand.limit.MemoryHolder;
+import org.apricotstand.observe.EventLog;
 
 /**
  * One connection of an {@link HttpServer}. Answers requests one at a time, in the order of arrival,
@@ -32,6 +33,8 @@
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest>
     implements MemoryHolder, NettyExchange.FinishListener {
 
+  private static final EventLog LOG = EventLog.of(HttpConnection.class);
+
   /**
    * Maximum number of queued pipelined requests. What a caller sends beyond that is not read, and
    * the connection is closed after the answers to the others.
@@ -122,7 +125,16 @@
       return;
     }
     currentExchange = new NettyExchange(context, request, requestMemory.get(), this);
-    handler.handle(currentExchange);
+    handle(currentExchange);
+  }
+
+  private void handle(NettyExchange exchange) {
+    try {
+      handler.handle(exchange);
+    } catch (RuntimeException | Error e) {
+      LOG.warn("request_handler_failed", "error", e.toString());
+      exchange.fail();
+    }
   }
 
   private static long sizeOf(FullHttpRequest request) {
--- a/node/src/main/java/org/apricotstand/http/NettyExchange.java
+++ b/node/src/main/java/org/apricotstand/http/NettyExchange.java
@@ -164,6 +164,20 @@
         });
   }
 
+  /**
+   * Ends the exchange of a handler that threw: answers unless an answer was begun, which is aborted
+   * then. The request may have run.
+   */
+  void fail() {
+    if (state == State.NOT_STARTED) {
+      respondJson(
+          HttpResponseStatus.BAD_GATEWAY.code(),
+          "{\"error\":{\"code\":\"internal_error\",\"outcome\":\"unknown\"}}");
+    } else {
+      abort();
+    }
+  }
+
   @Override
   public boolean isWritable() {
     return context.channel().isWritable();
--- a/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
@@ -1,6 +1,7 @@
 package org.apricotstand.http;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -9,6 +10,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -45,6 +47,11 @@
   private void handle(HttpExchange exchange) {
     switch (exchange.request().path()) {
       case "/held" -> held.add(exchange);
+      case "/throw" -> throw new IllegalStateException("handler failure of the test");
+      case "/begin-and-throw" -> {
+        exchange.begin(200, Map.of());
+        throw new IllegalStateException("handler failure of the test");
+      }
       case "/flood" -> {
         exchange.setCloseListener(callerDisconnected::countDown);
         exchange.begin(200, Map.of());
@@ -143,6 +150,30 @@
     awaitNothingHeld();
   }
 
+  /** Guards against requests that count as running for ever because their handler threw. */
+  @Test
+  void requestWhoseHandlerThrowsIsAnsweredAndReleased() throws Exception {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send(post("/throw", 40_000) + "x".repeat(40_000));
+      String answer = caller.readUntil("}}");
+      assertThat(answer).startsWith("HTTP/1.1 502 ");
+      assertThat(answer).contains("\"code\":\"internal_error\"");
+      awaitNothingHeld();
+      caller.send(post("/", 2) + "xx");
+      assertThat(caller.readUntil("\"2\"")).startsWith("HTTP/1.1 200 ");
+    }
+  }
+
+  /** Guards against a begun answer that looks complete although its handler threw. */
+  @Test
+  void begunAnswerIsResetWhenItsHandlerThrows() throws Exception {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send(post("/begin-and-throw", 40_000) + "x".repeat(40_000));
+      assertThrows(SocketException.class, caller::readAll);
+    }
+    awaitNothingHeld();
+  }
+
   /** A caller that leaves does not end its request, whose body is still held. */
   @Test
   void requestOfCallerThatLeftCountsUntilItsAnswer() throws Exception {
