Count no body for a request that is refused by its length

A caller whose announced body was over the limit got 503 memory_short after its 413, and lost its connection, when others needed memory.

The head set the body to exactly the limit, which counts as held, so a whole body was accounted for that nobody holds, and the release of it answered again. A refused request now counts nothing from its head on, and a release that finds nothing held does nothing.

The new test of HttpServerMemoryTest fails without the change: 503 instead of 200 to the next request.

--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -233,6 +233,9 @@
    */
   private void releaseIncompleteRequest() {
     RequestMemory requestMemory = channelContext.pipeline().get(RequestMemory.class);
+    if (!requestMemory.isHolding()) {
+      return;
+    }
     boolean isAnswerable =
         requestMemory.isBodyArriving() && currentExchange == null && !ignoringInput;
     if (!discardIncompleteRequest() || ignoringInput) {
--- a/node/src/main/java/org/apricotstand/http/RequestMemory.java
+++ b/node/src/main/java/org/apricotstand/http/RequestMemory.java
@@ -53,6 +53,11 @@
     return bytes;
   }
 
+  /** Returns whether a part of an incomplete request is held; none is of a refused one. */
+  boolean isHolding() {
+    return heldBytes() > 0;
+  }
+
   /** Returns whether the head of the request has arrived, but not its end. */
   boolean isBodyArriving() {
     return isBodyArriving;
@@ -83,7 +88,8 @@
     if (message instanceof HttpRequest request) {
       isBodyArriving = true;
       if (HttpUtil.getContentLength(request, 0L) > maxBodyBytes) {
-        bodyBytes = maxBodyBytes;
+        bodyBytes = maxBodyBytes + 1L;
+        accountForBody();
       }
     }
     if (message instanceof HttpContent content) {
@@ -101,6 +107,7 @@
     if (bodyBytes > maxBodyBytes) {
       // The request is refused, and the rest of its body is discarded as it arrives.
       headBytes = 0;
+      accountedBytes = 0;
       account.update(Kind.HEAD, 0);
       account.update(Kind.BODY, 0);
     } else if (heldBytes() - accountedBytes > UPDATE_BYTES) {
--- a/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
@@ -209,6 +209,22 @@
     awaitNothingHeld();
   }
 
+  /** Guards against a refused body that counts as held although no byte of it has arrived. */
+  @Test
+  void announcedOversizedBodyCountsNothing() throws Exception {
+    try (RawConnection caller = new RawConnection(server.address());
+        RawConnection other = new RawConnection(server.address())) {
+      caller.send(post("/", 200_000));
+      assertThat(caller.readUntil("}}")).startsWith("HTTP/1.1 413 ");
+      other.send(post("/", 60_000) + "x".repeat(60_000));
+      assertThat(other.readUntil("\"60000\"")).startsWith("HTTP/1.1 200 ");
+      assertThat(heldBytes("body")).isEqualTo(0.0);
+      caller.send("x".repeat(200_000) + post("/", 2) + "xx");
+      assertThat(caller.readUntil("\"2\"")).startsWith("HTTP/1.1 200 ");
+    }
+    awaitNothingHeld();
+  }
+
   private static String post(String path, int bodyBytes) {
     return "POST " + path + " HTTP/1.1\r\ncontent-length: " + bodyBytes + "\r\n\r\n";
   }
