Release header lines that arrive with the request before them

The lines of an incomplete head stayed held, up to the idle timeout, while the budget counted them as released, if they arrived in the same read as a complete request: the read timeout does not run for them yet, and its state decided whether there was anything to release. What is held decides now.

--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -257,10 +257,12 @@
    */
   private boolean discardIncompleteRequest() {
     ChannelPipeline pipeline = channelContext.pipeline();
-    if (!pipeline.get(RequestReadTimeout.class).isReceiving()) {
+    RequestMemory requestMemory = pipeline.get(RequestMemory.class);
+    // The timeout does not run for lines that arrived in the same read as the request before them.
+    if (!requestMemory.isHolding() && !pipeline.get(RequestReadTimeout.class).isReceiving()) {
       return false;
     }
-    pipeline.get(RequestMemory.class).discard();
+    requestMemory.discard();
     if (pipeline.get(BodyCollector.class) != null) {
       pipeline.remove(BodyCollector.class);
     }
--- a/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
@@ -225,6 +225,29 @@
     awaitNothingHeld();
   }
 
+  /**
+   * Guards against lines that stay held although they are accounted for as released, because they
+   * arrived in the same read as the request before them.
+   */
+  @Test
+  void linesThatArriveWithTheRequestBeforeThemAreReleased() throws Exception {
+    String head = "GET / HTTP/1.1\r\nconnection: close\r\n" + "a:b\r\n".repeat(300);
+    try (RawConnection stalled = new RawConnection(server.address());
+        RawConnection served = new RawConnection(server.address())) {
+      stalled.send(post("/held", 0) + head);
+      awaitHeld("head", 300 * 200);
+      // Lines weigh less, and the others may be chosen, soon after the last of them arrived.
+      TimeUnit.MILLISECONDS.sleep(20);
+      served.send(head);
+      served.send("\r\n");
+      assertThat(served.readAll()).startsWith("HTTP/1.1 200 ");
+      stalled.send("\r\n");
+      held.remove().respondJson(200, "\"held\"");
+      assertThat(stalled.readAll()).endsWith("\"held\"");
+    }
+    awaitNothingHeld();
+  }
+
   private static String post(String path, int bodyBytes) {
     return "POST " + path + " HTTP/1.1\r\ncontent-length: " + bodyBytes + "\r\n\r\n";
   }
