Release the request queued behind the last one answered

When an answer ended the connection, the first request queued behind it was taken from the queue and its buffer never released.

The new test of HttpServerMemoryTest fails without the change: the reference count stays at 1.

--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -293,6 +293,9 @@
         next.release();
       }
     } else if (!keepAlive || inputClosed || ignoringInput || draining) {
+      if (next != null) {
+        next.release();
+      }
       closeAfterInput(context);
     } else {
       context.pipeline().get(BodyCollector.class).sendDueContinue(context);
--- a/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
@@ -7,7 +7,13 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
@@ -248,6 +254,25 @@
     awaitNothingHeld();
   }
 
+  /** Guards against the loss of the buffer of a request behind the last one that is answered. */
+  @Test
+  void requestBehindTheLastAnsweredOneIsReleased() {
+    HttpConnection connection = new HttpConnection(held::add, HttpMemory.unlimited());
+    EmbeddedChannel channel = new EmbeddedChannel(new RequestReadTimeout(60_000), connection);
+    FullHttpRequest last =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/held");
+    HttpUtil.setKeepAlive(last, false);
+    FullHttpRequest unanswered =
+        new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/held");
+    channel.writeInbound(last, unanswered);
+    assertThat(unanswered.refCnt()).isEqualTo(1);
+    held.remove().respondJson(200, "\"held\"");
+    channel.runPendingTasks();
+    assertThat(held).isEmpty();
+    assertThat(unanswered.refCnt()).isEqualTo(0);
+    channel.finishAndReleaseAll();
+  }
+
   private static String post(String path, int bodyBytes) {
     return "POST " + path + " HTTP/1.1\r\ncontent-length: " + bodyBytes + "\r\n\r\n";
   }
