Count only unsent output, and check it again before a reset

A caller that read its answer at once had its connection reset if the answer was larger than the free memory. The whole answer was accounted for before its write, and until all of it had left, and the reset was made without a check.

The output is now what the buffer of the channel has not sent, and the connection is kept if some of it has left since it was accounted for, as in CallerConnection.

The new test of HttpServerMemoryTest fails without the change with a connection reset.

--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -60,7 +61,7 @@
   private boolean draining;
   private ChannelHandlerContext channelContext;
   private long queuedBytes;
-  private long unsentBytes;
+  private long accountedOutputBytes;
 
   HttpConnection(HttpHandler handler, HttpMemory memory) {
     this.handler = handler;
@@ -196,9 +197,14 @@
   }
 
   @Override
-  public void onUnsentOutputChanged(int addedBytes) {
-    unsentBytes += addedBytes;
-    account.update(Kind.OUTPUT, unsentBytes);
+  public void onOutputChanged() {
+    accountedOutputBytes = unsentBytes();
+    account.update(Kind.OUTPUT, accountedOutputBytes);
+  }
+
+  private long unsentBytes() {
+    ChannelOutboundBuffer buffer = channelContext.channel().unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
   }
 
   @Override
@@ -208,9 +214,7 @@
 
   private void release(Kind kind) {
     if (kind == Kind.OUTPUT) {
-      // A normal close would look like the end of a body without a length.
-      channelContext.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-      channelContext.close();
+      releaseOutput();
     } else if (kind == Kind.QUEUED) {
       releaseQueue();
     } else {
@@ -218,6 +222,17 @@
     }
   }
 
+  /** Resets the connection, unless its caller has read since its output was accounted for. */
+  private void releaseOutput() {
+    if (unsentBytes() < accountedOutputBytes) {
+      onOutputChanged();
+    } else {
+      // A normal close would look like the end of a body without a length.
+      channelContext.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+      channelContext.close();
+    }
+  }
+
   private void releaseQueue() {
     if (!pipelinedRequests.isEmpty()) {
       ignoringInput = true;
@@ -344,6 +359,7 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
+    onOutputChanged();
     if (currentExchange != null && context.channel().isWritable()) {
       currentExchange.onChannelWritable();
     }
--- a/node/src/main/java/org/apricotstand/http/NettyExchange.java
+++ b/node/src/main/java/org/apricotstand/http/NettyExchange.java
@@ -28,8 +28,8 @@
   interface FinishListener {
     void onAnswerFinished(ChannelHandlerContext context, boolean keepAlive);
 
-    /** Called before and after the write of bytes, with their number and its negative. */
-    void onUnsentOutputChanged(int addedBytes);
+    /** Called after a write was flushed, and again when all of it has left. */
+    void onOutputChanged();
   }
 
   private enum State {
@@ -99,7 +99,7 @@
           headers.forEach(response.headers()::set);
           HttpUtil.setContentLength(response, body.length);
           setConnectionHeader(response);
-          finish(send(response, body.length));
+          finish(send(response));
         });
   }
 
@@ -132,7 +132,7 @@
         () -> {
           if (state == State.STREAMING) {
             ByteBuf content = Unpooled.wrappedBuffer(part);
-            send(new DefaultHttpContent(content), part.length);
+            send(new DefaultHttpContent(content));
           }
         });
   }
@@ -227,11 +227,14 @@
     }
   }
 
-  private ChannelFuture send(Object message, int bytes) {
-    finishListener.onUnsentOutputChanged(bytes);
-    return context
-        .writeAndFlush(message)
-        .addListener(done -> finishListener.onUnsentOutputChanged(-bytes));
+  private ChannelFuture send(Object message) {
+    ChannelFuture write = context.writeAndFlush(message);
+    finishListener.onOutputChanged();
+    if (!write.isDone()) {
+      // The buffer of the channel still counts a write while it notifies the listeners.
+      write.addListener(done -> context.executor().execute(finishListener::onOutputChanged));
+    }
+    return write;
   }
 
   private void finish(ChannelFuture lastWrite) {
--- a/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
@@ -35,6 +35,7 @@
   private static final HttpLimits LIMITS = new HttpLimits(16_384, 65_536, 100, 60_000, 30_000);
   private static final long MAX_HELD_BYTES = 100_000;
   private static final int SMALL_BUFFER_BYTES = 4_096;
+  private static final int LARGE_ANSWER_BYTES = 110_000;
   private static final int PART_BYTES = 65_536;
 
   private final Metrics metrics = new Metrics();
@@ -63,6 +64,7 @@
         exchange.begin(200, Map.of());
         writeUntilClosed(exchange);
       }
+      case "/large" -> exchange.respondJson(200, "x".repeat(LARGE_ANSWER_BYTES) + "END");
       default -> exchange.respondJson(200, "\"" + exchange.request().body().length + "\"");
     }
   }
@@ -273,6 +275,18 @@
     channel.finishAndReleaseAll();
   }
 
+  /** Guards against the reset of a caller that reads an answer larger than what may be held. */
+  @Test
+  void callerThatReadsGetsItsLargeAnswer() throws Exception {
+    try (RawConnection caller = new RawConnection(server.address())) {
+      caller.send("GET /large HTTP/1.1\r\n\r\n");
+      assertThat(caller.readUntil("END").length()).isAtLeast(LARGE_ANSWER_BYTES);
+      caller.send(post("/", 2) + "xx");
+      assertThat(caller.readUntil("\"2\"")).startsWith("HTTP/1.1 200 ");
+    }
+    awaitNothingHeld();
+  }
+
   private static String post(String path, int bodyBytes) {
     return "POST " + path + " HTTP/1.1\r\ncontent-length: " + bodyBytes + "\r\n\r\n";
   }
