--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -24,6 +25,7 @@
 import java.util.concurrent.TimeUnit;
 import org.apricotstand.limit.MemoryBudget.Kind;
 import org.apricotstand.limit.MemoryHolder;
+import org.apricotstand.observe.EventLog;
 
 /**
  * One connection of an {@link HttpServer}. Answers requests one at a time, in the order of arrival,
@@ -32,6 +34,8 @@
 final class HttpConnection extends SimpleChannelInboundHandler<FullHttpRequest>
     implements MemoryHolder, NettyExchange.FinishListener {
 
+  private static final EventLog LOG = EventLog.of(HttpConnection.class);
+
   /**
    * Maximum number of queued pipelined requests. What a caller sends beyond that is not read, and
    * the connection is closed after the answers to the others.
@@ -57,7 +61,7 @@
   private boolean draining;
   private ChannelHandlerContext channelContext;
   private long queuedBytes;
-  private long unsentBytes;
+  private long accountedOutputBytes;
 
   HttpConnection(HttpHandler handler, HttpMemory memory) {
     this.handler = handler;
@@ -122,7 +126,16 @@
       return;
     }
     currentExchange = new NettyExchange(context, request, requestMemory.get(), this);
-    handler.handle(currentExchange);
+    handle(currentExchange);
+  }
+
+  private void handle(NettyExchange exchange) {
+    try {
+      handler.handle(exchange);
+    } catch (RuntimeException | Error e) {
+      LOG.warn("request_handler_failed", "error", e.toString());
+      exchange.fail();
+    }
   }
 
   private static long sizeOf(FullHttpRequest request) {
@@ -184,9 +197,14 @@
   }
 
   @Override
-  public void onUnsentOutputChanged(int addedBytes) {
-    unsentBytes += addedBytes;
-    account.update(Kind.OUTPUT, unsentBytes);
+  public void onOutputChanged() {
+    accountedOutputBytes = unsentBytes();
+    account.update(Kind.OUTPUT, accountedOutputBytes);
+  }
+
+  private long unsentBytes() {
+    ChannelOutboundBuffer buffer = channelContext.channel().unsafe().outboundBuffer();
+    return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
   }
 
   @Override
@@ -196,9 +214,7 @@
 
   private void release(Kind kind) {
     if (kind == Kind.OUTPUT) {
-      // A normal close would look like the end of a body without a length.
-      channelContext.channel().config().setOption(ChannelOption.SO_LINGER, 0);
-      channelContext.close();
+      releaseOutput();
     } else if (kind == Kind.QUEUED) {
       releaseQueue();
     } else {
@@ -206,6 +222,17 @@
     }
   }
 
+  /** Resets the connection, unless its caller has read since its output was accounted for. */
+  private void releaseOutput() {
+    if (unsentBytes() < accountedOutputBytes) {
+      onOutputChanged();
+    } else {
+      // A normal close would look like the end of a body without a length.
+      channelContext.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+      channelContext.close();
+    }
+  }
+
   private void releaseQueue() {
     if (!pipelinedRequests.isEmpty()) {
       ignoringInput = true;
@@ -221,6 +248,9 @@
    */
   private void releaseIncompleteRequest() {
     RequestMemory requestMemory = channelContext.pipeline().get(RequestMemory.class);
+    if (!requestMemory.isHolding()) {
+      return;
+    }
     boolean isAnswerable =
         requestMemory.isBodyArriving() && currentExchange == null && !ignoringInput;
     if (!discardIncompleteRequest() || ignoringInput) {
@@ -242,10 +272,12 @@
    */
   private boolean discardIncompleteRequest() {
     ChannelPipeline pipeline = channelContext.pipeline();
-    if (!pipeline.get(RequestReadTimeout.class).isReceiving()) {
+    RequestMemory requestMemory = pipeline.get(RequestMemory.class);
+    // The timeout does not run for lines that arrived in the same read as the request before them.
+    if (!requestMemory.isHolding() && !pipeline.get(RequestReadTimeout.class).isReceiving()) {
       return false;
     }
-    pipeline.get(RequestMemory.class).discard();
+    requestMemory.discard();
     if (pipeline.get(BodyCollector.class) != null) {
       pipeline.remove(BodyCollector.class);
     }
@@ -276,6 +308,9 @@
         next.release();
       }
     } else if (!keepAlive || inputClosed || ignoringInput || draining) {
+      if (next != null) {
+        next.release();
+      }
       closeAfterInput(context);
     } else {
       context.pipeline().get(BodyCollector.class).sendDueContinue(context);
@@ -324,6 +359,7 @@
 
   @Override
   public void channelWritabilityChanged(ChannelHandlerContext context) {
+    onOutputChanged();
     if (currentExchange != null && context.channel().isWritable()) {
       currentExchange.onChannelWritable();
     }
