Name divisors and the last unsent bytes as what they are

No behaviour changes: divisors of the memory limits are called divisors, the field beside unsentBytes() has its own name, and the class comment of caller connections says that what arrives beyond the queue is discarded.

--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -37,9 +37,9 @@
 
 /**
  * Reads the requests of one caller connection and answers them in order. While a request is in
- * progress, up to {@value #MAX_PIPELINED_REQUESTS} further ones are queued; beyond that nothing
- * more is read and the connection is closed after their answers. Requests wait while answers to
- * those before them have not left, so that a caller that reads nothing costs one answer.
+ * progress, up to {@value #MAX_PIPELINED_REQUESTS} further ones are queued; what arrives beyond
+ * that is read and discarded, and the connection is closed after their answers. Requests wait while
+ * answers to those before them have not left, so that a caller that reads nothing costs one answer.
  */
 final class CallerConnection extends SimpleChannelInboundHandler<HttpObject>
     implements MemoryHolder {
@@ -72,7 +72,7 @@
   private CallReply reply;
   private long idleSinceMs = ControlThread.nowMs();
   private ChannelFuture lastWrite;
-  private long unsentBytes;
+  private long lastUnsentBytes;
 
   /** Refusal of an unreadable request, which waits for the answers to the requests before it. */
   private record Refusal(int status, String code) {}
@@ -342,7 +342,7 @@
   void onReplyCompleted(boolean keepAlive, ChannelFuture answerWrite) {
     reply = null;
     lastWrite = answerWrite;
-    unsentBytes = unsentBytes();
+    lastUnsentBytes = unsentBytes();
     idleSinceMs = ControlThread.nowMs();
     answerWrite.addListener(done -> onAnswerLeft());
     server.onRequestEnded();
@@ -505,8 +505,8 @@
   /** Gives up on a caller that has taken no byte of its answer for the idle timeout. */
   private void resetIfStalled(long nowMs) {
     long stillUnsentBytes = unsentBytes();
-    if (stillUnsentBytes != unsentBytes) {
-      unsentBytes = stillUnsentBytes;
+    if (stillUnsentBytes != lastUnsentBytes) {
+      lastUnsentBytes = stillUnsentBytes;
       idleSinceMs = nowMs;
     } else if (nowMs - idleSinceMs > server.limits().idleTimeoutMs()) {
       reset();
--- a/node/src/main/java/org/apricotstand/port/MemoryLimits.java
+++ b/node/src/main/java/org/apricotstand/port/MemoryLimits.java
@@ -14,7 +14,7 @@
   private static final long MIN_HELD_BYTES = 65_536;
 
   /** The rest of the heap is for the program, the connections and copies of a single request. */
-  private static final int HEAP_SHARE = 3;
+  private static final int HEAP_DIVISOR = 3;
 
   /**
    * Heap for each connection that may be open; a connection without a request takes about 5 KB, so
@@ -23,7 +23,7 @@
   private static final long HEAP_BYTES_PER_CONNECTION = 24_576;
 
   /** Descriptors that are left to connections to targets, the store and other instances. */
-  private static final int DESCRIPTOR_SHARE = 2;
+  private static final int DESCRIPTOR_DIVISOR = 2;
 
   /** Checks that requests of usual size can pass. */
   public MemoryLimits {
@@ -43,7 +43,7 @@
    */
   public static MemoryLimits forProcess(long maxHeapBytes, long maxDescriptors) {
     long connections =
-        Math.min(maxHeapBytes / HEAP_BYTES_PER_CONNECTION, maxDescriptors / DESCRIPTOR_SHARE);
-    return new MemoryLimits(maxHeapBytes / HEAP_SHARE, (int) Math.max(1, connections));
+        Math.min(maxHeapBytes / HEAP_BYTES_PER_CONNECTION, maxDescriptors / DESCRIPTOR_DIVISOR);
+    return new MemoryLimits(maxHeapBytes / HEAP_DIVISOR, (int) Math.max(1, connections));
   }
 }
