Test that a stalled head goes before an equal one that has just arrived

Traced: with the weight used there, a head that came in two reads weighed less than an equal one that had just arrived, so that the wrong connection was closed.

--- a/core/src/test/java/org/apricotstand/limit/MemoryBudgetTest.java
+++ b/core/src/test/java/org/apricotstand/limit/MemoryBudgetTest.java
@@ -201,4 +201,17 @@
     small.open("running", "").update(Kind.RUNNING, 1_499 * 8_192L, 0);
     assertThat(small.canRun(8_192)).isTrue();
   }
+
+  // Guards against refusing a request that is arriving instead of an equal one that has stalled,
+  // because the stalled one came in two reads.
+  @Test
+  void aStalledHeadIsGivenUpBeforeAnEqualOneThatHasJustArrived() {
+    MemoryBudget<String> heads = new MemoryBudget<>(100_000, 50_000);
+    MemoryBudget<String>.Account stalled = heads.open("stalled", "");
+    MemoryBudget<String>.Account arriving = heads.open("arriving", "");
+    stalled.update(Kind.HEAD, 30_000, 1_000);
+    stalled.update(Kind.HEAD, 60_000, 1_001);
+    arriving.update(Kind.HEAD, 60_000, 1_003);
+    assertThat(heads.takeExcess(1_003).orElseThrow().holder()).isEqualTo("stalled");
+  }
 }
