Keep the connections to a target within maxConns

Nothing read ServiceSpec.maxConnections. A target that refuses requests makes each of them close one connection and open another; the selector releases closed sockets only at its next selection, so within one pass of a busy event loop closed, new and connected sockets add up.

The pool now counts the sockets of each target until their descriptors are released, probes and hedged attempts included. A target without room is not chosen, and a request that finds no other is refused as not run (503, connection_limit, Retry-After). An idle connection makes way for a new one. If no place is left for a probe, nothing is concluded about the target.

--- a/node/src/main/java/org/apricotstand/request/CrashWatch.java
+++ b/node/src/main/java/org/apricotstand/request/CrashWatch.java
@@ -161,11 +161,12 @@
 
   private void onProbed(TargetEntry target, ProbeResult result) {
     LostRequests lost = lostByTarget.remove(target.incarnation());
-    if (result != ProbeResult.ACCEPTED) {
+    boolean isUnreachable = result == ProbeResult.REFUSED || result == ProbeResult.SILENT;
+    if (isUnreachable) {
       health.recordUnreachable(target.id(), clock.getAsLong());
     }
     boolean isTargetGone = result == ProbeResult.REFUSED && isListed(target);
-    if (result == ProbeResult.ACCEPTED) {
+    if (!isUnreachable) {
       awaitReplacement(target, lost.all());
     } else if (isTargetGone) {
       onCrash(target, lost.all());
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -289,6 +289,8 @@
     List<TargetEntry> targets = router.view().targetsOf(service);
     if (targets.stream().anyMatch(router::isLimited)) {
       refuseOrAbort("targets_limited", RetryAdvice.Cause.TARGETS_BUSY);
+    } else if (targets.stream().anyMatch(target -> router.isAtConnectionLimit(target, this))) {
+      refuseOrAbort("connection_limit", RetryAdvice.Cause.TARGETS_BUSY);
     } else {
       String code = targets.isEmpty() ? "no_target" : "no_target_left";
       refuseOrAbort(code, RetryAdvice.Cause.NO_OWNER);
@@ -311,8 +313,7 @@
   }
 
   private void onTurn(TargetEntry target) {
-    boolean isRefused = router.crashWatch().findRefused(traits).isPresent();
-    if (!isRefused && !router.pacer().isPaused(target) && router.isResident(target, this)) {
+    if (router.crashWatch().findRefused(traits).isEmpty() && router.canRun(target, this)) {
       send(target);
     } else {
       dispatch();
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -41,6 +41,7 @@
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
 import org.apricotstand.route.Route;
+import org.apricotstand.route.ServiceSpec;
 import org.apricotstand.suspect.Trait;
 import org.apricotstand.upstream.TargetConnectionPool;
 
@@ -112,7 +113,11 @@
     this.headerNames = headerNames;
     this.view = view;
     this.connections =
-        new TargetConnectionPool(loop, headerNames, settings.answerLimits().maxSkippedBytes());
+        new TargetConnectionPool(
+            loop,
+            headerNames,
+            settings.answerLimits().maxSkippedBytes(),
+            target -> maxConnections(view.get(), target));
     this.memory = memory;
     this.retryShare = new AllowanceShare(settings.retryWindowMs());
     this.admissionCheck = new AdmissionCheck(settings.freshness(), ControlThread::nowMs);
@@ -156,6 +161,15 @@
     return handleBy(fleetView, request, reply);
   }
 
+  /** Returns the limit of connections that the service of a target declares; 0 or less is none. */
+  private static int maxConnections(FleetView fleetView, TargetEntry target) {
+    return Optional.ofNullable(fleetView.plan())
+        .flatMap(plan -> plan.service(target.service()))
+        .map(ServiceSpec::maxConnections)
+        .filter(limit -> limit > 0)
+        .orElse(Integer.MAX_VALUE);
+  }
+
   private static boolean canServe(FleetView fleetView) {
     return fleetView.plan() != null && !fleetView.targets().isEmpty();
   }
@@ -332,15 +346,23 @@
   /** Returns whether the service has another target that a request may be sent to. */
   boolean hasOtherTarget(RequestFlow flow, TargetEntry target) {
     return view.get().targetsOf(flow.service()).stream()
-        .anyMatch(other -> !other.id().equals(target.id()) && !flow.isExcluded(other));
+        .anyMatch(
+            other ->
+                !other.id().equals(target.id())
+                    && !flow.isExcluded(other)
+                    && connections.canSend(other));
   }
 
-  /** Returns the targets of the service but those that the request excludes. */
+  /**
+   * Returns the targets of the service that the request does not exclude. A target that can run it
+   * now must also have a connection for it; at others, the request waits for its adapter first.
+   */
   private Stream<Candidate> candidates(RequestFlow flow) {
     FleetView fleetView = view.get();
     return fleetView.targetsOf(flow.service()).stream()
         .filter(target -> !flow.isExcluded(target))
-        .map(target -> toCandidate(fleetView, target, flow));
+        .map(target -> toCandidate(fleetView, target, flow))
+        .filter(candidate -> !candidate.isResident() || connections.canSend(candidate.target()));
   }
 
   /** Returns whether a target limits requests, so that this instance cannot send one now. */
@@ -348,8 +370,16 @@
     return pacer.delayMs(target).orElse(1) > 0;
   }
 
-  /** Returns whether a target is still listed and can run a request now. */
-  boolean isResident(TargetEntry target, RequestFlow flow) {
+  /** Returns whether a target that the request may use has no connection for it. */
+  boolean isAtConnectionLimit(TargetEntry target, RequestFlow flow) {
+    return !flow.isExcluded(target) && !connections.canSend(target);
+  }
+
+  /** Returns whether a target is still listed and can be sent a request now. */
+  boolean canRun(TargetEntry target, RequestFlow flow) {
+    if (pacer.isPaused(target) || !connections.canSend(target)) {
+      return false;
+    }
     FleetView fleetView = view.get();
     return fleetView.targetsOf(flow.service()).stream()
         .filter(listed -> listed.incarnation().equals(target.incarnation()))
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
@@ -13,7 +13,9 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.io.IOException;
 import java.net.ConnectException;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
@@ -21,6 +23,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.ToIntFunction;
 import jdk.net.ExtendedSocketOptions;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
@@ -28,7 +31,8 @@
 import org.apricotstand.port.HeaderNames;
 
 /**
- * Pools connections to targets; used on the traffic thread only.
+ * Pools connections to targets and keeps their number within the limit of each target. Connections
+ * in use, being opened, idle and being closed count towards it. Used on the traffic thread only.
  *
  * <pre>{@code
  * connections.send(target, request, listener, connection -> isWanted());
@@ -48,8 +52,13 @@
   private final EventLoop loop;
   private final HeaderNames headerNames;
   private final int maxSkippedBytes;
+  private final ToIntFunction<TargetEntry> maxConnections;
+  private final TargetSockets sockets = new TargetSockets();
   private final Map<String, Deque<TargetConnection>> idleByIncarnation = new HashMap<>();
-  private final Map<TargetConnection, String> incarnations = new HashMap<>();
+  private final Map<TargetConnection, Peer> peers = new HashMap<>();
+
+  /** The incarnation of the target of a connection, and the socket that counts for it. */
+  private record Peer(String incarnation, SocketChannel socket) {}
 
   /**
    * Creates an empty pool.
@@ -57,16 +66,32 @@
    * @param loop event loop of the traffic thread
    * @param headerNames names of the headers in which targets echo the id and sign their answers
    * @param maxSkippedBytes bytes that a target may send before the answer to a request
+   * @param maxConnections returns the number of connections that a target may have
    */
-  public TargetConnectionPool(EventLoop loop, HeaderNames headerNames, int maxSkippedBytes) {
+  public TargetConnectionPool(
+      EventLoop loop,
+      HeaderNames headerNames,
+      int maxSkippedBytes,
+      ToIntFunction<TargetEntry> maxConnections) {
     this.loop = loop;
     this.headerNames = headerNames;
     this.maxSkippedBytes = maxSkippedBytes;
+    this.maxConnections = maxConnections;
+  }
+
+  /** Returns whether a request can be sent to a target within the limit of its connections. */
+  public boolean canSend(TargetEntry target) {
+    return !isFull(target) || idleByIncarnation.containsKey(target.incarnation());
+  }
+
+  private boolean isFull(TargetEntry target) {
+    return sockets.isFull(target.incarnation(), maxConnections.applyAsInt(target));
   }
 
   /**
    * Sends a request on an idle connection, or on a new one when none is idle or when the request
-   * has no id, by which its answer could be told from a late one to another request.
+   * has no id, by which its answer could be told from a late one to another request. Fails unless
+   * {@link #canSend}.
    *
    * @param beforeSend receives the connection before any byte is sent, and returns whether the
    *     request is still to be sent
@@ -88,10 +113,36 @@
     open(target, request, listener, beforeSend);
   }
 
-  private Bootstrap bootstrap(ChannelHandler handler) {
+  /** Opens a socket for a target, in place of its oldest idle connection if it has no room. */
+  private SocketChannel openSocket(TargetEntry target) throws IOException {
+    if (isFull(target)) {
+      Deque<TargetConnection> idle = idleByIncarnation.get(target.incarnation());
+      if (idle == null) {
+        throw new IOException("connection limit reached for " + target.id());
+      }
+      closeIdle(target.incarnation(), idle.peekFirst());
+    }
+    return sockets.open(target.incarnation());
+  }
+
+  /** Closes an idle connection. The target sees that before it sees a new connection. */
+  private void closeIdle(String incarnation, TargetConnection connection) {
+    removeIdle(incarnation, connection);
+    sockets.forget(incarnation, peers.get(connection).socket);
+    connection.close();
+  }
+
+  private void removeIdle(String incarnation, TargetConnection connection) {
+    Deque<TargetConnection> idle = idleByIncarnation.get(incarnation);
+    if (idle != null && idle.remove(connection) && idle.isEmpty()) {
+      idleByIncarnation.remove(incarnation);
+    }
+  }
+
+  private Bootstrap bootstrap(SocketChannel socket, ChannelHandler handler) {
     return new Bootstrap()
         .group(loop)
-        .channel(NioSocketChannel.class)
+        .channelFactory(() -> new NioSocketChannel(socket))
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_S)
@@ -102,14 +153,14 @@
   }
 
   private TargetConnection takeIdle(String incarnation) {
-    Deque<TargetConnection> idle = idleByIncarnation.get(incarnation);
     long nowMs = ControlThread.nowMs();
-    while (idle != null && !idle.isEmpty()) {
-      TargetConnection candidate = idle.pollLast();
+    while (idleByIncarnation.containsKey(incarnation)) {
+      TargetConnection candidate = idleByIncarnation.get(incarnation).peekLast();
       if (candidate.isUsable(nowMs)) {
+        removeIdle(incarnation, candidate);
         return candidate;
       }
-      candidate.close();
+      closeIdle(incarnation, candidate);
     }
     return null;
   }
@@ -119,6 +170,13 @@
       TargetRequest request,
       AnswerListener listener,
       Predicate<TargetConnection> beforeSend) {
+    SocketChannel socket;
+    try {
+      socket = openSocket(target);
+    } catch (IOException e) {
+      loop.execute(() -> listener.onFailure(new SendFailure.NotSent(String.valueOf(e))));
+      return;
+    }
     AnswerDecoder decoder = new AnswerDecoder();
     TargetConnection connection = new TargetConnection(this, decoder);
     ChannelInitializer<Channel> pipeline =
@@ -128,7 +186,7 @@
             channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
           }
         };
-    bootstrap(pipeline)
+    bootstrap(socket, pipeline)
         .connect(target.host(), target.port())
         .addListener(
             done -> {
@@ -136,7 +194,7 @@
                 listener.onFailure(new SendFailure.NotSent(String.valueOf(done.cause())));
                 return;
               }
-              incarnations.put(connection, target.incarnation());
+              peers.put(connection, new Peer(target.incarnation(), socket));
               if (beforeSend.test(connection)) {
                 connection.send(request, listener);
               } else {
@@ -152,12 +210,21 @@
     /** The host is up and no process accepts connections at the address. */
     REFUSED,
     /** The target does not respond, or cannot be reached. */
-    SILENT
+    SILENT,
+    /** No connection was tried, since the target has as many as it may have. */
+    NOT_TRIED
   }
 
   /** Tests how a target responds to a new connection, and passes the result to the consumer. */
   public void probe(TargetEntry target, Consumer<ProbeResult> result) {
-    bootstrap(new ChannelInboundHandlerAdapter())
+    SocketChannel socket;
+    try {
+      socket = openSocket(target);
+    } catch (IOException e) {
+      loop.execute(() -> result.accept(ProbeResult.NOT_TRIED));
+      return;
+    }
+    bootstrap(socket, new ChannelInboundHandlerAdapter())
         .connect(target.host(), target.port())
         .addListener(
             (ChannelFutureListener)
@@ -191,10 +258,11 @@
   }
 
   void logUnsolicitedBytes(TargetConnection connection, TargetRequest last, int count) {
+    Peer peer = peers.get(connection);
     LOG.info(
         "unsolicited_bytes_dropped",
         "target",
-        incarnations.get(connection),
+        peer == null ? null : peer.incarnation,
         "request",
         last == null ? null : last.id(),
         "bytes",
@@ -202,20 +270,21 @@
   }
 
   void release(TargetConnection connection) {
-    String incarnation = incarnations.get(connection);
-    if (incarnation == null) {
+    Peer peer = peers.get(connection);
+    if (peer == null) {
       connection.close();
       return;
     }
     connection.setIdleUntil(ControlThread.nowMs(), MAX_IDLE_MS);
-    idleByIncarnation.computeIfAbsent(incarnation, key -> new ArrayDeque<>()).addLast(connection);
+    idleByIncarnation
+        .computeIfAbsent(peer.incarnation, key -> new ArrayDeque<>())
+        .addLast(connection);
   }
 
   void onConnectionClosed(TargetConnection connection) {
-    String incarnation = incarnations.remove(connection);
-    Deque<TargetConnection> idle = incarnation == null ? null : idleByIncarnation.get(incarnation);
-    if (idle != null) {
-      idle.remove(connection);
+    Peer peer = peers.remove(connection);
+    if (peer != null) {
+      removeIdle(peer.incarnation, connection);
     }
   }
 
@@ -230,5 +299,6 @@
           .forEach(TargetConnection::close);
     }
     idleByIncarnation.values().removeIf(Deque::isEmpty);
+    sockets.sweep();
   }
 }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -95,6 +95,8 @@
 
   double maxHedgeShare;
 
+  int maxConnections = 100;
+
   CallerServer server;
   RequestRouter router;
 
@@ -241,7 +243,7 @@
         new RoutingPlan(
             1,
             List.of(route),
-            List.of(new ServiceSpec("s", 100, engine)),
+            List.of(new ServiceSpec("s", maxConnections, engine)),
             new CallerLimits(16_384, 65_536, 3_000, 15_000));
     return new FleetView(
         plan,
