Learn the speed of targets from the answers to all instances

Targets differ in speed (0.6 to 1.6 of the usual) and some are slow by a factor of 2.5 for a second or two; neither choice knew. In fleets with relays each instance now counts the answers of each target and their times, less what the known load explains, and reports the sums with its load; the relays publish them (field `times` of `member_report` and `load`, absent if empty, at most 10 bytes for a target in PeerCodecTest). TargetSpeeds estimates from them how slow a target is relative to its service. StaleLoadChooser divides the weight by it; chooseEngine uses it among the engines that hold the adapter.

--- a/core/src/main/java/org/apricotstand/dispatch/Candidate.java
+++ b/core/src/main/java/org/apricotstand/dispatch/Candidate.java
@@ -12,6 +12,7 @@
  * @param sendDelayMs time until a request may be sent to the target, because of its limit; {@link
  *     #NEVER} if this instance may send none
  * @param rejecting whether the target rejected a request a moment ago because it was full
+ * @param slowness time that the target takes, relative to its service; 1 if nothing is known
  */
 public record Candidate(
     TargetEntry target,
@@ -21,12 +22,13 @@
     int queuedLoads,
     double penaltyMs,
     long sendDelayMs,
-    boolean rejecting) {
+    boolean rejecting,
+    double slowness) {
 
   /** Delay of a target to which this instance may send no request while its limit holds. */
   public static final long NEVER = Long.MAX_VALUE;
 
-  /** Creates a target that rejected no request a moment ago. */
+  /** Creates a target of the usual speed that rejected no request a moment ago. */
   public Candidate(
       TargetEntry target,
       TargetLoad load,
@@ -35,20 +37,25 @@
       int queuedLoads,
       double penaltyMs,
       long sendDelayMs) {
-    this(target, load, availability, canLoad, queuedLoads, penaltyMs, sendDelayMs, false);
+    this(target, load, availability, canLoad, queuedLoads, penaltyMs, sendDelayMs, false, 1);
   }
 
-  /** Returns a candidate of a plain service that rejected no request a moment ago. */
+  /** Returns a candidate of a plain service of the usual speed that rejected nothing. */
   public static Candidate ofPlainService(
       TargetEntry target, TargetLoad load, double penaltyMs, long sendDelayMs) {
-    return ofPlainService(target, load, penaltyMs, sendDelayMs, false);
+    return ofPlainService(target, load, penaltyMs, sendDelayMs, false, 1);
   }
 
   /** Returns a candidate of a plain service, whose targets need no adapter. */
   public static Candidate ofPlainService(
-      TargetEntry target, TargetLoad load, double penaltyMs, long sendDelayMs, boolean rejecting) {
+      TargetEntry target,
+      TargetLoad load,
+      double penaltyMs,
+      long sendDelayMs,
+      boolean rejecting,
+      double slowness) {
     return new Candidate(
-        target, load, Availability.RESIDENT, false, 0, penaltyMs, sendDelayMs, rejecting);
+        target, load, Availability.RESIDENT, false, 0, penaltyMs, sendDelayMs, rejecting, slowness);
   }
 
   /** Returns whether the target can run the request now. */
@@ -59,6 +66,14 @@
   /** Returns a copy with another penalty. */
   Candidate withPenaltyMs(double newPenaltyMs) {
     return new Candidate(
-        target, load, availability, canLoad, queuedLoads, newPenaltyMs, sendDelayMs, rejecting);
+        target,
+        load,
+        availability,
+        canLoad,
+        queuedLoads,
+        newPenaltyMs,
+        sendDelayMs,
+        rejecting,
+        slowness);
   }
 }
--- a/core/src/main/java/org/apricotstand/dispatch/StaleLoadChooser.java
+++ b/core/src/main/java/org/apricotstand/dispatch/StaleLoadChooser.java
@@ -63,14 +63,15 @@
   }
 
   /**
-   * Returns the usable slots, divided by one more than the requests for each slot. A target that is
-   * full by the figures keeps half of its weight, since it may have emptied its queue meanwhile.
+   * Returns the usable slots at their speed, divided by one more than the requests for each slot. A
+   * target that is full by the figures keeps half of its weight, since it may have emptied its
+   * queue meanwhile.
    */
   private static double weight(Candidate candidate, double minPenaltyMs, String domain) {
     double slots = candidate.target().maxConcurrentRequests();
     double delayMs = candidate.penaltyMs() - minPenaltyMs + candidate.sendDelayMs();
     double usableSlots = slots * Math.max(0, 1 - delayMs / FULL_PENALTY_MS);
-    double weight = usableSlots / (1 + candidate.load().total() / slots);
+    double weight = usableSlots / (1 + candidate.load().total() / slots) / candidate.slowness();
     return candidate.target().domain().equals(domain) ? OWN_DOMAIN_WEIGHT * weight : weight;
   }
 }
--- a/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetChooser.java
@@ -65,13 +65,38 @@
     List<Candidate> ranked =
         Rendezvous.rank(
             adapter, withRelativePenalties(candidates), candidate -> candidate.target().id());
+    Optional<Candidate> best =
+        IntStream.range(0, ranked.size())
+            .boxed()
+            .filter(rank -> canServeSoon(ranked.get(rank)))
+            .min(Comparator.comparingDouble(rank -> costAtRankMs(ranked.get(rank), rank, domain)))
+            .map(ranked::get);
+    return best.isPresent() && best.get().isResident() ? fastestResident(ranked, domain) : best;
+  }
+
+  /**
+   * Returns the engine of the least cost among those that hold the adapter, by their present speed.
+   * The speed decides only between them: a slow spell is often over before an adapter is loaded.
+   */
+  private static Optional<Candidate> fastestResident(List<Candidate> ranked, String domain) {
     return IntStream.range(0, ranked.size())
         .boxed()
-        .filter(rank -> canServeSoon(ranked.get(rank)))
-        .min(Comparator.comparingDouble(rank -> costAtRankMs(ranked.get(rank), rank, domain)))
+        .filter(rank -> ranked.get(rank).isResident())
+        .min(
+            Comparator.comparingDouble(
+                rank -> {
+                  Candidate candidate = ranked.get(rank);
+                  return costAtRankMs(candidate, rank, domain) + slownessCostMs(candidate);
+                }))
         .map(ranked::get);
   }
 
+  /** Returns the difference to an engine of the usual speed, for the waiting and the new prompt. */
+  private static double slownessCostMs(Candidate candidate) {
+    double loadMs = loadCostMs(candidate.load(), candidate.target().maxConcurrentRequests());
+    return (candidate.slowness() - 1) * (loadMs + WAITING_REQUEST_COST_MS);
+  }
+
   private static boolean canServeSoon(Candidate candidate) {
     return switch (candidate.availability()) {
       case RESIDENT, LOADING -> true;
@@ -108,19 +133,21 @@
   }
 
   private static double engineCostMs(Candidate candidate, String domain) {
-    TargetLoad load = candidate.load();
-    double overloadMs =
-        Math.max(0, load.total() - candidate.target().maxConcurrentRequests())
-            * WAITING_REQUEST_COST_MS;
-    return load.waiting() * WAITING_REQUEST_COST_MS
-        + load.started() * RUNNING_REQUEST_COST_MS
-        + overloadMs
+    return loadCostMs(candidate.load(), candidate.target().maxConcurrentRequests())
         + residencyCostMs(candidate)
         + candidate.penaltyMs()
         + candidate.sendDelayMs()
         + domainCostMs(candidate, domain);
   }
 
+  /** Returns the delay of a request by those that are at an engine of the usual speed. */
+  static double loadCostMs(TargetLoad load, int maxConcurrentRequests) {
+    double overloadMs = Math.max(0, load.total() - maxConcurrentRequests) * WAITING_REQUEST_COST_MS;
+    return load.waiting() * WAITING_REQUEST_COST_MS
+        + load.started() * RUNNING_REQUEST_COST_MS
+        + overloadMs;
+  }
+
   private static double residencyCostMs(Candidate candidate) {
     double queueMs = candidate.queuedLoads() * QUEUED_LOAD_COST_MS;
     return switch (candidate.availability()) {
--- a/core/src/test/java/org/apricotstand/dispatch/StaleLoadChooserTest.java
+++ b/core/src/test/java/org/apricotstand/dispatch/StaleLoadChooserTest.java
@@ -20,8 +20,14 @@
 
   private static Candidate candidate(
       String id, String domain, int load, double penaltyMs, boolean rejecting) {
+    return candidate(id, domain, load, penaltyMs, rejecting, 1);
+  }
+
+  private static Candidate candidate(
+      String id, String domain, int load, double penaltyMs, boolean rejecting, double slowness) {
     TargetEntry target = new TargetEntry(id, "s", "10.0.0.1", 80, domain, 6, false, 0, Map.of());
-    return Candidate.ofPlainService(target, new TargetLoad(0, load), penaltyMs, 0, rejecting);
+    return Candidate.ofPlainService(
+        target, new TargetLoad(0, load), penaltyMs, 0, rejecting, slowness);
   }
 
   private static Candidate candidate(String id, int load) {
@@ -39,7 +45,7 @@
   }
 
   private static Result play(StaleLoadSimulation.Choice choice, boolean marks, Demand demand) {
-    return StaleLoadSimulation.playSeeds(4, choice, marks, demand, Speeds.EQUAL);
+    return StaleLoadSimulation.playSeeds(4, choice, marks, demand, Speeds.EQUAL, false);
   }
 
   // Guards against all instances that send to the same target until new figures arrive: its queue
@@ -78,6 +84,43 @@
     assertThat(after.p95Ms()).isLessThan(before.p95Ms());
   }
 
+  // Guards against slow targets that make a twentieth of the answers slow although others have
+  // room, in slow spells that last as long as a few publications of the figures.
+  @Test
+  void slowTargetsGetLess() {
+    for (boolean hasSlowSpells : new boolean[] {false, true}) {
+      Speeds speeds = new Speeds(List.of(0.6, 1.0, 1.6), hasSlowSpells);
+      Demand demand = new Demand(128, 4);
+      Result without =
+          StaleLoadSimulation.playSeeds(4, StaleLoadChooser::choose, true, demand, speeds, false);
+      Result with =
+          StaleLoadSimulation.playSeeds(4, StaleLoadChooser::choose, true, demand, speeds, true);
+      assertThat(with.p95Ms()).isLessThan(0.9 * without.p95Ms());
+      assertThat(with.rejections()).isAtMost(without.rejections() + with.requests() / 1_000);
+    }
+  }
+
+  // Guards against differences that are made up: the times of equal targets differ by half, and
+  // times in the queue are not those of a slow target.
+  @Test
+  void equalTargetsAreServedAlike() {
+    Demand demand = new Demand(128, 8);
+    Result without = play(StaleLoadChooser::choose, true, demand);
+    Result with =
+        StaleLoadSimulation.playSeeds(
+            4, StaleLoadChooser::choose, true, demand, Speeds.EQUAL, true);
+    assertThat(with.p95Ms()).isLessThan(1.05 * without.p95Ms());
+    assertThat(with.peakShare()).isLessThan(without.peakShare() + 0.02);
+    assertThat(with.rejections()).isAtMost(without.rejections() + with.requests() / 1_000);
+  }
+
+  // Guards against a slow target that is left out, so that nobody learns that it is fast again.
+  @Test
+  void aSlowTargetKeepsPartOfTheRequests() {
+    Candidate slow = candidate("t1", "x", 0, 0, false, 2.5);
+    assertThat(share("t1", slow, candidate("t2", 0))).isWithin(0.01).of(2.0 / 7);
+  }
+
   // Guards against a slow target that gets as much as the others, and against one that gets nothing
   // although it has emptied its queue since the figures were published.
   @Test
--- a/core/src/test/java/org/apricotstand/dispatch/StaleLoadSimulation.java
+++ b/core/src/test/java/org/apricotstand/dispatch/StaleLoadSimulation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -73,7 +74,7 @@
 
   private record Event(double atMs, int order, Runnable action) {}
 
-  private record Running(Request request, double sentMs) {}
+  private record Running(Request request, double sentMs, TargetLoad knownLoad) {}
 
   private record Request(int instance, Set<Integer> excluded) {}
 
@@ -85,6 +86,7 @@
   private final boolean marksRejections;
   private final Demand demand;
   private final Speeds speeds;
+  private final boolean learnsSpeeds;
   private final PriorityQueue<Event> events =
       new PriorityQueue<>(
           (a, b) ->
@@ -99,6 +101,9 @@
   private final List<TargetHealth> healths = new ArrayList<>();
   private final List<TargetEntry> targets = new ArrayList<>();
   private final List<Double> timesMs = new ArrayList<>();
+  private final TargetSpeeds targetSpeeds = new TargetSpeeds();
+  private final Map<String, AnswerTimes> answerTimes = new HashMap<>();
+  private Map<String, Double> slowness = Map.of();
   private final int[] sentSincePublish = new int[DOMAINS];
   private double sumOfPeakShares;
   private int publications;
@@ -109,27 +114,39 @@
   private int refused;
 
   private StaleLoadSimulation(
-      long seed, Choice choice, boolean marksRejections, Demand demand, Speeds speeds) {
+      long seed,
+      Choice choice,
+      boolean marksRejections,
+      Demand demand,
+      Speeds speeds,
+      boolean learnsSpeeds) {
     this.arrivals = new Random(seed);
     this.random = new Random(seed + 1_000);
     this.choice = choice;
     this.marksRejections = marksRejections;
     this.demand = demand;
     this.speeds = speeds;
+    this.learnsSpeeds = learnsSpeeds;
     for (int target = 0; target < DOMAINS; target++) {
       queues.add(new ArrayList<>());
       targets.add(
           new TargetEntry(
               "t" + target, "s", "10.0.0.1", 80, "d" + target, SLOTS, false, 0, Map.of()));
     }
+    targetSpeeds.setTargets(targets);
     IntStream.range(0, INSTANCES).forEach(instance -> healths.add(new TargetHealth()));
   }
 
   /** Plays two minutes of requests. */
   private static Result play(
-      long seed, Choice choice, boolean marksRejections, Demand demand, Speeds speeds) {
+      long seed,
+      Choice choice,
+      boolean marksRejections,
+      Demand demand,
+      Speeds speeds,
+      boolean learnsSpeeds) {
     StaleLoadSimulation simulation =
-        new StaleLoadSimulation(seed, choice, marksRejections, demand, speeds);
+        new StaleLoadSimulation(seed, choice, marksRejections, demand, speeds, learnsSpeeds);
     simulation.run();
     return simulation.result();
   }
@@ -191,6 +208,9 @@
 
   private void publish() {
     recordShares();
+    targetSpeeds.record(answerTimes, (long) nowMs);
+    answerTimes.clear();
+    slowness = targetSpeeds.slowness((long) nowMs);
     int[] all = new int[DOMAINS];
     for (int[] loads : own) {
       for (int target = 0; target < DOMAINS; target++) {
@@ -234,7 +254,7 @@
       return;
     }
     own[instance][target]++;
-    Running running = new Running(request, nowMs);
+    Running running = new Running(request, nowMs, chosen.get().load());
     if (inSlots[target] < SLOTS) {
       start(running, target);
     } else {
@@ -250,7 +270,8 @@
         new TargetLoad(0, own[instance][target] + published[instance][target]),
         health.penaltyMs(id, (long) nowMs),
         0,
-        health.isRejecting(id, (long) nowMs));
+        health.isRejecting(id, (long) nowMs),
+        learnsSpeeds ? slowness.getOrDefault(id, 1.0) : 1);
   }
 
   private void reject(Request request, int target) {
@@ -273,8 +294,16 @@
     at(nowMs + SERVICE_MS * noise * factor / speeds.usual.get(target), () -> end(running, target));
   }
 
+  private void recordTime(Running running, int target) {
+    double linkMs = running.request.instance % DOMAINS == target ? 0 : OTHER_DOMAIN_MS;
+    long timeMs = Math.round(nowMs - running.sentMs + linkMs);
+    long correctedMs = TargetSpeeds.plainTimeMs(timeMs, running.knownLoad, SLOTS);
+    answerTimes.merge(targets.get(target).id(), new AnswerTimes(1, correctedMs), AnswerTimes::plus);
+  }
+
   private void end(Running running, int target) {
     int instance = running.request.instance;
+    recordTime(running, target);
     inSlots[target]--;
     own[instance][target]--;
     double linkMs = instance % DOMAINS == target ? 0 : OTHER_DOMAIN_MS;
@@ -287,10 +316,15 @@
 
   /** Plays several seeds; returns the sums of the counts and the means of the other figures. */
   static Result playSeeds(
-      int seeds, Choice choice, boolean marksRejections, Demand demand, Speeds speeds) {
+      int seeds,
+      Choice choice,
+      boolean marksRejections,
+      Demand demand,
+      Speeds speeds,
+      boolean learnsSpeeds) {
     List<Result> results =
         IntStream.rangeClosed(1, seeds)
-            .mapToObj(seed -> play(seed, choice, marksRejections, demand, speeds))
+            .mapToObj(seed -> play(seed, choice, marksRejections, demand, speeds, learnsSpeeds))
             .toList();
     return new Result(
         results.stream().mapToInt(Result::requests).sum(),
--- a/core/src/test/java/org/apricotstand/dispatch/TargetChooserTest.java
+++ b/core/src/test/java/org/apricotstand/dispatch/TargetChooserTest.java
@@ -99,6 +99,28 @@
     assertThat(chosen(forward)).isEqualTo(chosen(forward.reversed()));
   }
 
+  private static Candidate slow(Candidate candidate, double slowness) {
+    return new Candidate(
+        candidate.target(),
+        candidate.load(),
+        candidate.availability(),
+        candidate.canLoad(),
+        candidate.queuedLoads(),
+        candidate.penaltyMs(),
+        candidate.sendDelayMs(),
+        candidate.rejecting(),
+        slowness);
+  }
+
+  // Guards against prompts that wait at a slow engine while a fast one has the adapter too, and
+  // against another load because an engine is a little slow.
+  @Test
+  void aSlowEngineCostsMore() {
+    assertThat(chosen(List.of(slow(resident("e1", 2), 2.5), resident("e2", 3)))).isEqualTo("e2");
+    assertThat(chosen(List.of(resident("e1", 3), slow(resident("e2", 4), 0.6)))).isEqualTo("e2");
+    assertThat(chosen(List.of(slow(resident("e1", 2), 2.5), cold("e2")))).isEqualTo("e1");
+  }
+
   @Test
   void plainRequestsGoToTheLeastLoadedTarget() {
     Candidate busy = Candidate.ofPlainService(target("t1", "d"), new TargetLoad(9, 0), 0, 0);
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -13,6 +13,7 @@
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.apricotstand.dispatch.TargetLoad;
+import org.apricotstand.dispatch.TargetSpeeds;
 import org.apricotstand.enginelease.LeaseStatus;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.EventLog;
@@ -77,6 +78,7 @@
   private final RelayedState relayed = new RelayedState();
   private final LinkWatch linkWatch = new LinkWatch();
   private final OwnReports ownReports;
+  private final TargetSpeeds speeds = new TargetSpeeds();
   private final Map<String, Long> useSilentFromMs = new HashMap<>();
   private final Map<String, Long> eventUntilMs = new HashMap<>();
   private final Set<String> useRecipients = new HashSet<>();
@@ -146,6 +148,11 @@
     return !overlay.isMesh();
   }
 
+  /** Returns what the answers to all instances say of the speed of targets. */
+  TargetSpeeds speeds() {
+    return speeds;
+  }
+
   /** Returns the requests of the other instances at each target, as last published. */
   Map<String, TargetLoad> peerLoads() {
     Map<String, TargetLoad> loads = relayed.loads();
@@ -405,7 +412,8 @@
             members.sum(PeerMessage.MemberReport::waiting),
             members.takeArrivals(),
             members.tenants(),
-            quotas.scope());
+            quotas.scope(),
+            members.takeAnswerTimes());
     publish("load/" + self.name(), incarnation, load);
     applyLoad(load, nowMs);
   }
@@ -641,6 +649,7 @@
 
   private void applyLoad(FleetState.RelayedLoad load, long nowMs) {
     relayed.put(load, nowMs);
+    speeds.record(load.times(), nowMs);
     quotas.onLoad(load, Set.copyOf(relayed.instancesOf(load.relay())));
     updateLiveInstances();
     listener.onInstancesHeard(Set.copyOf(relayed.instancesOf(load.relay())));
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -308,6 +308,7 @@
       }
     }
     exchange.retainEngines(listedIds);
+    exchange.speeds().setTargets(targets);
     residencies.keySet().retainAll(listedIds);
     warmCopies.keySet().retainAll(listedIds);
     incarnations.keySet().retainAll(listedIds);
@@ -684,7 +685,8 @@
             exchange.peerLoads(),
             allInstances(),
             knownInstances.count(exchange.liveInstances()),
-            exchange.usesRelays());
+            exchange.usesRelays(),
+            exchange.speeds().slowness(ControlThread.nowMs()));
     viewListener.run();
   }
 }
--- a/node/src/main/java/org/apricotstand/fleet/FleetView.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetView.java
@@ -26,6 +26,8 @@
  *     they are known
  * @param usesRelays whether {@code peerLoads} come through relays, and are therefore up to a second
  *     old
+ * @param slowness times of targets relative to their service, by target id; without those of the
+ *     usual speed
  */
 public record FleetView(
     RoutingPlan plan,
@@ -37,7 +39,8 @@
     Map<String, TargetLoad> peerLoads,
     Set<String> instances,
     int knownInstances,
-    boolean usesRelays) {
+    boolean usesRelays,
+    Map<String, Double> slowness) {
 
   /** View before anything is known. */
   public static final FleetView EMPTY =
@@ -51,13 +54,20 @@
           Map.of(),
           Set.of(),
           0,
-          false);
+          false,
+          Map.of());
 
   /** Returns the targets of a service that accept requests. */
   public List<TargetEntry> targetsOf(String service) {
     return targets.getOrDefault(service, List.of());
   }
 
+  /** Returns the time that a target takes relative to its service; 1 if nothing is known. */
+  public double slownessOf(String target) {
+    Double known = slowness.get(target);
+    return known == null ? 1 : known;
+  }
+
   /** Returns the declared version of a model or adapter; 0 when none is declared. */
   public long declaredVersion(AdapterKey key) {
     return declaredVersions.getOrDefault(key, 0L);
--- a/node/src/main/java/org/apricotstand/fleet/LocalLoadTracker.java
+++ b/node/src/main/java/org/apricotstand/fleet/LocalLoadTracker.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.ConcurrentHashMap;
+import org.apricotstand.dispatch.AnswerTimes;
 import org.apricotstand.dispatch.TargetLoad;
 import org.apricotstand.residency.AdapterKey;
 
@@ -19,6 +20,7 @@
   private final Map<AdapterAtTarget, Integer> requestsByAdapter = new ConcurrentHashMap<>();
   private final Map<AdapterKey, Integer> arrivals = new ConcurrentHashMap<>();
 
+  private final Map<String, AnswerTimes> answerTimes = new ConcurrentHashMap<>();
   private final Map<String, Long> offeredByTenant = new ConcurrentHashMap<>();
   private final Map<String, Long> admittedByTenant = new ConcurrentHashMap<>();
 
@@ -84,6 +86,16 @@
     return inUse;
   }
 
+  /** Counts an answer of a target and its time, without what the load of the target explains. */
+  public void recordAnswerTime(String target, long timeMs) {
+    answerTimes.merge(target, new AnswerTimes(1, timeMs), AnswerTimes::plus);
+  }
+
+  /** Returns the times of answers by target since the last call. */
+  public Map<String, AnswerTimes> takeAnswerTimes() {
+    return takeAll(answerTimes);
+  }
+
   /** Counts the cost of a request of a tenant with a limit, whether it is admitted or not. */
   public void recordOffered(String tenant, long cost) {
     offeredByTenant.merge(tenant, cost, Long::sum);
--- a/node/src/main/java/org/apricotstand/fleet/MemberReports.java
+++ b/node/src/main/java/org/apricotstand/fleet/MemberReports.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Function;
+import org.apricotstand.dispatch.AnswerTimes;
 import org.apricotstand.overlay.Overlay;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.quota.TenantUse;
@@ -22,12 +23,17 @@
   private final Map<String, Member> members = new TreeMap<>();
   private final Map<String, Integer> arrivals = new HashMap<>();
 
+  private final Map<String, AnswerTimes> answerTimes = new HashMap<>();
+
   private record Member(PeerMessage.MemberReport report, long silentFromMs) {}
 
-  /** Replaces the report of an instance; its arrivals are added to those not yet taken. */
+  /**
+   * Replaces the report of an instance; its arrivals and answers are added to those not yet taken.
+   */
   void put(String instance, PeerMessage.MemberReport report, long nowMs) {
     members.put(instance, new Member(report, nowMs + Overlay.SILENCE_TIMEOUT_MS));
     report.arrivals().forEach((adapter, count) -> arrivals.merge(adapter, count, Integer::sum));
+    report.times().forEach((id, times) -> answerTimes.merge(id, times, AnswerTimes::plus));
   }
 
   void remove(String instance) {
@@ -110,6 +116,13 @@
     return taken;
   }
 
+  /** Removes and returns the times of answers that were reported since the last call, by target. */
+  Map<String, AnswerTimes> takeAnswerTimes() {
+    Map<String, AnswerTimes> taken = new TreeMap<>(answerTimes);
+    answerTimes.clear();
+    return taken;
+  }
+
   /** Returns the sets as lists, as messages carry them. */
   static Map<String, List<String>> toLists(Map<String, Set<String>> sets) {
     Map<String, List<String>> lists = new TreeMap<>();
--- a/node/src/main/java/org/apricotstand/fleet/OwnReports.java
+++ b/node/src/main/java/org/apricotstand/fleet/OwnReports.java
@@ -45,7 +45,8 @@
             waiting,
             MemberReports.toLists(localLoad.adaptersInUse()),
             arrivals,
-            tenants);
+            tenants,
+            new TreeMap<>(localLoad.takeAnswerTimes()));
     reports.addLast(report);
     if (reports.size() > REMEMBERED_REPORTS) {
       reports.removeFirst();
--- a/node/src/main/java/org/apricotstand/peer/FleetState.java
+++ b/node/src/main/java/org/apricotstand/peer/FleetState.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.apricotstand.dispatch.AnswerTimes;
 import org.apricotstand.enginelease.LeaseStatus;
 import org.apricotstand.quota.TenantUse;
 
@@ -68,6 +69,7 @@
    *     earlier versions
    * @param scope hash of the relays that this relay hears, where tenants have limits; otherwise 0
    *     and left out
+   * @param times answers of targets since the last version, by target id; left out if empty
    */
   record RelayedLoad(
       String relay,
@@ -75,12 +77,14 @@
       Map<String, Integer> waiting,
       Map<String, Integer> arrivals,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, TenantUse> tenants,
-      @JsonInclude(JsonInclude.Include.NON_DEFAULT) long scope)
+      @JsonInclude(JsonInclude.Include.NON_DEFAULT) long scope,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, AnswerTimes> times)
       implements FleetState {
 
     /** Creates the load at a relay. */
     public RelayedLoad {
       tenants = tenants == null ? Map.of() : tenants;
+      times = times == null ? Map.of() : times;
     }
   }
 
--- a/node/src/main/java/org/apricotstand/peer/PeerCodec.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerCodec.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.MessageToMessageCodec;
 import java.io.IOException;
 import java.util.List;
+import org.apricotstand.dispatch.AnswerTimes;
 import org.apricotstand.quota.TenantUse;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -17,13 +18,20 @@
 final class PeerCodec extends MessageToMessageCodec<ByteBuf, PeerMessage> {
 
   private static final ObjectMapper MAPPER =
-      new ObjectMapper(new MessagePackFactory()).addMixIn(TenantUse.class, ArrayForm.class);
+      new ObjectMapper(new MessagePackFactory())
+          .addMixIn(TenantUse.class, ArrayForm.class)
+          .addMixIn(AnswerTimes.class, TimesArrayForm.class);
 
   /** Encodes a type without the names of its components, since messages contain it many times. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   @JsonPropertyOrder({"offered", "used"})
   private interface ArrayForm {}
 
+  /** The same for the times of answers. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  @JsonPropertyOrder({"count", "totalMs"})
+  private interface TimesArrayForm {}
+
   @Override
   protected void encode(ChannelHandlerContext context, PeerMessage message, List<Object> out)
       throws IOException {
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
 import java.util.List;
 import java.util.Map;
+import org.apricotstand.dispatch.AnswerTimes;
 import org.apricotstand.quota.TenantUse;
 
 /**
@@ -222,6 +223,8 @@
    * @param arrivals number of requests since the last report, by adapter
    * @param tenants demand and use by tenant with a limit; left out if empty, as by instances of
    *     earlier versions
+   * @param times answers of targets since the last report, by target id; left out if empty, as in
+   *     fleets without relays
    */
   record MemberReport(
       long sequence,
@@ -229,12 +232,14 @@
       Map<String, Integer> waiting,
       Map<String, List<String>> inUse,
       Map<String, Integer> arrivals,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, TenantUse> tenants)
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, TenantUse> tenants,
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, AnswerTimes> times)
       implements PeerMessage {
 
     /** Creates a report. */
     public MemberReport {
       tenants = tenants == null ? Map.of() : tenants;
+      times = times == null ? Map.of() : times;
     }
   }
 
--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -7,8 +7,11 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.Map;
+import java.util.Optional;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.dispatch.TargetLoad;
+import org.apricotstand.dispatch.TargetSpeeds;
 import org.apricotstand.limit.MemoryBudget;
 import org.apricotstand.limit.MemoryBudget.Kind;
 import org.apricotstand.limit.MemoryHolder;
@@ -29,6 +32,10 @@
   private final RequestRouter router;
   private final TargetEntry target;
   private final long sentMs = ControlThread.nowMs();
+
+  /** Other requests at the target when this one was sent; empty if its time is not recorded. */
+  private final Optional<TargetLoad> loadWhenSent;
+
   private final AnswerBody body;
   private final MemoryBudget<MemoryHolder>.Account account;
   private TargetConnection connection;
@@ -53,6 +60,7 @@
     this.flow = flow;
     this.router = router;
     this.target = target;
+    this.loadWhenSent = router.loadIfTimed(target);
     this.body = new AnswerBody(router.answerLimits(), eventSplitter);
     this.account = router.memory().open(this, target.incarnation());
   }
@@ -244,6 +252,9 @@
       flow.onFirstByte();
       confirmAnswerMs = ControlThread.nowMs() + CRASH_AFTER_FIRST_BYTE_MS;
       router.loadTracker().recordFirstByte(target.id());
+      if (isStreamed() && head.isSignedSuccess() && !continuation) {
+        loadWhenSent.ifPresent(this::recordTime);
+      }
     } else if (ControlThread.nowMs() >= confirmAnswerMs) {
       confirmAnswer();
     }
@@ -271,6 +282,19 @@
     }
   }
 
+  /**
+   * Records the time to the first byte of a stream or to the end of another answer. Answers of
+   * engines that are not streamed are not recorded: their time depends on their length.
+   */
+  private void recordTime(TargetLoad load) {
+    int slots = target.maxConcurrentRequests();
+    long timeMs =
+        flow.adapter() == null
+            ? TargetSpeeds.plainTimeMs(ageMs(), load, slots)
+            : TargetSpeeds.engineTimeMs(ageMs(), load, slots);
+    router.loadTracker().recordAnswerTime(target.id(), timeMs);
+  }
+
   /** Clears the traits of the request, since the target answers it and has not crashed. */
   private void confirmAnswer() {
     if (!answerConfirmed) {
@@ -322,6 +346,9 @@
     } else {
       router.health().recordSuccess(target.id(), nowMs);
       confirmAnswer();
+      if (!isStreamed() && flow.adapter() == null && head.isSignedSuccess()) {
+        loadWhenSent.ifPresent(this::recordTime);
+      }
     }
     flow.onAnswered(head.status());
     ByteBuf rest = body.takeRest();
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -362,16 +362,14 @@
 
   private Candidate toCandidate(FleetView fleetView, TargetEntry target, RequestFlow flow) {
     AdapterKey key = flow.adapter();
-    TargetLoad load =
-        loadTracker
-            .load(target.id())
-            .plus(fleetView.peerLoads().getOrDefault(target.id(), TargetLoad.NONE));
+    TargetLoad load = loadAt(fleetView, target);
     long nowMs = ControlThread.nowMs();
     double penaltyMs = health.penaltyMs(target.id(), nowMs);
     long sendDelayMs = pacer.delayMs(target).orElse(Candidate.NEVER);
+    double slowness = fleetView.slownessOf(target.id());
     if (key == null) {
       boolean rejecting = health.isRejecting(target.id(), nowMs);
-      return Candidate.ofPlainService(target, load, penaltyMs, sendDelayMs, rejecting);
+      return Candidate.ofPlainService(target, load, penaltyMs, sendDelayMs, rejecting, slowness);
     }
     Residency residency = fleetView.residency().getOrDefault(target.id(), Residency.EMPTY);
     Availability currentAvailability =
@@ -381,7 +379,27 @@
     Availability availability = loadRequested ? Availability.LOAD_REQUESTED : currentAvailability;
     boolean canLoad = fleetView.enginesWithOwner().contains(target.id());
     return new Candidate(
-        target, load, availability, canLoad, residency.queuedLoads(), penaltyMs, sendDelayMs);
+        target,
+        load,
+        availability,
+        canLoad,
+        residency.queuedLoads(),
+        penaltyMs,
+        sendDelayMs,
+        false,
+        slowness);
+  }
+
+  private TargetLoad loadAt(FleetView fleetView, TargetEntry target) {
+    return loadTracker
+        .load(target.id())
+        .plus(fleetView.peerLoads().getOrDefault(target.id(), TargetLoad.NONE));
+  }
+
+  /** Returns the requests at a target if the times of its answers are to be recorded. */
+  Optional<TargetLoad> loadIfTimed(TargetEntry target) {
+    FleetView fleetView = view.get();
+    return fleetView.usesRelays() ? Optional.of(loadAt(fleetView, target)) : Optional.empty();
   }
 
   private Availability availability(
--- a/node/src/test/java/org/apricotstand/fleet/FleetExchangeTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/FleetExchangeTest.java
@@ -11,6 +11,8 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.dispatch.TargetLoad;
 import org.apricotstand.overlay.ReadDuty;
 import org.apricotstand.peer.FleetState;
@@ -269,6 +271,40 @@
                     .containsExactly("t1", new TargetLoad(0, 2 * (size - 1))));
   }
 
+  // Guards against answers that are lost on their way through the relays, or counted twice, so that
+  // instances disagree on which target is slow.
+  @Test
+  void allInstancesLearnOfASlowTarget() {
+    SimulatedFleet fleet = startedFleet(40, 2, 9);
+    List<TargetEntry> targets =
+        Stream.of("t1", "t2")
+            .map(id -> new TargetEntry(id, "s", "10.0.0.1", 80, "d0", 6, false, 0, Map.of()))
+            .toList();
+    fleet.all().forEach(instance -> instance.exchange.speeds().setTargets(targets));
+    for (int i = 0; i < 12; i++) {
+      fleet
+          .all()
+          .forEach(
+              instance -> {
+                instance.load.recordAnswerTime("t1", 60);
+                instance.load.recordAnswerTime("t2", 30);
+              });
+      fleet.run(500);
+    }
+    fleet
+        .all()
+        .forEach(
+            instance -> {
+              long nowMs = fleet.nowMs();
+              assertThat(instance.exchange.speeds().slowness("t1", nowMs))
+                  .isWithin(0.1)
+                  .of(4.0 / 3);
+              assertThat(instance.exchange.speeds().slowness("t2", nowMs))
+                  .isWithin(0.1)
+                  .of(2.0 / 3);
+            });
+  }
+
   // Guards against a choice of targets for old figures in fleets whose figures are fresh, and the
   // other way round.
   @ParameterizedTest
--- a/node/src/test/java/org/apricotstand/peer/PeerCodecTest.java
+++ b/node/src/test/java/org/apricotstand/peer/PeerCodecTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.apricotstand.dispatch.AnswerTimes;
 import org.apricotstand.quota.TenantUse;
 import org.junit.jupiter.api.Test;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
@@ -18,11 +19,23 @@
   private static final ObjectMapper PLAIN = new ObjectMapper(new MessagePackFactory());
 
   private static PeerMessage.MemberReport report(Map<String, TenantUse> tenants) {
-    return new PeerMessage.MemberReport(7, Map.of(), Map.of(), Map.of(), Map.of("m/a", 1), tenants);
+    return report(tenants, Map.of());
+  }
+
+  private static PeerMessage.MemberReport report(
+      Map<String, TenantUse> tenants, Map<String, AnswerTimes> times) {
+    return new PeerMessage.MemberReport(
+        7, Map.of(), Map.of(), Map.of(), Map.of("m/a", 1), tenants, times);
   }
 
   private static PeerMessage.StateUpdate update(Map<String, TenantUse> tenants, long scope) {
-    FleetState load = new FleetState.RelayedLoad("r", Map.of(), Map.of(), Map.of(), tenants, scope);
+    return update(tenants, scope, Map.of());
+  }
+
+  private static PeerMessage.StateUpdate update(
+      Map<String, TenantUse> tenants, long scope, Map<String, AnswerTimes> times) {
+    FleetState load =
+        new FleetState.RelayedLoad("r", Map.of(), Map.of(), Map.of(), tenants, scope, times);
     return new PeerMessage.StateUpdate(true, List.of(new StateEntry("load/r", 1, 2, "d", load)));
   }
 
@@ -35,6 +48,15 @@
     }
   }
 
+  // Guards against messages that lose the times of answers, or swap number and time.
+  @Test
+  void theTimesOfAnswersAreCarried() throws IOException {
+    Map<String, AnswerTimes> times = Map.of("t1", new AnswerTimes(3, 917));
+    for (PeerMessage message : List.of(report(Map.of(), times), update(Map.of(), 0, times))) {
+      assertThat(PeerCodec.fromBytes(PeerCodec.toBytes(message))).isEqualTo(message);
+    }
+  }
+
   // Guards against messages that instances of earlier versions cannot read, or that grow, although
   // no tenant has a limit.
   @Test
@@ -66,4 +88,16 @@
     tenants.put("hule931", new TenantUse(231_020, 2_079_180));
     assertThat(PeerCodec.toBytes(report(tenants)).length - one).isAtMost(19);
   }
+
+  // Guards against a cost of the exchange for each target that grows unnoticed.
+  @Test
+  void theTimesOfOneTargetAddFewBytes() throws IOException {
+    Map<String, AnswerTimes> times = new TreeMap<>();
+    times.put("t-01", new AnswerTimes(2, 61));
+    int one = PeerCodec.toBytes(report(Map.of(), times)).length;
+    times.put("t-02", new AnswerTimes(12, 3_517));
+    assertThat(PeerCodec.toBytes(report(Map.of(), times)).length - one).isAtMost(10);
+    times.put("t-03", new AnswerTimes(900, 201_000));
+    assertThat(PeerCodec.toBytes(report(Map.of(), times)).length - one).isAtMost(24);
+  }
 }
--- a/node/src/test/java/org/apricotstand/request/AdmissionCheckTest.java
+++ b/node/src/test/java/org/apricotstand/request/AdmissionCheckTest.java
@@ -66,7 +66,8 @@
         Map.of(),
         Set.of("n"),
         1,
-        false);
+        false,
+        Map.of());
   }
 
   /** Returns the status of a refusal; 0 when the request is admitted. */
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -98,6 +98,9 @@
   /** Whether the views say that the loads of other instances are old. */
   boolean usesRelays;
 
+  /** Slowness of targets in the views, by target id. */
+  Map<String, Double> slowness = Map.of();
+
   CallerServer server;
   RequestRouter router;
 
@@ -256,7 +259,8 @@
         Map.of(),
         Set.of("n"),
         1,
-        usesRelays);
+        usesRelays,
+        slowness);
   }
 
   /** Sends one request on a new connection and returns everything that is received on it. */
--- a/node/src/test/java/org/apricotstand/request/TenantQuotaRequestTest.java
+++ b/node/src/test/java/org/apricotstand/request/TenantQuotaRequestTest.java
@@ -71,7 +71,8 @@
             Map.of(),
             Set.of("n"),
             1,
-            false);
+            false,
+            Map.of());
     quotaShares = new QuotaShares(1, Map.of(), Set.of(), ControlThread.nowMs() + 600_000, 0);
   }
 
--- a/node/src/test/java/org/apricotstand/request/TenantRequestTest.java
+++ b/node/src/test/java/org/apricotstand/request/TenantRequestTest.java
@@ -68,7 +68,8 @@
         Map.of(),
         Set.of("n"),
         1,
-        false);
+        false,
+        Map.of());
   }
 
   private void serve(Optional<TenantKeys> keys) throws IOException {
