--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -1,8 +1,6 @@
 package org.apricotstand.fleet;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -15,6 +13,7 @@
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.apricotstand.dispatch.TargetLoad;
+import org.apricotstand.dispatch.TargetSpeeds;
 import org.apricotstand.enginelease.LeaseStatus;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.EventLog;
@@ -66,13 +65,11 @@
   private static final long MEMBERS_PERIOD_MS = 2_000;
 
   private static final long IDLE_LINK_MS = 10_000;
-  private static final int REMEMBERED_REPORTS = 32;
 
   private final LongSupplier clock;
   private final OverlayInstance self;
   private final long incarnation;
   private final PeerLinks peers;
-  private final LocalLoadTracker localLoad;
   private final FleetExchangeListener listener;
   private final Function<String, String> ownerOf;
   private final Overlay overlay;
@@ -80,7 +77,8 @@
   private final MemberReports members = new MemberReports();
   private final RelayedState relayed = new RelayedState();
   private final LinkWatch linkWatch = new LinkWatch();
-  private final Deque<PeerMessage.MemberReport> ownReports = new ArrayDeque<>();
+  private final OwnReports ownReports;
+  private final TargetSpeeds speeds = new TargetSpeeds();
   private final Map<String, Long> useSilentFromMs = new HashMap<>();
   private final Map<String, Long> eventUntilMs = new HashMap<>();
   private final Set<String> useRecipients = new HashSet<>();
@@ -93,7 +91,6 @@
   private FleetState.InstanceStatus publishedStatus;
   private List<String> publishedMembers = List.of();
   private long sequence;
-  private long includedReport;
   private long nextReportMs;
   private long nextUrgentMs;
   private long nextIdleCheckMs;
@@ -121,7 +118,7 @@
     this.incarnation = incarnation;
     this.quotas = new QuotaExchange(clock, self.name(), quotaBounds, localLoad);
     this.peers = peers;
-    this.localLoad = localLoad;
+    this.ownReports = new OwnReports(localLoad);
     this.ownerOf = ownerOf;
     this.listener = listener;
     this.overlay = new Overlay(self);
@@ -146,12 +143,20 @@
     return leavingInstances.contains(instance);
   }
 
+  /** Returns whether the state of other instances comes through relays, and therefore late. */
+  boolean usesRelays() {
+    return !overlay.isMesh();
+  }
+
+  /** Returns what the answers to all instances say of the speed of targets. */
+  TargetSpeeds speeds() {
+    return speeds;
+  }
+
   /** Returns the requests of the other instances at each target, as last published. */
   Map<String, TargetLoad> peerLoads() {
     Map<String, TargetLoad> loads = relayed.loads();
-    ownReports.stream()
-        .filter(report -> report.sequence() == includedReport)
-        .forEach(report -> RelayedState.subtract(loads, report));
+    ownReports.subtractFrom(loads);
     return loads;
   }
 
@@ -369,7 +374,7 @@
             },
             () -> {
               members.put(self.name(), own, nowMs);
-              includedReport = own.sequence();
+              ownReports.recordIncluded(own.sequence());
             });
     publishMembers(nowMs);
     if (overlay.relay().isEmpty()) {
@@ -381,31 +386,8 @@
   }
 
   private PeerMessage.MemberReport takeOwnReport() {
-    Map<String, Integer> started = new TreeMap<>();
-    Map<String, Integer> waiting = new TreeMap<>();
-    localLoad
-        .loadsByTarget()
-        .forEach(
-            (id, load) -> {
-              started.put(id, load.started());
-              waiting.put(id, load.waiting());
-            });
-    Map<String, Integer> arrivals = new TreeMap<>();
-    localLoad.takeArrivals().forEach((key, count) -> arrivals.put(key.toString(), count));
     sequence++;
-    PeerMessage.MemberReport report =
-        new PeerMessage.MemberReport(
-            sequence,
-            started,
-            waiting,
-            MemberReports.toLists(localLoad.adaptersInUse()),
-            arrivals,
-            quotas.takeUses(sequence));
-    ownReports.addLast(report);
-    if (ownReports.size() > REMEMBERED_REPORTS) {
-      ownReports.removeFirst();
-    }
-    return report;
+    return ownReports.take(sequence, quotas.takeUses(sequence));
   }
 
   /** Publishes the sums of the reports of all members, if this instance relays for any. */
@@ -430,7 +412,8 @@
             members.sum(PeerMessage.MemberReport::waiting),
             members.takeArrivals(),
             members.tenants(),
-            quotas.scope());
+            quotas.scope(),
+            members.takeAnswerTimes());
     publish("load/" + self.name(), incarnation, load);
     applyLoad(load, nowMs);
   }
@@ -540,7 +523,7 @@
         members.put(from, report, nowMs);
       }
       case PeerMessage.ReportIncluded included -> {
-        includedReport = included.sequence();
+        ownReports.recordIncluded(included.sequence());
         quotas.onReportIncluded(included.sequence());
       }
       case PeerMessage.AdaptersInUse use -> {
@@ -666,6 +649,7 @@
 
   private void applyLoad(FleetState.RelayedLoad load, long nowMs) {
     relayed.put(load, nowMs);
+    speeds.record(load.times(), nowMs);
     quotas.onLoad(load, Set.copyOf(relayed.instancesOf(load.relay())));
     updateLiveInstances();
     listener.onInstancesHeard(Set.copyOf(relayed.instancesOf(load.relay())));
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -308,6 +308,7 @@
       }
     }
     exchange.retainEngines(listedIds);
+    exchange.speeds().setTargets(targets);
     residencies.keySet().retainAll(listedIds);
     warmCopies.keySet().retainAll(listedIds);
     incarnations.keySet().retainAll(listedIds);
@@ -683,7 +684,9 @@
             Map.copyOf(declaredVersions),
             exchange.peerLoads(),
             allInstances(),
-            knownInstances.count(exchange.liveInstances()));
+            knownInstances.count(exchange.liveInstances()),
+            exchange.usesRelays(),
+            exchange.speeds().slowness(ControlThread.nowMs()));
     viewListener.run();
   }
 }
--- a/node/src/main/java/org/apricotstand/fleet/FleetView.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetView.java
@@ -24,6 +24,10 @@
  * @param instances names of all live instances, including this one and those that are leaving
  * @param knownInstances number of all registered instances, whether they are live or not; 0 before
  *     they are known
+ * @param usesRelays whether {@code peerLoads} come through relays, and are therefore up to a second
+ *     old
+ * @param slowness times of targets relative to their service, by target id; without those of the
+ *     usual speed
  */
 public record FleetView(
     RoutingPlan plan,
@@ -34,7 +38,9 @@
     Map<AdapterKey, Long> declaredVersions,
     Map<String, TargetLoad> peerLoads,
     Set<String> instances,
-    int knownInstances) {
+    int knownInstances,
+    boolean usesRelays,
+    Map<String, Double> slowness) {
 
   /** View before anything is known. */
   public static final FleetView EMPTY =
@@ -47,13 +53,21 @@
           Map.of(),
           Map.of(),
           Set.of(),
-          0);
+          0,
+          false,
+          Map.of());
 
   /** Returns the targets of a service that accept requests. */
   public List<TargetEntry> targetsOf(String service) {
     return targets.getOrDefault(service, List.of());
   }
 
+  /** Returns the time that a target takes relative to its service; 1 if nothing is known. */
+  public double slownessOf(String target) {
+    Double known = slowness.get(target);
+    return known == null ? 1 : known;
+  }
+
   /** Returns the declared version of a model or adapter; 0 when none is declared. */
   public long declaredVersion(AdapterKey key) {
     return declaredVersions.getOrDefault(key, 0L);
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -15,6 +15,7 @@
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.Availability;
 import org.apricotstand.dispatch.Candidate;
+import org.apricotstand.dispatch.StaleLoadChooser;
 import org.apricotstand.dispatch.TargetChooser;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.dispatch.TargetHealth;
@@ -319,9 +320,12 @@
         candidates(flow)
             .filter(candidate -> candidate.sendDelayMs() <= flow.maxSendDelayMs())
             .toList();
-    return flow.adapter() == null
-        ? TargetChooser.choosePlainTarget(settings.domain(), candidates)
-        : TargetChooser.chooseEngine(flow.adapter().toString(), settings.domain(), candidates);
+    if (flow.adapter() != null) {
+      return TargetChooser.chooseEngine(flow.adapter().toString(), settings.domain(), candidates);
+    }
+    return view.get().usesRelays()
+        ? StaleLoadChooser.choose(settings.domain(), candidates, random.nextDouble())
+        : TargetChooser.choosePlainTarget(settings.domain(), candidates);
   }
 
   /** Decides whether and where a second attempt of a late request is sent. */
@@ -388,14 +392,14 @@
 
   private Candidate toCandidate(FleetView fleetView, TargetEntry target, RequestFlow flow) {
     AdapterKey key = flow.adapter();
-    TargetLoad load =
-        loadTracker
-            .load(target.id())
-            .plus(fleetView.peerLoads().getOrDefault(target.id(), TargetLoad.NONE));
-    double penaltyMs = health.penaltyMs(target.id(), ControlThread.nowMs());
+    TargetLoad load = loadAt(fleetView, target);
+    long nowMs = ControlThread.nowMs();
+    double penaltyMs = health.penaltyMs(target.id(), nowMs);
     long sendDelayMs = pacer.delayMs(target).orElse(Candidate.NEVER);
+    double slowness = fleetView.slownessOf(target.id());
     if (key == null) {
-      return Candidate.ofPlainService(target, load, penaltyMs, sendDelayMs);
+      boolean rejecting = health.isRejecting(target.id(), nowMs);
+      return Candidate.ofPlainService(target, load, penaltyMs, sendDelayMs, rejecting, slowness);
     }
     Residency residency = fleetView.residency().getOrDefault(target.id(), Residency.EMPTY);
     Availability currentAvailability =
@@ -405,7 +409,27 @@
     Availability availability = loadRequested ? Availability.LOAD_REQUESTED : currentAvailability;
     boolean canLoad = fleetView.enginesWithOwner().contains(target.id());
     return new Candidate(
-        target, load, availability, canLoad, residency.queuedLoads(), penaltyMs, sendDelayMs);
+        target,
+        load,
+        availability,
+        canLoad,
+        residency.queuedLoads(),
+        penaltyMs,
+        sendDelayMs,
+        false,
+        slowness);
+  }
+
+  private TargetLoad loadAt(FleetView fleetView, TargetEntry target) {
+    return loadTracker
+        .load(target.id())
+        .plus(fleetView.peerLoads().getOrDefault(target.id(), TargetLoad.NONE));
+  }
+
+  /** Returns the requests at a target if the times of its answers are to be recorded. */
+  Optional<TargetLoad> loadIfTimed(TargetEntry target) {
+    FleetView fleetView = view.get();
+    return fleetView.usesRelays() ? Optional.of(loadAt(fleetView, target)) : Optional.empty();
   }
 
   private Availability availability(
@@ -438,7 +462,11 @@
       recordMissing(target.id(), adapter);
       return true;
     }
-    health.recordFailure(target.id(), ControlThread.nowMs());
+    if (adapter == null && status == 503 && view.get().usesRelays()) {
+      health.recordRejection(target.id(), ControlThread.nowMs());
+    } else {
+      health.recordFailure(target.id(), ControlThread.nowMs());
+    }
     return false;
   }
 
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -97,6 +97,12 @@
 
   int maxConnections = 100;
 
+  /** Whether the views say that the loads of other instances are old. */
+  boolean usesRelays;
+
+  /** Slowness of targets in the views, by target id. */
+  Map<String, Double> slowness = Map.of();
+
   CallerServer server;
   RequestRouter router;
 
@@ -254,7 +260,9 @@
         Map.of(),
         Map.of(),
         Set.of("n"),
-        1);
+        1,
+        usesRelays,
+        slowness);
   }
 
   /** Sends one request on a new connection and returns everything that is received on it. */
--- a/node/src/test/java/org/apricotstand/request/TenantQuotaRequestTest.java
+++ b/node/src/test/java/org/apricotstand/request/TenantQuotaRequestTest.java
@@ -70,7 +70,9 @@
             Map.of(),
             Map.of(),
             Set.of("n"),
-            1);
+            1,
+            false,
+            Map.of());
     quotaShares = new QuotaShares(1, Map.of(), Set.of(), ControlThread.nowMs() + 600_000, 0);
   }
 
--- a/node/src/test/java/org/apricotstand/request/TenantRequestTest.java
+++ b/node/src/test/java/org/apricotstand/request/TenantRequestTest.java
@@ -67,7 +67,9 @@
         Map.of(),
         Map.of(),
         Set.of("n"),
-        1);
+        1,
+        false,
+        Map.of());
   }
 
   private void serve(Optional<TenantKeys> keys) throws IOException {
