--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -25,7 +25,7 @@
  * owns.
  *
  * <pre>{@code
- * ServingInstance instance = ServingInstance.create(group, control, settings, systems);
+ * ServingInstance instance = ServingInstance.create(group, control, settings, systems, metrics);
  * instance.start();
  * instance.drain(); // on the stop signal; returns when no request is in progress or the time is up
  * }</pre>
@@ -47,10 +47,10 @@
       EventLoopGroup group,
       ControlThread control,
       ServingSettings settings,
-      ExternalSystems systems) {
+      ExternalSystems systems,
+      Metrics metrics) {
     this.settings = settings;
     EventLoop loop = group.next();
-    Metrics metrics = new Metrics();
     LocalLoadTracker loadTracker = new LocalLoadTracker();
     long incarnation = System.currentTimeMillis();
     PeerMessage.Hello hello =
@@ -117,13 +117,16 @@
 
   /**
    * Creates an instance that is not started. All its traffic runs on one event loop of the group.
+   *
+   * @param metrics metrics of the process, which the instance serves
    */
   public static ServingInstance create(
       EventLoopGroup group,
       ControlThread control,
       ServingSettings settings,
-      ExternalSystems systems) {
-    return new ServingInstance(group, control, settings, systems);
+      ExternalSystems systems,
+      Metrics metrics) {
+    return new ServingInstance(group, control, settings, systems, metrics);
   }
 
   private static Supplier<CallerLimits> limitsOf(Supplier<FleetView> view) {
