Read the table of instances through relays

Cause: in fleets with relays every instance still read the table of instances for itself, eight times in the first 40 s, which was the largest kind of call; code to share these reads existed but was not called.

Change: a relay reads the table of instances every 1.5 s and passes it on; its members read it after their registration until they are told, and later only while they are told nothing, every 3 s at the latest. Up to 16 instances the periods stay. The directory is driven by ticks and a clock, like the table of refusals, applies no row that is older than a known one, and calls its listener after the first read and at changes only. Code for instances that settle first is removed: a member can stop to read as soon as its relay has told it the whole table. A member asks about the age of the configuration right after each read of its relay.

In the simulated fleet without the question after a read, membersReadNothingWhileTheStoreIsSlow fails.

--- a/node/src/main/java/org/apricotstand/fleet/ConfigurationWatch.java
+++ b/node/src/main/java/org/apricotstand/fleet/ConfigurationWatch.java
@@ -13,7 +13,7 @@
  */
 final class ConfigurationWatch {
 
-  /** Time between two questions; adds to the age that the configuration has at a member. */
+  /** Longest time between two questions; a member usually asks right after a read of its relay. */
   private static final long ASK_PERIOD_MS = 600;
 
   private final LongSupplier clock;
@@ -41,6 +41,14 @@
     asking = isAsking;
   }
 
+  /**
+   * Asks the relay at the next tick, because it has just read the configuration: until its next
+   * read it can confirm nothing newer than now.
+   */
+  void askSoon() {
+    nextAskMs = clock.getAsLong();
+  }
+
   /** Returns the latest time at which the configuration was known to be the newest. */
   ConfigurationFreshness freshness() {
     return freshness;
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -248,6 +248,11 @@
     onConfigurationConfirmed();
   }
 
+  @Override
+  public void onConfigurationShared() {
+    exchange.configurationWatch().askSoon();
+  }
+
   @Override
   public boolean mustReadConfiguration() {
     return hasTenants()
@@ -614,6 +619,7 @@
     logStaleness();
     exchange.tick(leaving, engineOwner.leaseStatuses());
     refusalTable.tick();
+    directory.tick();
     long nowMs = ControlThread.nowMs();
     if (nowMs >= nextQuotaSharesMs) {
       updateQuotaShares();
--- a/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
+++ b/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
@@ -1,12 +1,14 @@
 package org.apricotstand.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import org.apricotstand.control.ControlThread;
+import java.util.function.LongSupplier;
 import org.apricotstand.model.InstanceId;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.overlay.OverlayInstance;
@@ -21,7 +23,10 @@
 /**
  * Finds the other instances through a table. At its start, each instance writes its own address to
  * the table; after that it reads the addresses of the others periodically. If two instances start
- * at the same time, the one that writes later sees the other.
+ * at the same time, the one that writes later sees the other. In a fleet with relays, the members
+ * of a relay learn from it what it reads, and read themselves only while it tells them nothing.
+ *
+ * <p>Used on one thread, except for the look-ups; the calls return immediately.
  */
 public final class InstanceDirectory {
 
@@ -32,42 +37,70 @@
   /** First pause between two reads; instances that start together register one after the other. */
   private static final long MIN_REFRESH_PERIOD_MS = 300;
 
-  /** Pause between two checks whether another instance reads the table for this one. */
-  private static final long SHARING_CHECK_MS = 500;
+  /** Longest pause while each instance reads for itself. */
+  private static final long MAX_REFRESH_PERIOD_MS = 10_000;
 
-  /** Number of first reads after which a list that still changes is used all the same. */
-  private static final int MAX_SETTLING_READS = 4;
+  /**
+   * Pause between two reads of a relay, so that all relays know a new instance within 2 s and their
+   * members half a second later.
+   */
+  private static final long RELAY_REFRESH_PERIOD_MS = 1_500;
 
-  private static final long MAX_REFRESH_PERIOD_MS = 10_000;
+  /** Longest pause of a member that is told nothing; as long as a new instance may be unknown. */
+  private static final long UNTOLD_REFRESH_PERIOD_MS = 3_000;
 
-  private final ServingSettings settings;
+  private final InstanceRecord self;
   private final RowStore store;
-  private final ControlThread control;
+  private final Executor executor;
+  private final LongSupplier clock;
   private final Map<InstanceId, InstanceRecord> records = new ConcurrentHashMap<>();
+  private final Map<String, Long> rowVersions = new HashMap<>();
   private Consumer<List<OverlayInstance>> listener = instances -> {};
-  private long refreshPeriodMs = MIN_REFRESH_PERIOD_MS;
   private TableSharing sharing;
-  private int reads;
-  private boolean settled;
+  private long refreshPeriodMs = MIN_REFRESH_PERIOD_MS;
+  private long nextCallMs;
+  private boolean calling;
+  private boolean registered;
+  private boolean hasRead;
+
+  /**
+   * Creates an empty directory.
+   *
+   * @param executor runs what follows on the answers of the store, on the thread of the calls
+   * @param clock monotonic time in milliseconds
+   */
+  public InstanceDirectory(
+      ServingSettings settings, RowStore store, Executor executor, LongSupplier clock) {
+    this(recordOf(settings), store, executor, clock);
+  }
 
-  /** Creates an empty directory. */
-  public InstanceDirectory(ServingSettings settings, RowStore store, ControlThread control) {
-    this.settings = settings;
+  InstanceDirectory(InstanceRecord self, RowStore store, Executor executor, LongSupplier clock) {
+    this.self = self;
     this.store = store;
-    this.control = control;
+    this.executor = executor;
+    this.clock = clock;
   }
 
-  /** Sets the listener that gets all other instances after each read, on the control thread. */
+  private static InstanceRecord recordOf(ServingSettings settings) {
+    return new InstanceRecord(
+        settings.name(),
+        settings.domain(),
+        settings.peerAddress().getAddress().getHostAddress(),
+        settings.peerAddress().getPort(),
+        settings.relayCapacity());
+  }
+
+  /** Sets the listener that gets all other instances after the first read and each change. */
   public void setListener(Consumer<List<OverlayInstance>> newListener) {
     listener = newListener;
   }
 
-  /** Registers this instance and starts to look for others; called on the control thread. */
+  /** Starts to register this instance and to look for others. */
   public void start(TableSharing tableSharing) {
     sharing = tableSharing;
     sharing.subscribe(
         TABLE,
-        MAX_REFRESH_PERIOD_MS,
+        RELAY_REFRESH_PERIOD_MS,
         new TableSharing.Listener() {
           @Override
           public void onShared(List<RowChange> rows) {
@@ -76,7 +109,8 @@
 
           @Override
           public boolean onSharedUpTo(long fromVersion, long version) {
-            return settled;
+            // The relay passes on the whole table, so nothing before it is needed.
+            return hasRead;
           }
 
           @Override
@@ -84,67 +118,66 @@
             // The table keeps its rows through an outage.
           }
         });
-    register();
+    tick();
   }
 
-  private void register() {
-    InstanceRecord own =
-        new InstanceRecord(
-            settings.name(),
-            settings.domain(),
-            settings.peerAddress().getAddress().getHostAddress(),
-            settings.peerAddress().getPort(),
-            settings.relayCapacity());
-    store
-        .commit(TABLE, List.of(new RowWrite(settings.name(), own.encode(), RowWrite.ANY_VERSION)))
-        .thenAccept(result -> control.execute(() -> handleRegistration(result)));
+  /** Calls the store if that is due; to be called many times a second. */
+  public void tick() {
+    if (sharing == null || calling || clock.getAsLong() < nextCallMs) {
+      return;
+    }
+    if (!registered) {
+      calling = true;
+      store
+          .commit(TABLE, List.of(new RowWrite(self.name(), self.encode(), RowWrite.ANY_VERSION)))
+          .thenAccept(result -> executor.execute(() -> handleRegistration(result)));
+    } else if (!hasRead || sharing.mustRead(TABLE)) {
+      calling = true;
+      store
+          .readAll(TABLE)
+          .whenComplete((rows, failure) -> executor.execute(() -> handleRows(rows, failure)));
+    }
   }
 
   private void handleRegistration(CommitResult result) {
+    calling = false;
     if (result instanceof CommitResult.Committed) {
-      refresh();
+      registered = true;
+      tick();
     } else {
       LOG.warn("instance_not_registered", "result", result);
-      control.executeAt(ControlThread.nowMs() + RETRY_DELAY_MS, this::register);
+      nextCallMs = clock.getAsLong() + RETRY_DELAY_MS;
     }
   }
 
-  private void refresh() {
-    if (settled && !sharing.mustRead(TABLE)) {
-      control.executeAt(ControlThread.nowMs() + SHARING_CHECK_MS, this::refresh);
-      return;
-    }
-    control.whenComplete(store.readAll(TABLE), this::handleRows);
-  }
-
   private void handleRows(List<Row> rows, Throwable failure) {
-    // Scheduled first, so that the table is read again even if the listener fails.
-    long delayMs = failure == null ? refreshPeriodMs : RETRY_DELAY_MS;
-    refreshPeriodMs = Math.min(MAX_REFRESH_PERIOD_MS, 2 * refreshPeriodMs);
-    control.executeAt(ControlThread.nowMs() + delayMs, this::refresh);
-    if (failure == null) {
-      rows.forEach(this::updateRecord);
-      listener.accept(records.values().stream().map(InstanceRecord::toOverlayInstance).toList());
-    } else {
+    calling = false;
+    if (failure != null) {
       LOG.warn("instances_not_read", "error", failure.toString());
+      nextCallMs = clock.getAsLong() + RETRY_DELAY_MS;
+      return;
     }
-  }
-
-  /**
-   * Passes the instances on once a read has found no new one. Instances that start together would
-   * else build links for a fleet of the few that registered first.
-   */
-  private void announceWhenSettled(boolean unchanged) {
-    settled = settled || (unchanged && reads > 1) || reads >= MAX_SETTLING_READS;
-    if (settled) {
-      listener.accept(records.values().stream().map(InstanceRecord::toOverlayInstance).toList());
+    // Set first, so that the table is read again even if the listener fails.
+    scheduleRefresh();
+    boolean isFirst = !hasRead;
+    hasRead = true;
+    boolean isNew = updateRecords(rows);
+    share(rows);
+    if (isNew || isFirst) {
+      announce();
     }
   }
 
-  private void logNewInstances(int knownBefore) {
-    if (records.size() > knownBefore) {
-      LOG.info("instances_found", "count", records.size(), "new", records.size() - knownBefore);
-    }
+  private void scheduleRefresh() {
+    long maxPeriodMs =
+        switch (sharing.role()) {
+          case MESH -> MAX_REFRESH_PERIOD_MS;
+          case RELAY -> RELAY_REFRESH_PERIOD_MS;
+          case MEMBER -> UNTOLD_REFRESH_PERIOD_MS;
+        };
+    refreshPeriodMs = Math.min(maxPeriodMs, refreshPeriodMs);
+    nextCallMs = clock.getAsLong() + refreshPeriodMs;
+    refreshPeriodMs = 2 * refreshPeriodMs;
   }
 
   /** Passes on a read, which was of the whole table, so that it tells all up to its version. */
@@ -154,15 +187,35 @@
   }
 
   private void applyShared(List<RowChange> changes) {
+    // The first rows of a relay may be a part of the table only, unlike those of a read.
+    if (updateRecords(changes.stream().map(RowChange::row).toList()) && hasRead) {
+      announce();
+    }
+  }
+
+  private void announce() {
+    listener.accept(records.values().stream().map(InstanceRecord::toOverlayInstance).toList());
+  }
+
+  /** Applies rows that are newer than what is known; returns whether an instance changed. */
+  private boolean updateRecords(List<Row> rows) {
     int knownBefore = records.size();
-    changes.stream().map(RowChange::row).forEach(this::updateRecord);
-    logNewInstances(knownBefore);
-    announceWhenSettled(false);
+    boolean isChanged = false;
+    for (Row row : rows) {
+      if (row.version() > rowVersions.getOrDefault(row.key(), -1L)) {
+        rowVersions.put(row.key(), row.version());
+        isChanged |= updateRecord(row);
+      }
+    }
+    if (records.size() > knownBefore) {
+      LOG.info("instances_found", "count", records.size(), "new", records.size() - knownBefore);
+    }
+    return isChanged;
   }
 
-  private void updateRecord(Row row) {
-    if (row.key().equals(settings.name())) {
-      return;
+  private boolean updateRecord(Row row) {
+    if (row.key().equals(self.name())) {
+      return false;
     }
     try {
       InstanceRecord record = InstanceRecord.decode(row.key(), row.value());
@@ -170,8 +223,10 @@
       if (before != null && !record.equals(before)) {
         LOG.info("instance_moved", "instance", row.key(), "address", record.address());
       }
+      return !record.equals(before);
     } catch (IllegalArgumentException e) {
       LOG.warn("instance_row_unreadable", "instance", row.key(), "error", e.getMessage());
+      return false;
     }
   }
 
--- a/node/src/main/java/org/apricotstand/fleet/SharedTables.java
+++ b/node/src/main/java/org/apricotstand/fleet/SharedTables.java
@@ -62,6 +62,14 @@
     return duties.get(table).mustRead(links.hasRelay(), clock.getAsLong());
   }
 
+  @Override
+  public Role role() {
+    if (links.isMesh()) {
+      return Role.MESH;
+    }
+    return links.hasRelay() ? Role.MEMBER : Role.RELAY;
+  }
+
   @Override
   public void share(String table, List<RowChange> rows, long fromVersion, long version) {
     if (links.isMesh()) {
--- a/node/src/main/java/org/apricotstand/port/ConfigurationListener.java
+++ b/node/src/main/java/org/apricotstand/port/ConfigurationListener.java
@@ -26,6 +26,9 @@
    */
   default void onConfigurationRead(long sentMs) {}
 
+  /** Called after another instance has read the store and passed on everything that it read. */
+  default void onConfigurationShared() {}
+
   /**
    * Returns whether the configuration has to be read now, without waiting for a change, because it
    * is not known whether it is still the newest.
--- a/node/src/main/java/org/apricotstand/port/TableSharing.java
+++ b/node/src/main/java/org/apricotstand/port/TableSharing.java
@@ -8,6 +8,18 @@
  */
 public interface TableSharing {
 
+  /** How an instance takes part. */
+  enum Role {
+    /** Each instance of a small fleet reads for itself. */
+    MESH,
+
+    /** The instance reads for its members. */
+    RELAY,
+
+    /** Another instance reads for this one. */
+    MEMBER
+  }
+
   /** Receives what other instances read. */
   interface Listener {
 
@@ -36,6 +48,9 @@
   /** Returns whether this instance has to read the table itself now. */
   boolean mustRead(String table);
 
+  /** Returns how this instance takes part now. */
+  Role role();
+
   /**
    * Passes on what this instance read.
    *
--- a/node/src/main/java/org/apricotstand/serve/ServingInstance.java
+++ b/node/src/main/java/org/apricotstand/serve/ServingInstance.java
@@ -56,7 +56,8 @@
     PeerMessage.Hello hello =
         new PeerMessage.Hello(
             PeerMessage.PROTOCOL_VERSION, settings.name(), incarnation, settings.domain());
-    InstanceDirectory directory = new InstanceDirectory(settings, systems.store(), control);
+    InstanceDirectory directory =
+        new InstanceDirectory(settings, systems.store(), control, ControlThread::nowMs);
     PeerNetwork peers =
         new PeerNetwork(group, settings.peerAddress(), hello, directory::addressOf, control);
     fleet =
--- a/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
+++ b/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
@@ -46,6 +46,7 @@
       new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::number));
   private final Set<OverlayInstance> registered = new LinkedHashSet<>();
   private final Set<String> cutDomains = new HashSet<>();
+  private Consumer<Instance> startListener = Instance::readRegistered;
   private long nowMs = 1_000;
   private long taskNumber;
 
@@ -62,6 +63,22 @@
     instances.values().forEach(instance -> at(nowMs + random.nextInt(300), instance::start));
   }
 
+  /**
+   * Sets what runs when an instance starts, instead of finding the others without a store; to be
+   * set before the fleet runs.
+   */
+  void setStartListener(Consumer<Instance> listener) {
+    startListener = listener;
+  }
+
+  /** Adds an instance that is started now. */
+  Instance add(String name, String domain) {
+    Instance instance = new Instance(new OverlayInstance(name, domain, 0));
+    instances.put(name, instance);
+    at(nowMs, instance::start);
+    return instance;
+  }
+
   /** One process and what it learnt. */
   final class Instance implements FleetExchangeListener, PeerLinks, TableSharing.Listener {
     final OverlayInstance identity;
@@ -87,6 +104,7 @@
     long slownessMs;
     long incarnation;
     long messages;
+    Runnable tickListener = () -> {};
     private int holdingsVersion;
 
     private Instance(OverlayInstance identity) {
@@ -116,9 +134,30 @@
       publishHoldings();
       long started = incarnation;
       at(nowMs, () -> tick(started));
+      startListener.accept(this);
+    }
+
+    private void readRegistered() {
+      long started = incarnation;
       at(nowMs + FIRST_READ_MS, () -> readRegistered(started, FIRST_READ_MS));
     }
 
+    /** Runs an action of this process, unless it ends before; a suspended process runs it later. */
+    void runAt(long atMs, Runnable action) {
+      long started = incarnation;
+      at(atMs, () -> runIfAlive(started, action));
+    }
+
+    private void runIfAlive(long started, Runnable action) {
+      if (running && incarnation == started) {
+        if (nowMs < suspendedUntilMs) {
+          at(suspendedUntilMs, () -> runIfAlive(started, action));
+        } else {
+          action.run();
+        }
+      }
+    }
+
     private void readRegistered(long started, long pauseMs) {
       if (running && incarnation == started) {
         List<OverlayInstance> others =
@@ -137,6 +176,7 @@
         at(suspendedUntilMs, () -> tick(started));
         return;
       }
+      tickListener.run();
       exchange.tick(leaving, Map.of(identity.name(), new LeaseStatus(incarnation, 9_000)));
       long delayMs = slownessMs == 0 ? 0 : random.nextLong(slownessMs);
       at(nowMs + TICK_MS + delayMs, () -> tick(started));
