Hand over what a control task sends in one wake-up

Each message to a peer was written and flushed alone: a task for the event loop, a wake-up and a write to the socket for each. A relay sends two messages to each member in each period.

Messages that a task of the control thread sends are now written without a wake-up and flushed together after the task, with one task for the event loop. Other threads flush at once as before, and a link is flushed before it is closed. The codec keeps its reader and writer.

--- a/node/src/main/java/org/apricotstand/control/ControlThread.java
+++ b/node/src/main/java/org/apricotstand/control/ControlThread.java
@@ -1,5 +1,7 @@
 package org.apricotstand.control;
 
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
@@ -24,11 +26,14 @@
   private static final EventLog LOG = EventLog.of(ControlThread.class);
 
   private final PauseWatchdog watchdog = new PauseWatchdog(ControlThread::nowMs);
+  private final Queue<Runnable> endActions = new ArrayDeque<>();
+  private volatile Thread currentThread;
   private final ScheduledExecutorService executor =
       Executors.newSingleThreadScheduledExecutor(
           task -> {
             Thread thread = new Thread(task, "control");
             thread.setDaemon(true);
+            currentThread = thread;
             return thread;
           });
 
@@ -56,6 +61,18 @@
     }
   }
 
+  /** Returns whether the caller runs on this thread. */
+  public boolean isCurrent() {
+    return Thread.currentThread() == currentThread;
+  }
+
+  /**
+   * Runs an action after the current task, whether that fails or not; to be called on this thread.
+   */
+  public void executeAtTaskEnd(Runnable action) {
+    endActions.add(action);
+  }
+
   /**
    * Runs the handler on this thread when the call has completed, with the result and the failure,
    * one of which is null.
@@ -89,15 +106,25 @@
 
   private Runnable guarded(Runnable task) {
     return () -> {
-      try {
-        watchdog.check();
-        task.run();
-      } catch (RuntimeException e) {
-        LOG.warn("control_task_failed", "error", e.toString(), "at", firstFrame(e));
+      runLoggingFailure(
+          () -> {
+            watchdog.check();
+            task.run();
+          });
+      for (Runnable action = endActions.poll(); action != null; action = endActions.poll()) {
+        runLoggingFailure(action);
       }
     };
   }
 
+  private static void runLoggingFailure(Runnable task) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      LOG.warn("control_task_failed", "error", e.toString(), "at", firstFrame(e));
+    }
+  }
+
   private static String firstFrame(RuntimeException e) {
     return e.getStackTrace().length == 0 ? "" : e.getStackTrace()[0].toString();
   }
--- a/node/src/main/java/org/apricotstand/peer/PeerCodec.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerCodec.java
@@ -4,6 +4,8 @@
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.ObjectWriter;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.ChannelHandlerContext;
@@ -19,6 +21,9 @@
   private static final ObjectMapper MAPPER =
       new ObjectMapper(new MessagePackFactory()).addMixIn(TenantUse.class, ArrayForm.class);
 
+  private static final ObjectReader READER = MAPPER.readerFor(PeerMessage.class);
+  private static final ObjectWriter WRITER = MAPPER.writerFor(PeerMessage.class);
+
   /** Encodes a type without the names of its components, since messages contain it many times. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   @JsonPropertyOrder({"offered", "used"})
@@ -33,7 +38,7 @@
 
   /** Encodes a message that goes to several peers; channels accept the bytes in its place. */
   static byte[] toBytes(PeerMessage message) throws JsonProcessingException {
-    return MAPPER.writerFor(PeerMessage.class).writeValueAsBytes(message);
+    return WRITER.writeValueAsBytes(message);
   }
 
   @Override
@@ -43,6 +48,6 @@
   }
 
   static PeerMessage fromBytes(byte[] bytes) throws IOException {
-    return MAPPER.readValue(bytes, PeerMessage.class);
+    return READER.readValue(bytes);
   }
 }
--- a/node/src/main/java/org/apricotstand/peer/PeerLink.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerLink.java
@@ -42,8 +42,9 @@
   }
 
   /**
-   * Sends a message, or queues it while the connection opens. The message is dropped when {@value
-   * #MAX_PENDING_MESSAGES} messages are queued or the link was closed before it opened.
+   * Writes a message, or queues it while the connection opens; {@link #flush} sends what was
+   * written. The message is dropped when {@value #MAX_PENDING_MESSAGES} messages are queued or the
+   * link was closed before it opened.
    */
   void send(PeerMessage message) {
     if (!(message instanceof PeerMessage.Heartbeat)) {
@@ -52,7 +53,7 @@
     write(message);
   }
 
-  /** Sends a message that is already encoded, under the same conditions. */
+  /** Writes a message that is already encoded, under the same conditions. */
   void sendEncoded(byte[] message) {
     recordUse();
     write(Unpooled.wrappedBuffer(message));
@@ -60,12 +61,19 @@
 
   private synchronized void write(Object message) {
     if (channel != null) {
-      channel.writeAndFlush(message);
+      channel.write(message);
     } else if (!closed && pendingMessages.size() < MAX_PENDING_MESSAGES) {
       pendingMessages.add(message);
     }
   }
 
+  /** Passes what was written to the network. */
+  synchronized void flush() {
+    if (channel != null) {
+      channel.flush();
+    }
+  }
+
   synchronized boolean isOpen() {
     return channel != null && channel.isActive();
   }
@@ -78,6 +86,7 @@
     closed = true;
     pendingMessages.clear();
     if (channel != null) {
+      channel.flush();
       channel.close();
     }
   }
--- a/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
@@ -18,6 +18,7 @@
 import io.netty.util.AttributeKey;
 import java.net.InetSocketAddress;
 import java.util.Collection;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -51,6 +52,7 @@
   private static final AttributeKey<PeerMessage.Hello> HELLO_ATTRIBUTE =
       AttributeKey.valueOf("peer.hello");
   private static final int LENGTH_BYTES = 4;
+
   private static final int CONNECT_TIMEOUT_MS = 1_000;
 
   private final EventLoopGroup group;
@@ -60,6 +62,10 @@
   private final ControlThread control;
   private final List<PeerListener> listeners = new CopyOnWriteArrayList<>();
   private final Map<InstanceId, PeerLink> links = new ConcurrentHashMap<>();
+
+  /** Links that the current task of the control thread wrote to; used on that thread only. */
+  private final Set<PeerLink> unflushedLinks = new LinkedHashSet<>();
+
   private final Map<InstanceId, Long> newestIncarnations = new ConcurrentHashMap<>();
   private final io.netty.channel.group.ChannelGroup channels =
       new io.netty.channel.group.DefaultChannelGroup(
@@ -121,6 +127,7 @@
       return false;
     }
     link.send(message);
+    flush(link);
     return true;
   }
 
@@ -134,7 +141,33 @@
     receivers.stream()
         .map(peer -> links.computeIfAbsent(peer, this::openLink))
         .filter(Objects::nonNull)
-        .forEach(link -> link.sendEncoded(encoded));
+        .forEach(
+            link -> {
+              link.sendEncoded(encoded);
+              flush(link);
+            });
+  }
+
+  /**
+   * Sends what was written to a link. What a task of the control thread wrote is sent together
+   * after the task, since each transfer to the event loop and each write to a socket is a system
+   * call.
+   */
+  private void flush(PeerLink link) {
+    if (!control.isCurrent()) {
+      link.flush();
+      return;
+    }
+    if (unflushedLinks.isEmpty()) {
+      control.executeAtTaskEnd(this::flushAll);
+    }
+    unflushedLinks.add(link);
+  }
+
+  private void flushAll() {
+    List<PeerLink> written = List.copyOf(unflushedLinks);
+    unflushedLinks.clear();
+    group.next().execute(() -> written.forEach(PeerLink::flush));
   }
 
   private static byte[] encode(PeerMessage message) {
