Write log lines without a walk of the stack

The log library walks the stack for the class and line of the caller, which no line of ours names. In a profile of eight instances, log calls took 7 % of the processor time, most of it in the library. The check for plain values is a loop, for the same lines.

--- a/node/src/main/java/org/apricotstand/observe/EventLog.java
+++ b/node/src/main/java/org/apricotstand/observe/EventLog.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.LogSite;
 import java.util.logging.Level;
 
 /**
@@ -53,7 +54,8 @@
   private void log(Level level, String event, Object... pairs) {
     FluentLogger.Api api = LOGGER.at(level);
     if (api.isEnabled()) {
-      api.log("%s", line(source, event, pairs));
+      // Without a given site the library walks the stack for the caller, which no line names.
+      api.withInjectedLogSite(LogSite.INVALID).log("%s", line(source, event, pairs));
     }
   }
 
@@ -68,7 +70,7 @@
   }
 
   private static String quoted(String value) {
-    if (!value.isEmpty() && value.chars().allMatch(EventLog::isPlain)) {
+    if (isPlain(value)) {
       return value;
     }
     StringBuilder quoted = new StringBuilder("\"");
@@ -76,6 +78,15 @@
     return quoted.append('"').toString();
   }
 
+  private static boolean isPlain(String value) {
+    for (int i = 0; i < value.length(); i++) {
+      if (!isPlain(value.charAt(i))) {
+        return false;
+      }
+    }
+    return !value.isEmpty();
+  }
+
   private static boolean isPlain(int c) {
     return c > ' ' && c < 0x7f && c != '"' && c != '=' && c != '\\';
   }
