Do less in each tick of leases and overlay

In the profile the tick took 14 % of the processor time, and leases 6 %. What each tick calls are loops now, where the profile shows streams. The own ranks for engines are computed again only if engines or instances have changed: each change of a target's row computed a hash for each pair of an engine without owner and an instance.

--- a/core/src/main/java/org/apricotstand/enginelease/EngineLeases.java
+++ b/core/src/main/java/org/apricotstand/enginelease/EngineLeases.java
@@ -100,8 +100,10 @@
       case LeaseEvent.HolderSilent(String holder) ->
           setReportTime(lease -> lease.holder.equals(holder), NOT_REPORTED_MS);
       case LeaseEvent.InstancesChanged(Map<String, String> domains) -> {
-        instanceDomains = Map.copyOf(domains);
-        ownRanks.clear();
+        if (!instanceDomains.equals(domains)) {
+          instanceDomains = Map.copyOf(domains);
+          ownRanks.clear();
+        }
       }
       case LeaseEvent.RowsRead(List<LeaseRecord> rows, long requestedAtMs) ->
           applyRowsRead(rows, requestedAtMs, nowMs);
@@ -164,8 +166,10 @@
   }
 
   private void applyEngines(Map<String, String> domains, List<LeaseAction> actions) {
-    engineDomains = Map.copyOf(domains);
-    ownRanks.clear();
+    if (!engineDomains.equals(domains)) {
+      engineDomains = Map.copyOf(domains);
+      ownRanks.clear();
+    }
     Set<String> live = domains.keySet();
     Set<String> gone = new HashSet<>(heldLeases.keySet());
     gone.removeAll(live);
@@ -333,13 +337,14 @@
   }
 
   private List<LeaseRecord> rowsToAcquire(long nowMs) {
-    return engineDomains.keySet().stream()
-        .filter(engine -> !heldLeases.containsKey(engine))
-        .filter(engine -> mayAcquire(engine, nowMs))
-        .map(
-            engine ->
-                new LeaseRecord(engine, self, false, observedRows.get(engine).row.rowVersion()))
-        .toList();
+    List<LeaseRecord> rows = new ArrayList<>();
+    for (String engine : engineDomains.keySet()) {
+      if (!heldLeases.containsKey(engine) && mayAcquire(engine, nowMs)) {
+        long rowVersion = observedRows.get(engine).row.rowVersion();
+        rows.add(new LeaseRecord(engine, self, false, rowVersion));
+      }
+    }
+    return rows;
   }
 
   private boolean mayAcquire(String engine, long nowMs) {
--- a/core/src/main/java/org/apricotstand/overlay/Overlay.java
+++ b/core/src/main/java/org/apricotstand/overlay/Overlay.java
@@ -155,12 +155,13 @@
   }
 
   private List<String> removeSilentUplinks(long nowMs) {
-    List<String> silentPeers =
-        uplinks.entrySet().stream()
-            .filter(entry -> nowMs >= entry.getValue().silentFromMs)
-            .map(Map.Entry::getKey)
-            .sorted()
-            .toList();
+    List<String> silentPeers = new ArrayList<>();
+    for (Map.Entry<String, Uplink> entry : uplinks.entrySet()) {
+      if (nowMs >= entry.getValue().silentFromMs) {
+        silentPeers.add(entry.getKey());
+      }
+    }
+    Collections.sort(silentPeers);
     for (String peer : silentPeers) {
       uplinks.remove(peer);
       election.suspect(peer, nowMs);
@@ -229,9 +230,11 @@
 
   /** Returns the instance that relays for this one; empty when it reports to nobody. */
   public Optional<String> relay() {
-    return uplinks.entrySet().stream()
-        .filter(entry -> entry.getValue().role == LinkRole.RELAY)
-        .map(Map.Entry::getKey)
-        .findFirst();
+    for (Map.Entry<String, Uplink> entry : uplinks.entrySet()) {
+      if (entry.getValue().role == LinkRole.RELAY) {
+        return Optional.of(entry.getKey());
+      }
+    }
+    return Optional.empty();
   }
 }
--- a/core/src/main/java/org/apricotstand/overlay/RelayElection.java
+++ b/core/src/main/java/org/apricotstand/overlay/RelayElection.java
@@ -110,10 +110,12 @@
   }
 
   private String firstOf(List<String> ranked, long nowMs) {
-    return ranked.stream()
-        .filter(name -> !isPassedOver(name, nowMs))
-        .findFirst()
-        .orElseGet(() -> leastSuspected(ranked));
+    for (String name : ranked) {
+      if (!isPassedOver(name, nowMs)) {
+        return name;
+      }
+    }
+    return leastSuspected(ranked);
   }
 
   private boolean isPassedOver(String name, long nowMs) {
--- a/core/src/main/java/org/apricotstand/overlay/ReplicatedEntries.java
+++ b/core/src/main/java/org/apricotstand/overlay/ReplicatedEntries.java
@@ -181,6 +181,11 @@
     };
   }
 
+  /** Returns whether any neighbor still has to get an urgent entry. */
+  public boolean hasUrgent() {
+    return !neighborsWithUrgent.isEmpty();
+  }
+
   /** Returns whether a neighbor still has to get an urgent entry. */
   public boolean hasUrgent(String neighbor) {
     return neighborsWithUrgent.contains(neighbor);
