--- a/core/src/main/java/org/apricotstand/model/InstanceId.java
+++ b/core/src/main/java/org/apricotstand/model/InstanceId.java
@@ -10,6 +10,17 @@
     checkArgument(value != null && !value.isEmpty(), "instance id must not be empty");
   }
 
+  // Written out, since a start links the generated methods of a record at their first call.
+  @Override
+  public boolean equals(Object other) {
+    return other == this || other instanceof InstanceId id && value.equals(id.value);
+  }
+
+  @Override
+  public int hashCode() {
+    return value.hashCode();
+  }
+
   @Override
   public int compareTo(InstanceId other) {
     return value.compareTo(other.value);
--- a/core/src/main/java/org/apricotstand/overlay/EntryVersion.java
+++ b/core/src/main/java/org/apricotstand/overlay/EntryVersion.java
@@ -1,7 +1,5 @@
 package org.apricotstand.overlay;
 
-import java.util.Comparator;
-
 /**
  * Orders the versions of one entry.
  *
@@ -10,11 +8,9 @@
  */
 public record EntryVersion(long epoch, long sequence) implements Comparable<EntryVersion> {
 
-  private static final Comparator<EntryVersion> ORDER =
-      Comparator.comparingLong(EntryVersion::epoch).thenComparingLong(EntryVersion::sequence);
-
   @Override
   public int compareTo(EntryVersion other) {
-    return ORDER.compare(this, other);
+    int byEpoch = Long.compare(epoch, other.epoch);
+    return byEpoch == 0 ? Long.compare(sequence, other.sequence) : byEpoch;
   }
 }
--- a/core/src/main/java/org/apricotstand/residency/AdapterKey.java
+++ b/core/src/main/java/org/apricotstand/residency/AdapterKey.java
@@ -26,6 +26,20 @@
     return new AdapterKey(model, "");
   }
 
+  // Written out, since a start links the generated methods of a record at their first call.
+  @Override
+  public boolean equals(Object other) {
+    return other == this
+        || other instanceof AdapterKey key
+            && adapter.equals(key.adapter)
+            && model.equals(key.model);
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * model.hashCode() + adapter.hashCode();
+  }
+
   @Override
   public String toString() {
     return isModel() ? model : model + "/" + adapter;
