--- a/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
+++ b/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
@@ -1,12 +1,14 @@
 package org.apricotstand.fleet;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.enginelease.EngineLeases;
@@ -16,6 +18,7 @@
 import org.apricotstand.enginelease.LeaseStatus;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.port.CommitResult;
 import org.apricotstand.port.EngineControl;
 import org.apricotstand.port.Row;
@@ -112,8 +115,14 @@
     handle(new LeaseEvent.HolderSilent(holder));
   }
 
-  boolean ownsEngines() {
-    return !ownedEngines.isEmpty();
+  /** Returns whether an engine of this instance carries out commands or has loads waiting. */
+  boolean hasActiveEngine() {
+    for (OwnedEngine engine : ownedEngines.values()) {
+      if (engine.slots.isActive()) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Returns the fencing token of an engine that this instance owns. */
@@ -140,13 +149,29 @@
     return leases.leaseStatuses(ControlThread.nowMs());
   }
 
+  /** Returns the engines among the targets that an instance owns and that go on serving. */
+  Set<String> enginesWithOwner(Collection<TargetEntry> targets) {
+    return targets.stream()
+        .filter(target -> !target.leaving())
+        .map(TargetEntry::id)
+        .filter(engine -> ownerOf(engine) != null)
+        .collect(Collectors.toSet());
+  }
+
   /** Returns the instance that owns an engine; null when no owner is known. */
   String ownerOf(String engine) {
     return leases.ownerOf(engine, ControlThread.nowMs());
   }
 
-  void requestLoad(String engine, SlotEvent.LoadRequested request) {
-    handleSlotEvent(engine, request);
+  void requestLoad(PeerMessage.AdapterWanted wanted) {
+    long nowMs = ControlThread.nowMs();
+    SlotEvent.LoadRequested request =
+        new SlotEvent.LoadRequested(
+            AdapterKey.parse(wanted.adapter()),
+            wanted.version(),
+            nowMs + wanted.remainingMs(),
+            nowMs + wanted.onTimeRemainingMs());
+    handleSlotEvent(wanted.engine(), request);
   }
 
   /**
--- a/node/src/test/java/org/apricotstand/fleet/StoreCallsOfFleetTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/StoreCallsOfFleetTest.java
@@ -313,7 +313,7 @@
     InstanceRecord before = new InstanceRecord("n7", "d3", "127.0.0.9", 9, 0);
     FleetState.TableRow late =
         new FleetState.TableRow("instances", "n7", before.encode(), 1, false);
-    fleet.get("n5").exchange.tables().apply(late);
+    fleet.get("n5").exchange.tables().apply(List.of(late));
     assertThat(directory.addressOf(new InstanceId("n7"))).isEqualTo(address);
   }
 }
