Let regular checks share the wake-ups of the tick

Each watched table checks every 100 ms whether others still pass on what they read, at times of its own between the ticks. Ticks of 50 ms and these checks now run at common times, at most 50 ms earlier than before and never later. The common times differ between instances by the time of their start.

--- a/node/src/main/java/org/apricotstand/control/ControlThread.java
+++ b/node/src/main/java/org/apricotstand/control/ControlThread.java
@@ -25,6 +25,12 @@
 
   private static final EventLog LOG = EventLog.of(ControlThread.class);
 
+  /** Distance of the times at which regular tasks run together. */
+  public static final long ALIGNMENT_MS = 50;
+
+  /** Differs between instances, so that those on one machine do not all wake up at once. */
+  private final long alignmentOffsetMs = nowMs() % ALIGNMENT_MS;
+
   private final PauseWatchdog watchdog = new PauseWatchdog(ControlThread::nowMs);
   private final Queue<Runnable> endActions = new ArrayDeque<>();
   private volatile Thread currentThread;
@@ -61,6 +67,15 @@
     }
   }
 
+  /**
+   * Returns the latest time that is not after the given one and at which regular tasks run
+   * together, so that they share a wake-up of the process. It is less than {@link #ALIGNMENT_MS}
+   * earlier.
+   */
+  public long align(long latestMs) {
+    return latestMs - Math.floorMod(latestMs - alignmentOffsetMs, ALIGNMENT_MS);
+  }
+
   /** Returns whether the caller runs on this thread. */
   public boolean isCurrent() {
     return Thread.currentThread() == currentThread;
--- a/node/src/main/java/org/apricotstand/fleet/Ticker.java
+++ b/node/src/main/java/org/apricotstand/fleet/Ticker.java
@@ -17,7 +17,7 @@
   /**
    * Creates a ticker that is not started.
    *
-   * @param periodMs returns the time from the start of the last run to the next one
+   * @param periodMs returns the longest time from the start of the last run to the next one
    */
   Ticker(ControlThread control, Runnable task, LongSupplier periodMs) {
     this.control = control;
@@ -43,7 +43,9 @@
     try {
       task.run();
     } finally {
-      schedule(startMs + periodMs.getAsLong());
+      long nextPeriodMs = periodMs.getAsLong();
+      long latestMs = startMs + nextPeriodMs;
+      schedule(nextPeriodMs < ControlThread.ALIGNMENT_MS ? latestMs : control.align(latestMs));
     }
   }
 }
--- a/node/src/test/java/org/apricotstand/control/ControlThreadTest.java
+++ b/node/src/test/java/org/apricotstand/control/ControlThreadTest.java
@@ -20,6 +20,17 @@
     control.stop();
   }
 
+  // Guards against regular tasks that run later than they have to, or at once and again and again.
+  @Test
+  void alignedTimesAreSharedAndLessThanOneStepEarlier() {
+    long firstMs = control.align(1_000_000);
+    for (long ms = firstMs; ms < firstMs + ControlThread.ALIGNMENT_MS; ms++) {
+      assertThat(control.align(ms)).isEqualTo(firstMs);
+    }
+    assertThat(control.align(firstMs - 1)).isEqualTo(firstMs - ControlThread.ALIGNMENT_MS);
+    assertThat(control.align(-1)).isAtMost(-1);
+  }
+
   // Guards against messages that are written but never sent because the task failed after that.
   @Test
   void endActionsRunAfterTheTaskEvenIfItFails() throws InterruptedException {
