--- a/core/src/main/java/org/apricotstand/quota/FleetQuotas.java
+++ b/core/src/main/java/org/apricotstand/quota/FleetQuotas.java
@@ -41,6 +41,15 @@
   /** Part of what is unused that is divided equally; the rest is divided by demand. */
   private static final double EQUAL_FRACTION = 0.5;
 
+  /** Part of what a failure domain gets of the unused that its relay keeps, to lend it. */
+  private static final double LENT_FRACTION = 0.75;
+
+  /**
+   * Part of the credit that is divided equally between relays. It is larger than that of shares:
+   * with a small limit there are few requests, from which demand is known badly.
+   */
+  private static final double CREDIT_EQUAL_FRACTION = 0.75;
+
   /** Demand from which a tenant counts as overloaded, as a multiple of its rate. */
   private static final double OVERLOAD_RATIO = 1.1;
 
@@ -63,6 +72,7 @@
 
   private final String self;
   private final QuotaBounds bounds;
+  private final long startMs;
   private final Map<String, Relay> relays = new HashMap<>();
   private final Deque<Report> sentReports = new ArrayDeque<>();
   private final Deque<Report> confirmedReports = new ArrayDeque<>();
@@ -70,6 +80,8 @@
   private Map<String, QuotaLimit> limits = Map.of();
   private QuotaShares lastShares = QuotaShares.NONE;
   private QuotaShares sharesBeforeChange = QuotaShares.NONE;
+  private QuotaCredit credit = QuotaCredit.NONE;
+  private QuotaCredit creditBeforeChange = QuotaCredit.NONE;
   private Set<String> groupNames = Set.of();
   private long changedMs;
   private int instances;
@@ -94,10 +106,15 @@
 
   private record Timed(double value, long fromMs) {}
 
-  /** Creates the quotas of an instance that knows no other one. */
-  public FleetQuotas(String self, QuotaBounds bounds) {
+  /**
+   * Creates the quotas of an instance that knows no other one.
+   *
+   * @param startMs time of the start of the process
+   */
+  public FleetQuotas(String self, QuotaBounds bounds, long startMs) {
     this.self = self;
     this.bounds = bounds;
+    this.startMs = startMs;
   }
 
   /** Sets the limits of all tenants that have one. */
@@ -198,19 +215,42 @@
     if (group.isEmpty()) {
       groupNames = Set.of();
       lastShares = lastShares.withoutContact(equalPart, nowMs);
+      credit = QuotaCredit.NONE;
       return lastShares;
     }
     long oldestMs = group.stream().mapToLong(relay -> relay.heardMs).min().orElseThrow();
     long validUntilMs = Math.min(confirmedSentMs + REPORT_TIMEOUT_MS, oldestMs + RELAY_TIMEOUT_MS);
     Map<String, TenantUse> totals = sums(group, nowMs);
-    Map<String, Double> usable =
-        limitAfterChange(group, fractionsIn(group, totals, equalPart, nowMs), nowMs);
+    Map<String, Unused> unused = unusedIn(group, totals, equalPart, nowMs);
+    recordGroup(group, nowMs);
+    double lentFraction = lentFraction(relays.get(ownRelay));
     lastShares =
         new QuotaShares(
-            equalPart, usable, overloaded(totals), validUntilMs, validUntilMs + bounds.windowMs());
+            equalPart,
+            (1 - lentFraction) * equalPart,
+            limitAfterChange(fractions(unused, lentFraction, nowMs), nowMs),
+            overloaded(totals),
+            validUntilMs,
+            validUntilMs + bounds.windowMs(),
+            lentFraction > 0);
+    credit =
+        ownRelay.equals(self) && lentFraction > 0
+            ? creditAfterChange(
+                creditIn(group, unused, lentFraction, equalPart, validUntilMs, nowMs), nowMs)
+            : QuotaCredit.NONE;
     return lastShares;
   }
 
+  /** Returns what this instance may lend as a relay, as of the last call of {@link #shares}. */
+  public QuotaCredit credit() {
+    return credit;
+  }
+
+  /** Returns the part that a relay keeps to lend it; a relay of itself alone keeps nothing. */
+  private static double lentFraction(Relay relay) {
+    return relay.members.size() > 1 ? LENT_FRACTION : 0;
+  }
+
   /** Returns the relays in mutual contact with the own one; empty if this instance is cut off. */
   private List<Relay> group(String ownRelay, long nowMs) {
     Relay own = relays.get(ownRelay);
@@ -226,13 +266,13 @@
         : List.of();
   }
 
-  private Map<String, Double> fractionsIn(
+  private Map<String, Unused> unusedIn(
       List<Relay> group, Map<String, TenantUse> totals, double equalPart, long nowMs) {
     Set<String> members = new HashSet<>();
     group.forEach(relay -> members.addAll(relay.members));
     Map<String, Double> lostUses = lostUses(group, members, nowMs);
     int count = Math.min(instances, members.size());
-    Map<String, Double> fractions = new HashMap<>();
+    Map<String, Unused> all = new HashMap<>();
     totals.forEach(
         (tenant, total) -> {
           QuotaLimit limit = limits.get(tenant);
@@ -240,13 +280,47 @@
             double divided = bounds.divided(limit);
             double groupLimit =
                 Math.min(count * equalPart * divided, divided - lostUses.getOrDefault(tenant, 0.0));
-            fractions.put(
-                tenant, share(ownMinimum(tenant, nowMs), total, groupLimit, count) / divided);
+            all.put(tenant, new Unused(total, groupLimit, divided, count));
           }
         });
+    return all;
+  }
+
+  private Map<String, Double> fractions(
+      Map<String, Unused> unused, double lentFraction, long nowMs) {
+    Map<String, Double> fractions = new HashMap<>();
+    unused.forEach(
+        (tenant, tenantUnused) ->
+            fractions.put(tenant, tenantUnused.share(ownMinimum(tenant, nowMs), lentFraction)));
     return fractions;
   }
 
+  private QuotaCredit creditIn(
+      List<Relay> group,
+      Map<String, Unused> unused,
+      double lentFraction,
+      double equalPart,
+      long validUntilMs,
+      long nowMs) {
+    Relay own = relays.get(self);
+    int memberships = group.stream().mapToInt(relay -> relay.members.size()).sum();
+    Map<String, TenantUse> demand = minimum(own.recent, nowMs);
+    Map<String, Double> fractions = new HashMap<>();
+    unused.forEach(
+        (tenant, tenantUnused) ->
+            fractions.put(
+                tenant,
+                lentFraction
+                    * tenantUnused.part(
+                        demand.getOrDefault(tenant, TenantUse.NONE),
+                        (double) own.members.size() / memberships,
+                        CREDIT_EQUAL_FRACTION)));
+    // In a change of relays, an instance can be a member of two of them.
+    double members = own.members.size() * (double) Math.min(instances, memberships) / memberships;
+    return new QuotaCredit(
+        lentFraction * members * equalPart, fractions, lastShares.overloaded(), validUntilMs);
+  }
+
   private Set<String> overloaded(Map<String, TenantUse> totals) {
     Set<String> tenants = new HashSet<>();
     totals.forEach(
@@ -283,17 +357,34 @@
   }
 
   /**
-   * Returns the part of a limit for one of several instances. It falls with the totals and rises
-   * with the own figures, and the parts of all instances add up to the limit.
+   * What is left of a limit to divide. All parts of it fall with the totals and rise with the
+   * figures of those that get them, and add up to the limit.
+   *
+   * @param total sums over all instances of the group
+   * @param limit units of the group
+   * @param divided units that are divided between all groups
+   * @param count instances of the group
    */
-  private static double share(TenantUse own, TenantUse total, double limit, int count) {
-    if (total.used() >= limit) {
-      return limit <= 0 ? 0 : own.used() * limit / total.used();
+  private record Unused(TenantUse total, double limit, double divided, int count) {
+
+    /** Returns the fraction that one instance may use, with what it has used. */
+    private double share(TenantUse own, double lentFraction) {
+      if (total.used() >= limit) {
+        return limit <= 0 ? 0 : own.used() * limit / total.used() / divided;
+      }
+      return own.used() / divided + (1 - lentFraction) * part(own, 1.0 / count, EQUAL_FRACTION);
+    }
+
+    /** Returns the unused fraction for one or several instances, as part of their number. */
+    private double part(TenantUse own, double equalPart, double equalFraction) {
+      if (total.used() >= limit) {
+        return 0;
+      }
+      double demandPart =
+          total.offered() == 0 ? equalPart : (double) own.offered() / total.offered();
+      double weight = equalFraction * equalPart + (1 - equalFraction) * demandPart;
+      return (limit - total.used()) * weight / divided;
     }
-    double unused = limit - total.used();
-    double demandPart =
-        total.offered() == 0 ? 1.0 / count : (double) own.offered() / total.offered();
-    return own.used() + unused * (EQUAL_FRACTION / count + (1 - EQUAL_FRACTION) * demandPart);
   }
 
   /** Returns the smallest own figures that the relay counted within the settling time. */
@@ -305,6 +396,17 @@
         .orElse(TenantUse.NONE);
   }
 
+  /** Returns the smallest figures of each tenant within the settling time. */
+  private static Map<String, TenantUse> minimum(Deque<Report> reports, long nowMs) {
+    trim(reports, nowMs);
+    Map<String, TenantUse> smallest = new HashMap<>(reports.getFirst().uses);
+    reports.forEach(
+        report ->
+            smallest.replaceAll(
+                (tenant, use) -> use.min(report.uses.getOrDefault(tenant, TenantUse.NONE))));
+    return smallest;
+  }
+
   /** Returns the largest figures of each tenant within the settling time. */
   private static Map<String, TenantUse> maximum(Deque<Report> reports, long nowMs) {
     trim(reports, nowMs);
@@ -314,19 +416,26 @@
     return largest;
   }
 
-  /**
-   * Returns the fractions, for a settling time after the group has changed no larger than before:
-   * other instances may still use what they had in their group.
-   */
-  private Map<String, Double> limitAfterChange(
-      List<Relay> group, Map<String, Double> fractions, long nowMs) {
+  private void recordGroup(List<Relay> group, long nowMs) {
     Set<String> names = group.stream().map(relay -> relay.name).collect(Collectors.toSet());
     if (!names.equals(groupNames)) {
       groupNames = names;
       changedMs = nowMs;
       sharesBeforeChange = lastShares;
+      creditBeforeChange = credit;
     }
-    if (nowMs - changedMs >= SETTLING_MS || sharesBeforeChange.equalPart() == 0) {
+  }
+
+  private boolean isSettling(long nowMs) {
+    return nowMs - changedMs < SETTLING_MS;
+  }
+
+  /**
+   * Returns the fractions, for a settling time after the group has changed no larger than before:
+   * other instances may still use what they had in their group.
+   */
+  private Map<String, Double> limitAfterChange(Map<String, Double> fractions, long nowMs) {
+    if (!isSettling(nowMs) || sharesBeforeChange.equalPart() == 0) {
       return fractions;
     }
     Map<String, Double> limited = new HashMap<>();
@@ -337,6 +446,29 @@
     return limited;
   }
 
+  /**
+   * Does the same for the credit, but not in the first window after the start: groups change
+   * several times until all instances have found their relays, and {@link QuotaLender} lends only a
+   * part of the credit then.
+   */
+  private QuotaCredit creditAfterChange(QuotaCredit newCredit, long nowMs) {
+    if (!isSettling(nowMs) || nowMs - startMs < bounds.windowMs()) {
+      return newCredit;
+    }
+    Map<String, Double> limited = new HashMap<>();
+    newCredit
+        .fractions()
+        .forEach(
+            (tenant, fraction) ->
+                limited.put(
+                    tenant, Math.min(fraction, creditBeforeChange.fraction(tenant, changedMs))));
+    return new QuotaCredit(
+        Math.min(newCredit.defaultPart(), creditBeforeChange.defaultPart()),
+        limited,
+        newCredit.overloaded(),
+        newCredit.validUntilMs());
+  }
+
   /** Adds a value and returns the smallest one within the settling time. */
   private static double minimum(Deque<Timed> values, double value, long nowMs) {
     // The smaller value stands for the larger ones before it, from their time on.
@@ -386,6 +518,7 @@
       confirmedReports.clear();
       groupNames = Set.of();
       lastShares = lastShares.withoutContact(lastShares.equalPart(), nowMs);
+      credit = QuotaCredit.NONE;
       confirmedSentMs = Long.MIN_VALUE / 2;
     }
   }
--- a/core/src/main/java/org/apricotstand/quota/TenantQuotas.java
+++ b/core/src/main/java/org/apricotstand/quota/TenantQuotas.java
@@ -21,7 +21,7 @@
    * Part of the own share that may be used at once while the tenant's demand exceeds its limit; the
    * rest is spread over the window, since it would be used up at the start of each window.
    */
-  private static final double OVERLOAD_BURST_FRACTION = 0.15;
+  static final double OVERLOAD_BURST_FRACTION = 0.15;
 
   /** Time in which a share follows demand: two reports, the settling time and delays. */
   private static final long SHARE_FOLLOWS_MS = 2_500;
@@ -86,6 +86,19 @@
     return isTaken;
   }
 
+  /** Counts the cost of a request that runs on credit of the relay. */
+  public void addBorrowed(String tenant, double cost, long nowMs) {
+    Account account = accounts.get(tenant);
+    if (account != null) {
+      account.used.add(cost, nowMs);
+    }
+  }
+
+  /** Returns whether the relay of this instance lends to it. */
+  public boolean mayBorrow(long nowMs) {
+    return shares.mayBorrow(nowMs);
+  }
+
   /** Gives back the cost of a request that no target has run. */
   public void giveBack(String tenant, double cost, long takenMs, long nowMs) {
     Account account = accounts.get(tenant);
--- a/core/src/test/java/org/apricotstand/quota/FleetQuotasTest.java
+++ b/core/src/test/java/org/apricotstand/quota/FleetQuotasTest.java
@@ -11,9 +11,10 @@
 
   private static final double TOLERANCE = 1e-6;
   private static final QuotaLimit LIMIT = new QuotaLimit(1_000, 1_000);
+  private static final long START_MS = -60_000;
   private static final QuotaBounds BOUNDS = new QuotaBounds(8_000, 0, 0);
 
-  private final FleetQuotas quotas = new FleetQuotas("n1", BOUNDS);
+  private final FleetQuotas quotas = new FleetQuotas("n1", BOUNDS, START_MS);
   private long sequence;
 
   private QuotaShares share(
@@ -35,7 +36,7 @@
   }
 
   private static long scopeOfBoth() {
-    FleetQuotas both = new FleetQuotas("n1", BOUNDS);
+    FleetQuotas both = new FleetQuotas("n1", BOUNDS, START_MS);
     both.putRelay("n2", Set.of("n2"), 0, Map.of(), 0);
     return both.scope(0);
   }
@@ -47,7 +48,7 @@
     TenantUse much = new TenantUse(3_000, 2_000);
     TenantUse little = new TenantUse(1_000, 500);
     double first = share(much, little, scopeOfBoth(), 8, 10_000).fraction("a", 13_600);
-    FleetQuotas other = new FleetQuotas("n2", BOUNDS);
+    FleetQuotas other = new FleetQuotas("n2", BOUNDS, START_MS);
     other.setLimits(Map.of("a", LIMIT));
     other.setInstances(4);
     other.recordReport(1, Map.of("a", little), 0);
@@ -119,4 +120,72 @@
     quotas.setLimits(Map.of("a", LIMIT));
     assertThat(quotas.shares("n1", 0).fraction("a", 0)).isEqualTo(0);
   }
+
+  /** Returns a relay of one of two domains after some exchanges of figures that stay the same. */
+  private static FleetQuotas relay(
+      String name, Map<String, Set<String>> members, Map<String, TenantUse> uses) {
+    FleetQuotas relay = new FleetQuotas(name, BOUNDS, START_MS);
+    relay.setLimits(Map.of("a", LIMIT));
+    relay.setInstances(4);
+    for (int step = 0; step < 8; step++) {
+      long nowMs = step * 300L;
+      relay.recordReport(step, Map.of("a", TenantUse.NONE), nowMs);
+      members.forEach(
+          (other, names) -> relay.putRelay(other, names, 9, Map.of("a", uses.get(other)), nowMs));
+      relay.confirmReport(step, nowMs);
+      relay.shares(name, nowMs);
+    }
+    return relay;
+  }
+
+  // Guards against a credit of relays that is divided a second time between the instances.
+  @Test
+  void sharesAndCreditsAddUpToTheLimit() {
+    Map<String, Set<String>> members = Map.of("n1", Set.of("n1", "n2"), "n3", Set.of("n3", "n4"));
+    Map<String, TenantUse> uses =
+        Map.of("n1", new TenantUse(3_000, 0), "n3", new TenantUse(1_000, 0));
+    FleetQuotas first = relay("n1", members, uses);
+    FleetQuotas second = relay("n3", members, uses);
+    long nowMs = 2_100;
+    double credits = first.credit().fraction("a", nowMs) + second.credit().fraction("a", nowMs);
+    assertThat(first.credit().fraction("a", nowMs))
+        .isGreaterThan(second.credit().fraction("a", nowMs));
+    // All demand is that of n2 and n4, who get what is divided by demand: half of all.
+    double equalShares = 4 * first.shares("n1", nowMs).fraction("a", nowMs);
+    assertThat(credits + 2 * equalShares).isWithin(TOLERANCE).of(1);
+    double unlisted =
+        first.credit().fraction("b", nowMs)
+            + second.credit().fraction("b", nowMs)
+            + 4 * first.shares("n1", nowMs).fraction("b", nowMs);
+    assertThat(unlisted).isWithin(TOLERANCE).of(1);
+  }
+
+  // Guards against credit of an instance that relays for itself alone, as all do in small fleets.
+  @Test
+  void aRelayOfItselfAloneLendsNothing() {
+    share(new TenantUse(3_000, 0), new TenantUse(1_000, 0), scopeOfBoth(), 8, 10_000);
+    assertThat(quotas.credit().fraction("a", 13_500)).isEqualTo(0);
+    assertThat(quotas.shares("n1", 13_500).mayBorrow(13_500)).isFalse();
+  }
+
+  // Guards against a new relay that lends at once what the former one has lent.
+  @Test
+  void aNewRelayLendsNothingAtFirst() {
+    Map<String, Set<String>> members = Map.of("n1", Set.of("n1", "n2"));
+    FleetQuotas relay = new FleetQuotas("n1", BOUNDS, START_MS);
+    relay.setLimits(Map.of("a", LIMIT));
+    relay.setInstances(4);
+    for (long nowMs = 0; nowMs <= 1_200; nowMs += 300) {
+      relay.recordReport(nowMs, Map.of(), nowMs);
+      relay.putRelay("n1", members.get("n1"), 9, Map.of(), nowMs);
+      relay.confirmReport(nowMs, nowMs);
+      relay.shares("n1", nowMs);
+      double credit = relay.credit().fraction("a", nowMs);
+      if (nowMs < FleetQuotas.SETTLING_MS) {
+        assertThat(credit).isEqualTo(0);
+      } else {
+        assertThat(credit).isGreaterThan(0);
+      }
+    }
+  }
 }
--- a/node/src/main/java/org/apricotstand/fleet/FleetEventListener.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetEventListener.java
@@ -23,6 +23,9 @@
 
         @Override
         public void onLimitEnd(String incarnation) {}
+
+        @Override
+        public void onQuotaLent(long number, boolean isLent) {}
       };
 
   /**
@@ -44,4 +47,7 @@
 
   /** Called when a target has stopped to name a limit. */
   void onLimitEnd(String incarnation);
+
+  /** Called when the relay has lent credit to a request of this instance, or refused it. */
+  void onQuotaLent(long number, boolean isLent);
 }
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -74,16 +74,15 @@
   private final PeerLinks peers;
   private final LocalLoadTracker localLoad;
   private final FleetExchangeListener listener;
-  private final Function<String, String> ownerOf;
   private final Overlay overlay;
   private final ReplicatedEntries<StateEntry> entries;
-  private final MemberReports members = new MemberReports();
+  private final MemberReports members;
   private final RelayedState relayed = new RelayedState();
   private final LinkWatch linkWatch = new LinkWatch();
   private final Deque<PeerMessage.MemberReport> ownReports = new ArrayDeque<>();
   private final Map<String, Long> useSilentFromMs = new HashMap<>();
   private final Map<String, Long> eventUntilMs = new HashMap<>();
-  private final Set<String> useRecipients = new HashSet<>();
+  private final AdaptersInUseSender useSender;
   private final Map<String, Map<String, Long>> interestUntilMs = new HashMap<>();
   private final SharedTables tables;
   private final QuotaExchange quotas;
@@ -120,9 +119,11 @@
     this.lastTickMs = clock.getAsLong();
     this.incarnation = incarnation;
     this.quotas = new QuotaExchange(clock, self.name(), quotaBounds, localLoad);
+    this.members = new MemberReports(quotaBounds.windowMs());
     this.peers = peers;
     this.localLoad = localLoad;
-    this.ownerOf = ownerOf;
+    this.useSender =
+        new AdaptersInUseSender(self.name(), ownerOf, listener::onAdaptersInUse, this::sendToOwner);
     this.listener = listener;
     this.overlay = new Overlay(self);
     double staggerFraction = new Random(incarnation ^ self.name().hashCode()).nextDouble();
@@ -176,6 +177,18 @@
     return quotas.shares(overlay.relay().orElse(self.name()));
   }
 
+  /** Asks the relay of this instance, which may be itself, for credit for one request. */
+  void requestQuota(PeerMessage.QuotaWanted wanted) {
+    overlay
+        .relay()
+        .ifPresentOrElse(
+            relay -> peers.send(new InstanceId(relay), wanted),
+            () -> {
+              PeerMessage.QuotaLent answer = quotas.lend(self.name(), wanted);
+              listener.onQuotaLent(answer.number(), answer.amount() > 0);
+            });
+  }
+
   /** Publishes what an engine of this instance holds. */
   void publishHoldings(FleetState.EngineHoldings holdings, long fencingNumber) {
     String key = "holdings/" + holdings.engine();
@@ -327,7 +340,7 @@
   }
 
   private void removeSilent(long nowMs) {
-    members.removeSilent(nowMs);
+    members.removeSilent(nowMs).forEach(quotas::onMemberSilent);
     relayed.silentRelays(nowMs).forEach(this::removeRelay);
     eventUntilMs.entrySet().stream()
         .filter(entry -> nowMs >= entry.getValue())
@@ -368,7 +381,7 @@
               peers.send(new InstanceId(relay), own);
             },
             () -> {
-              members.put(self.name(), own, nowMs);
+              putReport(self.name(), own, nowMs);
               includedReport = own.sequence();
             });
     publishMembers(nowMs);
@@ -377,10 +390,17 @@
     }
     sendUpdates(overlay.neighbors().keySet());
     members.sequences().forEach(this::confirmReport);
-    sendAdaptersInUse();
+    useSender.send(members.adaptersInUse());
+  }
+
+  private void putReport(String member, PeerMessage.MemberReport report, long nowMs) {
+    boolean isNewProcess = members.put(member, report, nowMs);
+    quotas.onReport(member, report.settledLoans(), isNewProcess);
   }
 
   private PeerMessage.MemberReport takeOwnReport() {
+    // Read before the use, so that the use of these loans is included.
+    long settledLoans = quotas.settledLoans();
     Map<String, Integer> started = new TreeMap<>();
     Map<String, Integer> waiting = new TreeMap<>();
     localLoad
@@ -400,7 +420,8 @@
             waiting,
             MemberReports.toLists(localLoad.adaptersInUse()),
             arrivals,
-            quotas.takeUses(sequence));
+            quotas.takeUses(sequence),
+            settledLoans);
     ownReports.addLast(report);
     if (ownReports.size() > REMEMBERED_REPORTS) {
       ownReports.removeFirst();
@@ -429,7 +450,7 @@
             members.sum(PeerMessage.MemberReport::started),
             members.sum(PeerMessage.MemberReport::waiting),
             members.takeArrivals(),
-            members.tenants(),
+            quotas.withOpenLoans(members.tenants()),
             quotas.scope());
     publish("load/" + self.name(), incarnation, load);
     applyLoad(load, nowMs);
@@ -482,34 +503,6 @@
     return new StateEntry(entry.key(), entry.epoch(), entry.sequence(), entry.domain(), aged);
   }
 
-  /** Tells the owner of each engine which adapters are in use there. */
-  private void sendAdaptersInUse() {
-    Map<String, Map<String, Set<String>>> byOwner = new HashMap<>();
-    useRecipients.forEach(owner -> byOwner.put(owner, new TreeMap<>()));
-    members
-        .adaptersInUse()
-        .forEach(
-            (engine, adapters) -> {
-              String owner = ownerOf.apply(engine);
-              if (owner != null) {
-                byOwner.computeIfAbsent(owner, name -> new TreeMap<>()).put(engine, adapters);
-              }
-            });
-    useRecipients.clear();
-    byOwner.forEach(
-        (owner, inUse) -> {
-          if (!inUse.isEmpty()) {
-            useRecipients.add(owner);
-          }
-          Map<String, List<String>> lists = MemberReports.toLists(inUse);
-          if (owner.equals(self.name())) {
-            listener.onAdaptersInUse(owner, lists);
-          } else {
-            sendToOwner(owner, new PeerMessage.AdaptersInUse(lists));
-          }
-        });
-  }
-
   private void closeIdleLinks(long nowMs) {
     if (nowMs >= nextIdleCheckMs) {
       nextIdleCheckMs = nowMs + IDLE_LINK_MS / 10;
@@ -537,12 +530,15 @@
       case PeerMessage.StateUpdate update -> applyUpdate(from, update, nowMs);
       case PeerMessage.MemberReport report -> {
         overlay.recordRequested(from, true, nowMs);
-        members.put(from, report, nowMs);
+        putReport(from, report, nowMs);
       }
       case PeerMessage.ReportIncluded included -> {
         includedReport = included.sequence();
         quotas.onReportIncluded(included.sequence());
       }
+      case PeerMessage.QuotaWanted wanted ->
+          peers.send(new InstanceId(from), quotas.lend(from, wanted));
+      case PeerMessage.QuotaLent lent -> listener.onQuotaLent(lent.number(), lent.amount() > 0);
       case PeerMessage.AdaptersInUse use -> {
         answerIfNeeded(from, nowMs);
         useSilentFromMs.put(from, nowMs + Overlay.SILENCE_TIMEOUT_MS);
@@ -584,6 +580,9 @@
       case FleetState.InstanceStatus status -> applyStatus(status);
       case FleetState.RelayedInstances instances -> {
         relayed.put(instances);
+        if (!instances.relay().equals(self.name())) {
+          members.removeMoved(instances.instances());
+        }
         updateLiveInstances();
       }
       case FleetState.RelayedLoad load -> applyLoad(load, nowMs);
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchangeListener.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchangeListener.java
@@ -45,6 +45,9 @@
   /** Called when another instance confirmed that the configuration was the newest. */
   default void onConfigurationConfirmed() {}
 
+  /** Called when the relay has lent credit to a request of this instance, or refused it. */
+  void onQuotaLent(long number, boolean isLent);
+
   /** Called when the loads of targets changed. */
   void onLoadsChanged();
 
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -447,6 +447,17 @@
     control.execute(() -> exchange.publishLimitEnd(end));
   }
 
+  @Override
+  public void requestQuota(long number, String tenant, long amount) {
+    PeerMessage.QuotaWanted wanted = new PeerMessage.QuotaWanted(number, tenant, amount);
+    control.execute(() -> exchange.requestQuota(wanted));
+  }
+
+  @Override
+  public void onQuotaLent(long number, boolean isLent) {
+    eventListener.onQuotaLent(number, isLent);
+  }
+
   @Override
   public void onHello(InstanceId peer, PeerMessage.Hello hello) {
     LOG.info("peer_linked", "peer", peer, "incarnation", hello.incarnation());
--- a/node/src/main/java/org/apricotstand/fleet/LocalLoadTracker.java
+++ b/node/src/main/java/org/apricotstand/fleet/LocalLoadTracker.java
@@ -22,6 +22,8 @@
   private final Map<String, Long> offeredByTenant = new ConcurrentHashMap<>();
   private final Map<String, Long> admittedByTenant = new ConcurrentHashMap<>();
 
+  private volatile long settledLoans;
+
   private record AdapterAtTarget(String target, AdapterKey key) {}
 
   /** Counts a new request for an adapter. */
@@ -94,6 +96,19 @@
     admittedByTenant.merge(tenant, cost, Long::sum);
   }
 
+  /**
+   * Records the number up to which no request waits for credit of the relay; called after the use
+   * of the credit was counted.
+   */
+  public void setSettledLoans(long number) {
+    settledLoans = number;
+  }
+
+  /** Returns that number; what is taken from this tracker afterwards includes their use. */
+  public long settledLoans() {
+    return settledLoans;
+  }
+
   /** Returns the number of new requests by adapter since the last call. */
   public Map<AdapterKey, Integer> takeArrivals() {
     return takeAll(arrivals);
--- a/node/src/main/java/org/apricotstand/fleet/MemberReports.java
+++ b/node/src/main/java/org/apricotstand/fleet/MemberReports.java
@@ -15,28 +15,77 @@
 
 /**
  * The newest report of each instance for which this one relays, and their sums. Reports of silent
- * instances are dropped. Not thread-safe; used on the control thread only.
+ * instances are dropped, but what they had used of limits of tenants counts until it has left the
+ * window. Not thread-safe; used on the control thread only.
  */
 final class MemberReports {
 
   private final Map<String, Member> members = new TreeMap<>();
   private final Map<String, Integer> arrivals = new HashMap<>();
+  private final List<LostUse> lostUses = new ArrayList<>();
+  private final long quotaWindowMs;
 
   private record Member(PeerMessage.MemberReport report, long silentFromMs) {}
 
-  /** Replaces the report of an instance; its arrivals are added to those not yet taken. */
-  void put(String instance, PeerMessage.MemberReport report, long nowMs) {
-    members.put(instance, new Member(report, nowMs + Overlay.SILENCE_TIMEOUT_MS));
+  /** What a process reported last that was replaced or turned silent. */
+  private record LostUse(
+      String instance, boolean isReplaced, Map<String, TenantUse> tenants, long untilMs) {}
+
+  /**
+   * Creates reports without members.
+   *
+   * @param quotaWindowMs time for which the use of a lost process counts
+   */
+  MemberReports(long quotaWindowMs) {
+    this.quotaWindowMs = quotaWindowMs;
+  }
+
+  /**
+   * Replaces the report of an instance; its arrivals are added to those not yet taken.
+   *
+   * @return whether the report is the first one of a new process of the instance
+   */
+  boolean put(String instance, PeerMessage.MemberReport report, long nowMs) {
+    lostUses.removeIf(lost -> !lost.isReplaced && lost.instance.equals(instance));
+    Member before = members.put(instance, new Member(report, nowMs + Overlay.SILENCE_TIMEOUT_MS));
     report.arrivals().forEach((adapter, count) -> arrivals.merge(adapter, count, Integer::sum));
+    boolean isReplaced = before != null && report.sequence() < before.report.sequence();
+    if (isReplaced) {
+      keepUse(instance, true, before, nowMs);
+    }
+    return isReplaced;
+  }
+
+  private void keepUse(String instance, boolean isReplaced, Member member, long nowMs) {
+    Map<String, TenantUse> used = new TreeMap<>();
+    member
+        .report
+        .tenants()
+        .forEach((tenant, use) -> used.put(tenant, new TenantUse(0, use.used())));
+    if (!used.isEmpty()) {
+      lostUses.add(new LostUse(instance, isReplaced, used, nowMs + quotaWindowMs));
+    }
+  }
+
+  /** Forgets the use of instances that report to another relay. */
+  void removeMoved(Collection<String> instances) {
+    lostUses.removeIf(lost -> !lost.isReplaced && instances.contains(lost.instance));
   }
 
   void remove(String instance) {
     members.remove(instance);
   }
 
-  /** Drops the reports of instances that turned silent. */
-  void removeSilent(long nowMs) {
-    members.values().removeIf(member -> nowMs >= member.silentFromMs);
+  /** Drops the reports of instances that turned silent, and returns their names. */
+  List<String> removeSilent(long nowMs) {
+    lostUses.removeIf(lost -> nowMs >= lost.untilMs);
+    List<String> silent =
+        members.entrySet().stream()
+            .filter(entry -> nowMs >= entry.getValue().silentFromMs)
+            .map(Map.Entry::getKey)
+            .toList();
+    silent.forEach(instance -> keepUse(instance, false, members.remove(instance), nowMs));
+    return silent;
   }
 
   /** Gives all members a longer time, because this instance was delayed itself. */
@@ -74,9 +123,11 @@
     return sums;
   }
 
-  /** Returns the demand and the use of all members, by tenant. */
+  /** Returns the demand and the use of all members and lost processes, by tenant. */
   Map<String, TenantUse> tenants() {
     Map<String, TenantUse> sums = new TreeMap<>();
+    lostUses.forEach(
+        lost -> lost.tenants.forEach((tenant, use) -> sums.merge(tenant, use, TenantUse::plus)));
     members
         .values()
         .forEach(
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -43,6 +43,8 @@
   @JsonSubTypes.Type(value = PeerMessage.TableRegained.class, name = "table_regained"),
   @JsonSubTypes.Type(value = PeerMessage.ConfigurationAsked.class, name = "config_asked"),
   @JsonSubTypes.Type(value = PeerMessage.ConfigurationConfirmed.class, name = "config_confirmed"),
+  @JsonSubTypes.Type(value = PeerMessage.QuotaWanted.class, name = "quota_wanted"),
+  @JsonSubTypes.Type(value = PeerMessage.QuotaLent.class, name = "quota_lent"),
   @JsonSubTypes.Type(value = PeerMessage.AdapterWanted.class, name = "adapter_wanted"),
   @JsonSubTypes.Type(value = PeerMessage.AdapterMissing.class, name = "adapter_missing")
 })
@@ -222,6 +224,8 @@
    * @param arrivals number of requests since the last report, by adapter
    * @param tenants demand and use by tenant with a limit; left out if empty, as by instances of
    *     earlier versions
+   * @param settledLoans number up to which no {@link QuotaWanted} of the sender waits, so that
+   *     their use is in {@code tenants}; left out before the first one
    */
   record MemberReport(
       long sequence,
@@ -229,7 +233,8 @@
       Map<String, Integer> waiting,
       Map<String, List<String>> inUse,
       Map<String, Integer> arrivals,
-      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, TenantUse> tenants)
+      @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, TenantUse> tenants,
+      @JsonInclude(JsonInclude.Include.NON_DEFAULT) long settledLoans)
       implements PeerMessage {
 
     /** Creates a report. */
@@ -290,6 +295,24 @@
    */
   record ConfigurationConfirmed(long askedMs, long rowVersion, long ageMs) implements PeerMessage {}
 
+  /**
+   * Asks the relay of the sender for credit for one request.
+   *
+   * @param number number of the request, ascending in a process
+   * @param tenant tenant with a limit
+   * @param amount cost of the request
+   */
+  record QuotaWanted(long number, String tenant, long amount) implements PeerMessage {}
+
+  /**
+   * Answers {@link QuotaWanted}.
+   *
+   * @param number number of the request
+   * @param tenant tenant of the request
+   * @param amount what is lent: the cost of the request, or 0
+   */
+  record QuotaLent(long number, String tenant, long amount) implements PeerMessage {}
+
   /**
    * Asks the owner of an engine to load an adapter.
    *
--- a/node/src/main/java/org/apricotstand/request/FleetNotifier.java
+++ b/node/src/main/java/org/apricotstand/request/FleetNotifier.java
@@ -40,6 +40,12 @@
    */
   void reportLimit(String incarnation, double perSecond);
 
+  /**
+   * Asks the relay for credit for one request. The answer goes to {@link
+   * org.apricotstand.fleet.FleetEventListener#onQuotaLent}, unless it is lost.
+   */
+  void requestQuota(long number, String tenant, long amount);
+
   /** Tells all instances that a target limits requests no more. */
   void reportLimitEnd(String incarnation);
 }
--- a/node/src/main/java/org/apricotstand/request/QuotaGate.java
+++ b/node/src/main/java/org/apricotstand/request/QuotaGate.java
@@ -10,6 +10,7 @@
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.port.HeaderNames;
+import org.apricotstand.quota.LoanRequests;
 import org.apricotstand.quota.QuotaBounds;
 import org.apricotstand.quota.QuotaShares;
 import org.apricotstand.quota.TenantQuotas;
@@ -48,6 +49,7 @@
   private final Metrics metrics;
   private final Random random;
   private final LongSupplier clock;
+  private final LoanRequests loans = new LoanRequests();
   private RoutingPlan plan;
   private long nextLogMs = Long.MIN_VALUE;
   private long refusedSinceLog;
@@ -108,14 +110,13 @@
     if (isTaken) {
       tracker.recordAdmitted(tenant, cost);
       metrics.count("quota.admitted");
-    } else {
-      metrics.count("quota.refused");
-      logRefused(tenant);
     }
     return isTaken;
   }
 
-  private void logRefused(String tenant) {
+  /** Counts a request that the quota has no room for. */
+  void recordRefused(String tenant) {
+    metrics.count("quota.refused");
     refusedSinceLog++;
     long nowMs = clock.getAsLong();
     if (nowMs >= nextLogMs) {
@@ -125,6 +126,44 @@
     }
   }
 
+  /** Returns whether the relay may lend the cost of a request. */
+  boolean mayBorrow(String tenant, long cost) {
+    long nowMs = clock.getAsLong();
+    return quotas.mayBorrow(nowMs) && loans.mayAsk(tenant, cost, nowMs);
+  }
+
+  /** Opens a request for credit; returns its number. */
+  long askLoan(String tenant, long cost, long waitMs) {
+    return loans.ask(tenant, cost, waitMs, clock.getAsLong());
+  }
+
+  /** Uses the answer of the relay to an open request; returns whether the cost is taken. */
+  boolean tryTakeLoan(String tenant, long cost, long number, boolean isLent) {
+    long nowMs = clock.getAsLong();
+    boolean isTaken = loans.onAnswer(number, isLent, nowMs);
+    if (isTaken) {
+      quotas.addBorrowed(tenant, cost, nowMs);
+      tracker.recordAdmitted(tenant, cost);
+      metrics.count("quota.admitted");
+      metrics.count("quota.borrowed");
+    }
+    endLoan(number);
+    return isTaken;
+  }
+
+  /** Ends a request for credit that the relay has not answered in time. */
+  void endUnansweredLoan(long number) {
+    metrics.count("quota.unanswered");
+    loans.onUnanswered(number, clock.getAsLong());
+    endLoan(number);
+  }
+
+  /** Ends a request for credit that is of no use any more. */
+  void endLoan(long number) {
+    // After the use was counted, which a report with this number has to contain.
+    tracker.setSettledLoans(loans.settle(number));
+  }
+
   void giveBack(String tenant, long cost, long takenMs) {
     quotas.setShares(shares.get());
     quotas.giveBack(tenant, cost, takenMs, clock.getAsLong());
--- a/node/src/main/java/org/apricotstand/request/QuotaTicket.java
+++ b/node/src/main/java/org/apricotstand/request/QuotaTicket.java
@@ -25,13 +25,54 @@
     this.cost = cost;
   }
 
-  /** Takes the cost of the first run; returns whether the quota has room for it. */
+  /** Takes the cost of the first run; returns whether the share of this instance has room. */
   boolean tryStart() {
     if (tenant == null) {
       return true;
     }
     gate.recordOffered(tenant, cost);
-    return tryTakeRun(0);
+    return tryTakeUpTo(0);
+  }
+
+  /** Returns whether the relay may lend the cost of the first run. */
+  boolean mayBorrow() {
+    return gate.mayBorrow(tenant, cost);
+  }
+
+  /** Opens a request for credit for the first run, and returns its number. */
+  long askLoan(long waitMs) {
+    return gate.askLoan(tenant, cost, waitMs);
+  }
+
+  /** Returns what the relay is asked for. */
+  String tenant() {
+    return tenant;
+  }
+
+  long cost() {
+    return cost;
+  }
+
+  /** Takes the cost of the first run from what the relay has lent; returns whether it is taken. */
+  boolean tryTakeLoan(long number, boolean isLent) {
+    boolean isTaken = gate.tryTakeLoan(tenant, cost, number, isLent);
+    if (isTaken) {
+      takenMs.addLast(gate.nowMs());
+    }
+    return isTaken;
+  }
+
+  void endUnansweredLoan(long number) {
+    gate.endUnansweredLoan(number);
+  }
+
+  void endLoan(long number) {
+    gate.endLoan(number);
+  }
+
+  /** Counts the request as refused. */
+  void recordRefused() {
+    gate.recordRefused(tenant);
   }
 
   /**
@@ -46,6 +87,14 @@
     if (takenMs.size() > possibleRuns && gate.nowMs() - takenMs.peekLast() > MAX_WAIT_MS) {
       settle(possibleRuns);
     }
+    boolean isTaken = tryTakeUpTo(possibleRuns);
+    if (!isTaken) {
+      recordRefused();
+    }
+    return isTaken;
+  }
+
+  private boolean tryTakeUpTo(int possibleRuns) {
     while (takenMs.size() <= possibleRuns) {
       if (!gate.tryTake(tenant, cost)) {
         return false;
--- a/node/src/main/java/org/apricotstand/request/RequestRouter.java
+++ b/node/src/main/java/org/apricotstand/request/RequestRouter.java
@@ -37,6 +37,7 @@
 import org.apricotstand.port.AnswerLimits;
 import org.apricotstand.port.HeaderNames;
 import org.apricotstand.port.ServingSettings;
+import org.apricotstand.quota.LoanRequests;
 import org.apricotstand.quota.QuotaShares;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.residency.Residency;
@@ -78,6 +79,7 @@
   private final AdmissionCheck admissionCheck;
   private final MemoryLimiter memory;
   private final QuotaGate quotaGate;
+  private final QuotaWaits quotaWaits;
   private final TargetHealth health = new TargetHealth();
   private final Map<String, WindowedRetryBudget> retryBudgets = new HashMap<>();
   private final AllowanceShare retryShare;
@@ -90,6 +92,7 @@
   /** Reported residency of each engine at the time when it lacked the adapter. */
   private final Map<MissingAdapter, Residency> missingAdapters = new HashMap<>();
 
+  private boolean isStopped;
   private volatile long refusalStartMs = Long.MAX_VALUE;
   private volatile long drainEndMs = Long.MAX_VALUE;
 
@@ -129,6 +132,7 @@
             metrics,
             random,
             ControlThread::nowMs);
+    this.quotaWaits = new QuotaWaits(loop, fleetNotifier);
     this.pacer = new TargetPacer(settings.name(), ControlThread::nowMs, fleetNotifier);
     this.hedging =
         settings.maxHedgeShare() > 0
@@ -161,7 +165,11 @@
   }
 
   private ActiveCall awaitPlan(CallerRequest request, Reply reply) {
-    PlanWait wait = new PlanWait(loop, planWaitEndMs, () -> handleOrFail(request, reply));
+    PlanWait wait =
+        new PlanWait(
+            loop,
+            planWaitEndMs,
+            () -> handleOrFail(request, reply, () -> handleAfterWait(request, reply)));
     planWaits.add(wait);
     return wait;
   }
@@ -173,9 +181,10 @@
   }
 
   /** Handles a request outside the call that brought it, where nothing else would answer it. */
-  private ActiveCall handleOrFail(CallerRequest request, Reply reply) {
+  private ActiveCall handleOrFail(
+      CallerRequest request, Reply reply, Supplier<ActiveCall> afterWait) {
     try {
-      return handleAfterWait(request, reply);
+      return afterWait.get();
     } catch (RuntimeException e) {
       LOG.warn(
           "request_step_failed",
@@ -229,17 +238,51 @@
       reply.fail(503, RequestFlow.CRASHES_TARGETS, RequestFlow.CRASHING_REQUEST_RETRY_MS);
       return new EndedCall();
     }
-    if (!quota.tryStart()) {
-      recordRefusal(request, 429, RequestFlow.QUOTA_EXCEEDED);
-      reply.fail(429, RequestFlow.QUOTA_EXCEEDED, quota.retryAfterMs());
-      return new EndedCall();
+    if (quota.tryStart()) {
+      return start(flow);
+    }
+    if (!quota.mayBorrow()) {
+      return refuseBeyondQuota(request, reply, quota);
     }
-    retryBudget(service).recordRequest(ControlThread.nowMs());
-    hedging.ifPresent(known -> known.recordRequest(service));
+    long waitMs = LoanRequests.waitMs(route.get().targetLatencyMs());
+    return quotaWaits.await(
+        quota,
+        waitMs,
+        loan ->
+            handleOrFail(
+                request, reply, () -> handleAfterLoan(request, reply, route.get(), flow, loan)));
+  }
+
+  private ActiveCall start(RequestFlow flow) {
+    retryBudget(flow.service()).recordRequest(ControlThread.nowMs());
+    hedging.ifPresent(known -> known.recordRequest(flow.service()));
     flow.start();
     return flow;
   }
 
+  private ActiveCall refuseBeyondQuota(CallerRequest request, Reply reply, QuotaTicket quota) {
+    quota.recordRefused();
+    recordRefusal(request, 429, RequestFlow.QUOTA_EXCEEDED);
+    reply.fail(429, RequestFlow.QUOTA_EXCEEDED, quota.retryAfterMs());
+    return new EndedCall();
+  }
+
+  /** Goes on with a request after its wait; what may have changed meanwhile is checked again. */
+  private ActiveCall handleAfterLoan(
+      CallerRequest request, Reply reply, Route route, RequestFlow flow, QuotaWaits.Loan loan) {
+    if (isStopped || !endsBeforeShutdown(request, route)) {
+      recordRefusal(request, 503, SHUTTING_DOWN);
+      reply.fail(503, SHUTTING_DOWN, withJitter(SHUTDOWN_RETRY_MS));
+      return new EndedCall();
+    }
+    if (crashWatch.findRefused(flow.traits()).isPresent()) {
+      recordRefusal(request, 503, RequestFlow.CRASHES_TARGETS);
+      reply.fail(503, RequestFlow.CRASHES_TARGETS, RequestFlow.CRASHING_REQUEST_RETRY_MS);
+      return new EndedCall();
+    }
+    return loan.tryTake() ? start(flow) : refuseBeyondQuota(request, reply, loan.ticket());
+  }
+
   /**
    * Chooses targets again for the requests that wait for an adapter. Also forgets that an engine
    * lacks an adapter if the engine's residency has been reported again.
@@ -277,7 +320,9 @@
 
   /** Gives each request in progress its final answer, since the process is about to end. */
   public void endRequests() {
+    isStopped = true;
     endPlanWaits();
+    quotaWaits.endAll();
     List.copyOf(activeFlows).forEach(RequestFlow::onShutdown);
   }
 
@@ -454,6 +499,11 @@
     pacer.recordLimitEnd(incarnation);
   }
 
+  @Override
+  public void onQuotaLent(long number, boolean isLent) {
+    quotaWaits.onAnswer(number, isLent);
+  }
+
   /** Returns the state of hedging; empty if it is off. */
   Optional<Hedging> hedging() {
     return hedging;
--- a/node/src/main/java/org/apricotstand/serve/TrafficThreadListener.java
+++ b/node/src/main/java/org/apricotstand/serve/TrafficThreadListener.java
@@ -33,4 +33,9 @@
   public void onLimitEnd(String incarnation) {
     loop.execute(() -> listener.onLimitEnd(incarnation));
   }
+
+  @Override
+  public void onQuotaLent(long number, boolean isLent) {
+    loop.execute(() -> listener.onQuotaLent(number, isLent));
+  }
 }
--- a/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
+++ b/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
@@ -39,6 +39,7 @@
   private static final long CONNECT_TIMEOUT_MS = 1_000;
   private static final long RESTART_MS = 700;
   private static final long FIRST_READ_MS = 300;
+  private static final int MAX_FAULT_DELAY_MS = 3_000;
 
   private final Random random;
   private final Map<String, Instance> instances = new TreeMap<>();
@@ -46,6 +47,8 @@
       new PriorityQueue<>(Comparator.comparingLong(Task::atMs).thenComparingLong(Task::number));
   private final Set<OverlayInstance> registered = new LinkedHashSet<>();
   private final Set<String> cutDomains = new HashSet<>();
+  private final Random faults;
+  private boolean hasLoanFaults;
   private long nowMs = 1_000;
   private long taskNumber;
 
@@ -54,6 +57,7 @@
   /** Creates instances that start within 300 ms of each other. */
   SimulatedFleet(int size, int domains, long seed) {
     random = new Random(seed);
+    faults = new Random(seed);
     for (int i = 0; i < size; i++) {
       OverlayInstance identity =
           new OverlayInstance("n" + i, "d" + i % domains, 14 + random.nextInt(4) * 40);
@@ -62,6 +66,11 @@
     instances.values().forEach(instance -> at(nowMs + random.nextInt(300), instance::start));
   }
 
+  /** Receives the answers of the relay to requests for credit. */
+  interface QuotaListener {
+    void onQuotaLent(long number, boolean isLent);
+  }
+
   /** One process and what it learnt. */
   final class Instance implements FleetExchangeListener, PeerLinks, TableSharing.Listener {
     final OverlayInstance identity;
@@ -79,6 +88,7 @@
     final Map<String, Long> deliveryFreeMs = new HashMap<>();
     final Set<String> links = new HashSet<>();
     LocalLoadTracker load = new LocalLoadTracker();
+    QuotaListener quotaListener = (number, isLent) -> {};
     FleetExchange exchange;
     KnownInstances known;
     boolean running;
@@ -162,7 +172,14 @@
     @Override
     public boolean send(InstanceId peer, PeerMessage message) {
       messages++;
-      deliver(this, instances.get(peer.value()), message);
+      Instance to = instances.get(peer.value());
+      boolean isLoan =
+          message instanceof PeerMessage.QuotaWanted || message instanceof PeerMessage.QuotaLent;
+      if (hasLoanFaults && isLoan) {
+        deliverWithFaults(this, to, message);
+      } else {
+        deliver(this, to, message);
+      }
       return true;
     }
 
@@ -248,6 +265,11 @@
     @Override
     public void onArrivals(Map<String, Integer> arrivals) {}
 
+    @Override
+    public void onQuotaLent(long number, boolean isLent) {
+      quotaListener.onQuotaLent(number, isLent);
+    }
+
     @Override
     public void onLoadsChanged() {}
 
@@ -290,6 +312,28 @@
     receive(from, to, instance -> instance.exchange.handle(from.identity.name(), message));
   }
 
+  /** Loses, delays and doubles a fifth of the messages each. */
+  private void deliverWithFaults(Instance from, Instance to, PeerMessage message) {
+    switch (faults.nextInt(5)) {
+      case 0 -> {}
+      case 1 -> {
+        long incarnation = from.incarnation;
+        at(
+            nowMs + faults.nextInt(MAX_FAULT_DELAY_MS),
+            () -> {
+              if (from.running && from.incarnation == incarnation) {
+                deliver(from, to, message);
+              }
+            });
+      }
+      case 2 -> {
+        deliver(from, to, message);
+        deliver(from, to, message);
+      }
+      default -> deliver(from, to, message);
+    }
+  }
+
   /** Runs an action at the receiver after the delay of the link, in the order of the calls. */
   private void receive(Instance from, Instance to, Consumer<Instance> action) {
     long delayMs = 1 + random.nextInt(3) + (to.slownessMs == 0 ? 0 : to.slownessMs);
@@ -380,6 +424,10 @@
     cutDomains.add(domain);
   }
 
+  void addLoanFaults() {
+    hasLoanFaults = true;
+  }
+
   void heal() {
     cutDomains.clear();
   }
--- a/node/src/test/java/org/apricotstand/fleet/TenantQuotasOfFleetTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/TenantQuotasOfFleetTest.java
@@ -2,179 +2,21 @@
 
 import static com.google.common.truth.Truth.assertWithMessage;
 
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.Random;
-import java.util.function.ToDoubleFunction;
-import org.apricotstand.quota.QuotaBounds;
 import org.apricotstand.quota.QuotaLimit;
-import org.apricotstand.quota.QuotaShares;
-import org.apricotstand.quota.TenantQuotas;
 import org.junit.jupiter.api.Test;
 
 /**
  * Instances of a simulated fleet that admit the requests of one tenant within their shares of its
  * limit. What all of them admit must stay within the bound in every window.
  */
-class TenantQuotasOfFleetTest {
-
-  private static final String TENANT = "hule930";
-  private static final QuotaLimit LIMIT = new QuotaLimit(231_020, 231_020);
-  private static final QuotaBounds BOUNDS = QuotaBounds.DEFAULT;
-  private static final long STEP_MS = 50;
-  private static final int MIN_COST = 1_000;
-  private static final int MAX_COST = 2_000;
-  private static final double STEPS_PER_S = 1_000.0 / STEP_MS;
-
-  private final Random random = new Random(63);
-  private final Map<String, Traffic> traffic = new HashMap<>();
-  private final List<Long> admittedByStep = new ArrayList<>();
-  private QuotaLimit limit = LIMIT;
-  private ToDoubleFunction<SimulatedFleet.Instance> weights = instance -> 1;
-  private boolean retriesRefused;
-  private double demandPerS;
-  private long offered;
-  private long admitted;
-  private long nowMs = 1_000;
-
-  /** A request that was refused and is sent again after the time that the refusal named. */
-  private record Retry(int cost, long atMs) {}
-
-  /** The traffic side of one process. */
-  private static final class Traffic {
-    private final long incarnation;
-    private final TenantQuotas quotas = new TenantQuotas(BOUNDS);
-    private final List<Retry> retries = new ArrayList<>();
-    private QuotaShares shares = QuotaShares.NONE;
-
-    private Traffic(long incarnation) {
-      this.incarnation = incarnation;
-    }
-  }
-
-  private SimulatedFleet startedFleet(int size, int domains, long seed) {
-    SimulatedFleet fleet = new SimulatedFleet(size, domains, seed);
-    demandPerS = 0;
-    play(fleet, 30_000);
-    return fleet;
-  }
-
-  private void play(SimulatedFleet fleet, long durationMs) {
-    for (long endMs = nowMs + durationMs; nowMs < endMs; ) {
-      fleet.run(STEP_MS);
-      nowMs += STEP_MS;
-      List<SimulatedFleet.Instance> serving =
-          fleet.running().stream().filter(instance -> nowMs >= instance.suspendedUntilMs).toList();
-      double total = serving.stream().mapToDouble(weights).sum();
-      long admittedBefore = admitted;
-      for (SimulatedFleet.Instance instance : serving) {
-        // The traffic goes on with the shares of the last step, as after a pause of the process.
-        Traffic own = trafficOf(instance);
-        own.quotas.setShares(own.shares);
-        serve(instance, own, demandPerS * weights.applyAsDouble(instance) / total / STEPS_PER_S);
-        instance.exchange.quotas().setLimits(Map.of(TENANT, limit));
-        instance
-            .exchange
-            .quotas()
-            .setInstances(instance.known.count(instance.exchange.liveInstances()));
-        own.shares = instance.exchange.quotaShares();
-      }
-      admittedByStep.add(admitted - admittedBefore);
-    }
-  }
-
-  private void serve(SimulatedFleet.Instance instance, Traffic own, double cost) {
-    own.quotas.setLimits(Map.of(TENANT, limit), nowMs);
-    for (int requests = poisson(cost * 2 / (MIN_COST + MAX_COST)); requests > 0; requests--) {
-      int next = MIN_COST + random.nextInt(MAX_COST - MIN_COST);
-      offered += next;
-      send(instance, own, next, retriesRefused);
-    }
-    List<Retry> due = own.retries.stream().filter(retry -> nowMs >= retry.atMs).toList();
-    own.retries.removeAll(due);
-    due.forEach(retry -> send(instance, own, retry.cost, false));
-  }
-
-  private void send(SimulatedFleet.Instance instance, Traffic own, int cost, boolean mayRetry) {
-    instance.load.recordOffered(TENANT, cost);
-    if (own.quotas.tryTake(TENANT, cost, nowMs)) {
-      instance.load.recordAdmitted(TENANT, cost);
-      admitted += cost;
-    } else if (mayRetry) {
-      own.retries.add(new Retry(cost, nowMs + own.quotas.waitMs(TENANT, cost, nowMs)));
-    }
-  }
-
-  private int poisson(double mean) {
-    int count = 0;
-    double logOfProduct = Math.log(1 - random.nextDouble());
-    while (logOfProduct > -mean) {
-      count++;
-      logOfProduct += Math.log(1 - random.nextDouble());
-    }
-    return count;
-  }
-
-  private Traffic trafficOf(SimulatedFleet.Instance instance) {
-    return traffic.compute(
-        instance.identity.name(),
-        (name, before) ->
-            before == null || before.incarnation != instance.incarnation
-                ? new Traffic(instance.incarnation)
-                : before);
-  }
-
-  /** Plays for a time and returns the part of the demand that was admitted. */
-  private double admittedPart(SimulatedFleet fleet, long durationMs) {
-    offered = 0;
-    admitted = 0;
-    play(fleet, durationMs);
-    return (double) admitted / offered;
-  }
-
-  /** Gives the domains weights that change every few seconds. */
-  private void moveDemand(SimulatedFleet fleet, int domains, int moves, long periodMs) {
-    for (int move = 0; move < moves; move++) {
-      int hot = move % domains;
-      weights = instance -> skew(instance) * (instance.identity.domain().equals("d" + hot) ? 3 : 1);
-      play(fleet, periodMs);
-    }
-  }
-
-  /** Returns weights from 0.5 to 2 that are fixed for an instance. */
-  private static double skew(SimulatedFleet.Instance instance) {
-    return 0.5 * Math.pow(4, Math.floorMod(instance.identity.name().hashCode() * 31, 17) / 16.0);
-  }
-
-  private double largestWindow() {
-    int steps = (int) (BOUNDS.windowMs() / STEP_MS);
-    double largest = 0;
-    long sum = 0;
-    for (int i = 0; i < admittedByStep.size(); i++) {
-      sum += admittedByStep.get(i) - (i >= steps ? admittedByStep.get(i - steps) : 0);
-      largest = Math.max(largest, sum);
-    }
-    return largest;
-  }
-
-  private void assertWithinBound(String situation) {
-    double largest = largestWindow();
-    assertWithMessage("largest window: %s", situation)
-        .that(largest)
-        .isAtMost(BOUNDS.perWindow(LIMIT));
-  }
-
-  private static void assertServed(String situation, double part, double atLeast) {
-    assertWithMessage("admitted part: %s", situation).that(part).isAtLeast(atLeast);
-  }
+class TenantQuotasOfFleetTest extends TenantQuotasFixture {
 
   // Guards against shares that do not follow demand, so that requests below the limit are refused.
   @Test
   void demandBelowTheLimitIsServedAlthoughItIsUneven() {
     SimulatedFleet fleet = startedFleet(63, 3, 1);
-    weights = TenantQuotasOfFleetTest::skew;
+    weights = TenantQuotasFixture::skew;
     // Requests arrive at random, a few a second at each instance, so that some find no room there.
     Map<Double, Double> leastAdmitted =
         Map.of(0.3, 0.995, 0.5, 0.995, 0.7, 0.99, 0.8, 0.98, 0.9, 0.95, 1.0, 0.9);
@@ -301,7 +143,7 @@
   @Test
   void aSmallFleetServesItsLimitAndStaysWithinTheBound() {
     SimulatedFleet fleet = startedFleet(7, 3, 11);
-    weights = TenantQuotasOfFleetTest::skew;
+    weights = TenantQuotasFixture::skew;
     demandPerS = 0.8 * LIMIT.ratePerS();
     play(fleet, 10_000);
     assertServed("small fleet", admittedPart(fleet, 40_000), 0.999);
@@ -333,7 +175,7 @@
   void aSmallLimitIsUsedAndStaysWithinTheBound() {
     limit = new QuotaLimit(6_000, 6_000);
     SimulatedFleet fleet = startedFleet(63, 3, 13);
-    weights = TenantQuotasOfFleetTest::skew;
+    weights = TenantQuotasFixture::skew;
     demandPerS = 0.5 * limit.ratePerS();
     // What each instance gets at first is less than one request; its share then follows the demand.
     play(fleet, 30_000);
--- a/node/src/test/java/org/apricotstand/peer/PeerCodecTest.java
+++ b/node/src/test/java/org/apricotstand/peer/PeerCodecTest.java
@@ -18,7 +18,8 @@
   private static final ObjectMapper PLAIN = new ObjectMapper(new MessagePackFactory());
 
   private static PeerMessage.MemberReport report(Map<String, TenantUse> tenants) {
-    return new PeerMessage.MemberReport(7, Map.of(), Map.of(), Map.of(), Map.of("m/a", 1), tenants);
+    return new PeerMessage.MemberReport(
+        7, Map.of(), Map.of(), Map.of(), Map.of("m/a", 1), tenants, 0);
   }
 
   private static PeerMessage.StateUpdate update(Map<String, TenantUse> tenants, long scope) {
@@ -35,6 +36,18 @@
     }
   }
 
+  // Guards against loans that lose the request or the amount that they belong to.
+  @Test
+  void loansAreCarried() throws IOException {
+    for (PeerMessage message :
+        List.of(
+            new PeerMessage.QuotaWanted(5, "hule930", 4_400),
+            new PeerMessage.QuotaLent(5, "hule930", 0),
+            new PeerMessage.MemberReport(7, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), 5))) {
+      assertThat(PeerCodec.fromBytes(PeerCodec.toBytes(message))).isEqualTo(message);
+    }
+  }
+
   // Guards against messages that instances of earlier versions cannot read, or that grow, although
   // no tenant has a limit.
   @Test
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -20,6 +20,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.LongConsumer;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.fleet.FleetView;
@@ -83,6 +84,9 @@
   volatile QuotaShares quotaShares = QuotaShares.NONE;
   volatile boolean fleetFails;
 
+  /** Called on the loop with the number of each request for credit. */
+  volatile LongConsumer loanAnswer = number -> {};
+
   /** Time at which the configuration of a view was confirmed; in the future, so never too old. */
   long confirmedMs = ControlThread.nowMs() + 3_600_000;
 
@@ -125,6 +129,12 @@
       fleetCalls.add("limit ended " + incarnation);
     }
 
+    @Override
+    public void requestQuota(long number, String tenant, long amount) {
+      fleetCalls.add("quota " + number + " " + tenant + " " + amount);
+      loanAnswer.accept(number);
+    }
+
     @Override
     public void reportRefusal(Trait trait, long untilMs) {
       refusals.add(trait);
--- a/node/src/test/java/org/apricotstand/request/TenantQuotaRequestTest.java
+++ b/node/src/test/java/org/apricotstand/request/TenantQuotaRequestTest.java
@@ -4,6 +4,8 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -221,6 +223,109 @@
     assertThat(loadTracker.takeOffered()).isEmpty();
   }
 
+  /** Serves a limit of which this instance has nothing, while its relay lends. */
+  private void serveOnCredit() throws IOException {
+    serve(tokens(1, 1), RequestKind.NON_IDEMPOTENT, 1, target("t1", ANSWERS_DONE));
+    quotaShares =
+        new QuotaShares(1, 0, Map.of(), Set.of(), ControlThread.nowMs() + 600_000, 0, true);
+  }
+
+  private void answerLoan(long number, boolean isLent) {
+    group.next().execute(() -> router.onQuotaLent(number, isLent));
+  }
+
+  // Guards against requests that wait for credit and are not answered, or counted wrongly.
+  @Test
+  void aRequestRunsOnCreditOfTheRelay() throws Exception {
+    serveOnCredit();
+    loanAnswer =
+        number -> {
+          answerLoan(number, true);
+          answerLoan(number, true);
+        };
+    assertThat(call(AUTHORIZATION)).endsWith("done");
+    assertThat(fleetCalls).containsExactly("quota 1 hule930 200");
+    assertThat(loadTracker.settledLoans()).isEqualTo(1);
+    assertThat(admittedCost()).isEqualTo(200);
+    assertThat(countHeads()).isEqualTo(1);
+  }
+
+  // Guards against refusals of the relay that hold a request, and that are asked for again at once.
+  @Test
+  void aRequestThatTheRelayRefusesGetsATime() throws Exception {
+    serveOnCredit();
+    loanAnswer = number -> answerLoan(number, false);
+    String refused = call(AUTHORIZATION);
+    assertThat(refused).startsWith("HTTP/1.1 429 ");
+    assertThat(refused.toLowerCase()).contains("retry-after: ");
+    assertThat(loadTracker.settledLoans()).isEqualTo(1);
+    assertThat(admittedCost()).isEqualTo(0);
+    assertThat(countHeads()).isEqualTo(0);
+  }
+
+  // Guards against requests that wait on for a relay that is lost.
+  @Test
+  void aRequestWithoutAnswerOfTheRelayIsRefusedInTime() throws Exception {
+    serveOnCredit();
+    assertThat(call(AUTHORIZATION)).startsWith("HTTP/1.1 429 ");
+    assertThat(loadTracker.settledLoans()).isEqualTo(1);
+    // A question without answer is not repeated at once.
+    assertThat(call(AUTHORIZATION)).startsWith("HTTP/1.1 429 ");
+    answerLoan(1, true);
+    assertThat(fleetCalls).hasSize(1);
+    assertThat(admittedCost()).isEqualTo(0);
+    assertThat(countHeads()).isEqualTo(0);
+  }
+
+  // Guards against a loan that stays open, or runs a request, after its caller has gone.
+  @Test
+  void aCallerThatDisconnectsLeavesTheLoanToTheRelay() throws Exception {
+    serveOnCredit();
+    try (Socket socket = new Socket("127.0.0.1", server.address().getPort())) {
+      String request =
+          "POST /p/x HTTP/1.1\r\nHost: h\r\nX-Id: q1\r\n"
+              + AUTHORIZATION
+              + "Content-Length: 2\r\n\r\nhi";
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.UTF_8));
+      awaitFleetCall();
+    }
+    await(() -> loadTracker.settledLoans() == 1);
+    answerLoan(1, true);
+    assertThat(admittedCost()).isEqualTo(0);
+    assertThat(countHeads()).isEqualTo(0);
+  }
+
+  // Guards against requests that wait for credit while the process ends, and get no answer or two.
+  @Test
+  void aRequestThatWaitsForCreditIsAnsweredWhenTheProcessEnds() throws Exception {
+    serveOnCredit();
+    loanAnswer =
+        number -> {
+          group.next().execute(router::endRequests);
+          answerLoan(number, true);
+        };
+    assertThat(call(AUTHORIZATION)).startsWith("HTTP/1.1 503 ");
+    // Settled after the answer was sent.
+    await(() -> loadTracker.settledLoans() == 1);
+    assertThat(admittedCost()).isEqualTo(0);
+  }
+
+  // Guards against a limit that is removed during the wait and leaves the request without answer.
+  @Test
+  void aRequestIsServedAlthoughItsLimitIsRemovedDuringTheWait() throws Exception {
+    serve(Quota.UNLIMITED, RequestKind.NON_IDEMPOTENT, 1, target("t2", ANSWERS_DONE));
+    FleetView unlimited = view;
+    serveOnCredit();
+    loanAnswer =
+        number -> {
+          view = unlimited;
+          answerLoan(number, true);
+        };
+    assertThat(call(AUTHORIZATION)).endsWith("done");
+    assertThat(loadTracker.settledLoans()).isEqualTo(1);
+    assertThat(call(AUTHORIZATION)).endsWith("done");
+  }
+
   private interface Condition {
     boolean holds() throws IOException;
   }
