--- a/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
+++ b/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
@@ -33,6 +33,8 @@
 import org.apricotstand.residency.SlotAction;
 import org.apricotstand.residency.SlotEvent;
 import org.apricotstand.route.EngineSpec;
+import org.apricotstand.route.RoutingPlan;
+import org.apricotstand.route.ServiceSpec;
 
 /**
  * Acquires and renews the leases of engines, and sends commands to the engines that this instance
@@ -80,12 +82,18 @@
   }
 
   /**
-   * Sets the live engines and their specifications. The state of an owned engine that restarted is
-   * discarded.
+   * Sets the live engines, which are the targets that a service with an engine names and that do
+   * not leave. The state of an owned engine that restarted is discarded.
    */
-  void onEnginesChanged(Map<TargetEntry, EngineSpec> specs) {
+  void onEnginesChanged(RoutingPlan plan, List<TargetEntry> targets) {
     liveEngines.clear();
-    specs.forEach((target, spec) -> liveEngines.put(target.id(), new LiveEngine(target, spec)));
+    for (TargetEntry target : targets) {
+      if (!target.leaving()) {
+        plan.service(target.service())
+            .flatMap(ServiceSpec::engine)
+            .ifPresent(spec -> liveEngines.put(target.id(), new LiveEngine(target, spec)));
+      }
+    }
     Map<String, String> domains = new HashMap<>();
     liveEngines.forEach((id, engine) -> domains.put(id, engine.target.domain()));
     handle(new LeaseEvent.EnginesChanged(domains));
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -8,7 +8,6 @@
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
@@ -72,17 +71,16 @@
   private final long incarnation;
   private final PeerLinks peers;
   private final FleetExchangeListener listener;
-  private final Function<String, String> ownerOf;
   private final Overlay overlay;
   private final ReplicatedEntries<StateEntry> entries;
-  private final MemberReports members = new MemberReports();
+  private final MemberReports members;
   private final RelayedState relayed = new RelayedState();
   private final LinkWatch linkWatch = new LinkWatch();
   private final OwnReports ownReports;
   private final TargetSpeeds speeds = new TargetSpeeds();
   private final Map<String, Long> useSilentFromMs = new HashMap<>();
   private final Map<String, Long> eventUntilMs = new HashMap<>();
-  private final Set<String> useRecipients = new HashSet<>();
+  private final AdaptersInUseSender useSender;
   private final Map<String, Map<String, Long>> interestUntilMs = new HashMap<>();
   private final SharedTables tables;
   private final QuotaExchange quotas;
@@ -119,9 +117,11 @@
     this.lastTickMs = clock.getAsLong();
     this.incarnation = incarnation;
     this.quotas = new QuotaExchange(clock, self.name(), quotaBounds, localLoad);
+    this.members = new MemberReports(quotaBounds.windowMs());
     this.peers = peers;
     this.ownReports = new OwnReports(localLoad);
-    this.ownerOf = ownerOf;
+    this.useSender =
+        new AdaptersInUseSender(self.name(), ownerOf, listener::onAdaptersInUse, this::sendToOwner);
     this.listener = listener;
     this.overlay = new Overlay(self);
     double staggerFraction = new Random(incarnation ^ self.name().hashCode()).nextDouble();
@@ -190,6 +190,18 @@
     return quotas.shares(overlay.relay().orElse(self.name()));
   }
 
+  /** Asks the relay of this instance, which may be itself, for credit for one request. */
+  void requestQuota(PeerMessage.QuotaWanted wanted) {
+    overlay
+        .relay()
+        .ifPresentOrElse(
+            relay -> peers.send(new InstanceId(relay), wanted),
+            () -> {
+              PeerMessage.QuotaLent answer = quotas.lend(self.name(), wanted);
+              listener.onQuotaLent(answer.number(), answer.amount() > 0);
+            });
+  }
+
   /** Publishes what an engine of this instance holds. */
   void publishHoldings(FleetState.EngineHoldings holdings, long fencingNumber) {
     String key = "holdings/" + holdings.engine();
@@ -341,7 +353,7 @@
   }
 
   private void removeSilent(long nowMs) {
-    members.removeSilent(nowMs);
+    members.removeSilent(nowMs).forEach(quotas::onMemberSilent);
     relayed.silentRelays(nowMs).forEach(this::removeRelay);
     silentRelayLog.tick(nowMs);
     DueKeys.take(eventUntilMs, nowMs).forEach(entries::remove);
@@ -367,7 +379,7 @@
               peers.send(new InstanceId(relay), own);
             },
             () -> {
-              members.put(self.name(), own, nowMs);
+              putReport(self.name(), own, nowMs);
               ownReports.recordIncluded(own.sequence());
             });
     publishMembers(nowMs);
@@ -376,12 +388,19 @@
     }
     sendUpdates(overlay.neighbors().keySet());
     members.sequences().forEach(this::confirmReport);
-    sendAdaptersInUse();
+    useSender.send(members.adaptersInUse());
+  }
+
+  private void putReport(String member, PeerMessage.MemberReport report, long nowMs) {
+    boolean isNewProcess = members.put(member, report, nowMs);
+    quotas.onReport(member, report.settledLoans(), isNewProcess);
   }
 
   private PeerMessage.MemberReport takeOwnReport() {
     sequence++;
-    return ownReports.take(sequence, quotas.takeUses(sequence));
+    // Read before the use, so that the use of these loans is included.
+    long settledLoans = quotas.settledLoans();
+    return ownReports.take(sequence, quotas.takeUses(sequence), settledLoans);
   }
 
   /** Publishes the sums of the reports of all members, if this instance relays for any. */
@@ -405,7 +424,7 @@
             members.sum(PeerMessage.MemberReport::started),
             members.sum(PeerMessage.MemberReport::waiting),
             members.takeArrivals(),
-            members.tenants(),
+            quotas.withOpenLoans(members.tenants()),
             quotas.scope(),
             members.takeAnswerTimes());
     publish("load/" + self.name(), incarnation, load);
@@ -467,34 +486,6 @@
     return new StateEntry(entry.key(), entry.epoch(), entry.sequence(), entry.domain(), aged);
   }
 
-  /** Tells the owner of each engine which adapters are in use there. */
-  private void sendAdaptersInUse() {
-    Map<String, Map<String, Set<String>>> byOwner = new HashMap<>();
-    useRecipients.forEach(owner -> byOwner.put(owner, new TreeMap<>()));
-    members
-        .adaptersInUse()
-        .forEach(
-            (engine, adapters) -> {
-              String owner = ownerOf.apply(engine);
-              if (owner != null) {
-                byOwner.computeIfAbsent(owner, name -> new TreeMap<>()).put(engine, adapters);
-              }
-            });
-    useRecipients.clear();
-    byOwner.forEach(
-        (owner, inUse) -> {
-          if (!inUse.isEmpty()) {
-            useRecipients.add(owner);
-          }
-          Map<String, List<String>> lists = MemberReports.toLists(inUse);
-          if (owner.equals(self.name())) {
-            listener.onAdaptersInUse(owner, lists);
-          } else {
-            sendToOwner(owner, new PeerMessage.AdaptersInUse(lists));
-          }
-        });
-  }
-
   private void closeIdleLinks(long nowMs) {
     if (nowMs >= nextIdleCheckMs) {
       nextIdleCheckMs = nowMs + IDLE_LINK_MS / 10;
@@ -522,12 +513,15 @@
       case PeerMessage.StateUpdate update -> applyUpdate(from, update, nowMs);
       case PeerMessage.MemberReport report -> {
         overlay.recordRequested(from, true, nowMs);
-        members.put(from, report, nowMs);
+        putReport(from, report, nowMs);
       }
       case PeerMessage.ReportIncluded included -> {
         ownReports.recordIncluded(included.sequence());
         quotas.onReportIncluded(included.sequence());
       }
+      case PeerMessage.QuotaWanted wanted ->
+          peers.send(new InstanceId(from), quotas.lend(from, wanted));
+      case PeerMessage.QuotaLent lent -> listener.onQuotaLent(lent.number(), lent.amount() > 0);
       case PeerMessage.AdaptersInUse use -> {
         answerIfNeeded(from, nowMs);
         useSilentFromMs.put(from, nowMs + Overlay.SILENCE_TIMEOUT_MS);
@@ -576,6 +570,9 @@
       case FleetState.InstanceStatus status -> applyStatus(status);
       case FleetState.RelayedInstances instances -> {
         relayed.put(instances);
+        if (!instances.relay().equals(self.name())) {
+          members.removeMoved(instances.instances());
+        }
         updateLiveInstances();
       }
       case FleetState.RelayedLoad load -> applyLoad(load, nowMs);
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -33,9 +33,7 @@
 import org.apricotstand.residency.Residency;
 import org.apricotstand.residency.SlotEvent;
 import org.apricotstand.residency.WarmCopies;
-import org.apricotstand.route.EngineSpec;
 import org.apricotstand.route.RoutingPlan;
-import org.apricotstand.route.ServiceSpec;
 import org.apricotstand.suspect.Trait;
 
 /**
@@ -348,15 +346,9 @@
   }
 
   private void updateEngines() {
-    Map<TargetEntry, EngineSpec> engines = new HashMap<>();
-    for (TargetEntry target : targets) {
-      if (plan != null && !target.leaving()) {
-        plan.service(target.service())
-            .flatMap(ServiceSpec::engine)
-            .ifPresent(spec -> engines.put(target, spec));
-      }
+    if (plan != null) {
+      engineOwner.onEnginesChanged(plan, targets);
     }
-    engineOwner.onEnginesChanged(engines);
   }
 
   private void publishOwnedEngine(String engine, Residency residency) {
@@ -479,6 +471,17 @@
         });
   }
 
+  @Override
+  public void requestQuota(long number, String tenant, long amount) {
+    PeerMessage.QuotaWanted wanted = new PeerMessage.QuotaWanted(number, tenant, amount);
+    control.execute(() -> exchange.requestQuota(wanted));
+  }
+
+  @Override
+  public void onQuotaLent(long number, boolean isLent) {
+    eventListener.onQuotaLent(number, isLent);
+  }
+
   @Override
   public void onHello(InstanceId peer, PeerMessage.Hello hello) {
     LOG.info("peer_linked", "peer", peer, "incarnation", hello.incarnation());
--- a/node/src/main/java/org/apricotstand/fleet/OwnReports.java
+++ b/node/src/main/java/org/apricotstand/fleet/OwnReports.java
@@ -25,8 +25,12 @@
     this.localLoad = localLoad;
   }
 
-  /** Creates the next report and takes what is counted since the last one. */
-  PeerMessage.MemberReport take(long sequence, Map<String, TenantUse> tenants) {
+  /**
+   * Creates the next report and takes what is counted since the last one.
+   *
+   * @param settledLoans number up to which the use of loans is in {@code tenants}
+   */
+  PeerMessage.MemberReport take(long sequence, Map<String, TenantUse> tenants, long settledLoans) {
     Map<String, Integer> started = new TreeMap<>();
     Map<String, Integer> waiting = new TreeMap<>();
     localLoad
@@ -46,6 +50,7 @@
             MemberReports.toLists(localLoad.adaptersInUse()),
             arrivals,
             tenants,
+            settledLoans,
             new TreeMap<>(localLoad.takeAnswerTimes()));
     reports.addLast(report);
     if (reports.size() > REMEMBERED_REPORTS) {
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -44,6 +44,8 @@
   @JsonSubTypes.Type(value = PeerMessage.TableRegained.class, name = "table_regained"),
   @JsonSubTypes.Type(value = PeerMessage.ConfigurationAsked.class, name = "config_asked"),
   @JsonSubTypes.Type(value = PeerMessage.ConfigurationConfirmed.class, name = "config_confirmed"),
+  @JsonSubTypes.Type(value = PeerMessage.QuotaWanted.class, name = "quota_wanted"),
+  @JsonSubTypes.Type(value = PeerMessage.QuotaLent.class, name = "quota_lent"),
   @JsonSubTypes.Type(value = PeerMessage.AdapterWanted.class, name = "adapter_wanted"),
   @JsonSubTypes.Type(value = PeerMessage.AdapterMissing.class, name = "adapter_missing")
 })
@@ -223,6 +225,8 @@
    * @param arrivals number of requests since the last report, by adapter
    * @param tenants demand and use by tenant with a limit; left out if empty, as by instances of
    *     earlier versions
+   * @param settledLoans number up to which no {@link QuotaWanted} of the sender waits, so that
+   *     their use is in {@code tenants}; left out before the first one
    * @param times answers of targets since the last report, by target id; left out if empty, as in
    *     fleets without relays
    */
@@ -233,6 +237,7 @@
       Map<String, List<String>> inUse,
       Map<String, Integer> arrivals,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, TenantUse> tenants,
+      @JsonInclude(JsonInclude.Include.NON_DEFAULT) long settledLoans,
       @JsonInclude(JsonInclude.Include.NON_EMPTY) Map<String, AnswerTimes> times)
       implements PeerMessage {
 
@@ -295,6 +300,24 @@
    */
   record ConfigurationConfirmed(long askedMs, long rowVersion, long ageMs) implements PeerMessage {}
 
+  /**
+   * Asks the relay of the sender for credit for one request.
+   *
+   * @param number number of the request, ascending in a process
+   * @param tenant tenant with a limit
+   * @param amount cost of the request
+   */
+  record QuotaWanted(long number, String tenant, long amount) implements PeerMessage {}
+
+  /**
+   * Answers {@link QuotaWanted}.
+   *
+   * @param number number of the request
+   * @param tenant tenant of the request
+   * @param amount what is lent: the cost of the request, or 0
+   */
+  record QuotaLent(long number, String tenant, long amount) implements PeerMessage {}
+
   /**
    * Asks the owner of an engine to load an adapter.
    *
--- a/node/src/test/java/org/apricotstand/peer/PeerCodecTest.java
+++ b/node/src/test/java/org/apricotstand/peer/PeerCodecTest.java
@@ -25,7 +25,7 @@
   private static PeerMessage.MemberReport report(
       Map<String, TenantUse> tenants, Map<String, AnswerTimes> times) {
     return new PeerMessage.MemberReport(
-        7, Map.of(), Map.of(), Map.of(), Map.of("m/a", 1), tenants, times);
+        7, Map.of(), Map.of(), Map.of(), Map.of("m/a", 1), tenants, 0, times);
   }
 
   private static PeerMessage.StateUpdate update(Map<String, TenantUse> tenants, long scope) {
@@ -48,6 +48,19 @@
     }
   }
 
+  // Guards against loans that lose the request or the amount that they belong to.
+  @Test
+  void loansAreCarried() throws IOException {
+    for (PeerMessage message :
+        List.of(
+            new PeerMessage.QuotaWanted(5, "hule930", 4_400),
+            new PeerMessage.QuotaLent(5, "hule930", 0),
+            new PeerMessage.MemberReport(
+                7, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), 5, Map.of()))) {
+      assertThat(PeerCodec.fromBytes(PeerCodec.toBytes(message))).isEqualTo(message);
+    }
+  }
+
   // Guards against messages that lose the times of answers, or swap number and time.
   @Test
   void theTimesOfAnswersAreCarried() throws IOException {
