--- a/core/src/main/java/org/apricotstand/dispatch/Candidate.java
+++ b/core/src/main/java/org/apricotstand/dispatch/Candidate.java
@@ -28,7 +28,7 @@
   /** Delay of a target to which this instance may send no request while its limit holds. */
   public static final long NEVER = Long.MAX_VALUE;
 
-  /** Creates a target of the usual speed that rejected no request a moment ago. */
+  /** Creates a candidate of the usual speed that rejected no request a moment ago. */
   public Candidate(
       TargetEntry target,
       TargetLoad load,
@@ -40,7 +40,7 @@
     this(target, load, availability, canLoad, queuedLoads, penaltyMs, sendDelayMs, false, 1);
   }
 
-  /** Returns a candidate of a plain service of the usual speed that rejected nothing. */
+  /** Returns a candidate of a plain service, of the usual speed and not rejecting requests. */
   public static Candidate ofPlainService(
       TargetEntry target, TargetLoad load, double penaltyMs, long sendDelayMs) {
     return ofPlainService(target, load, penaltyMs, sendDelayMs, false, 1);
--- a/core/src/main/java/org/apricotstand/dispatch/TargetHealth.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetHealth.java
@@ -68,12 +68,16 @@
     return last != null && nowMs < last.untilMs;
   }
 
-  /** Records a successful answer, which halves the penalty of the target. */
+  /**
+   * Records a successful answer: halves the penalty, and ends the doubling of the time for which
+   * rejections count.
+   */
   public void recordSuccess(String targetId, long nowMs) {
     Rejections last = rejections.get(targetId);
     if (last != null && nowMs >= last.untilMs) {
       rejections.remove(targetId);
     } else if (last != null) {
+      // Half, since the next rejection doubles it.
       rejections.put(targetId, new Rejections(REJECTING_MS / 2, last.untilMs));
     }
     Penalty penalty = penalties.get(targetId);
--- a/core/src/main/java/org/apricotstand/dispatch/TargetSpeeds.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetSpeeds.java
@@ -6,9 +6,9 @@
 import java.util.stream.Collectors;
 
 /**
- * Estimates how slow each target is at present, relative to its service. Answers the load in which
- * targets differ and become slow for some seconds: all instances contribute their answers, so that
- * a few answers of each are enough. The estimate returns to the usual speed without news.
+ * Estimates how slow each target is at present, relative to its service. Meant for loads in which
+ * targets differ in speed or become slow for some seconds: all instances contribute their answers,
+ * so that a few answers of each are enough. The estimate returns to the usual speed without news.
  */
 public final class TargetSpeeds {
 
@@ -18,8 +18,13 @@
   /** Number of answers over which the usual time of a service is averaged. */
   private static final long USUAL_COUNT = 500;
 
+  /** Time without answers in which the deviation from the usual speed halves. */
   private static final double HALF_LIFE_MS = 1_500;
+
+  /** Bound of a single measurement, in both directions. */
   private static final double MAX_SLOWNESS = 4;
+
+  /** Avoids a division by zero for answers of less than a millisecond. */
   private static final double MIN_USUAL_MS = 0.1;
 
   /** Deviation from the usual speed that is within the noise of the estimate. */
--- a/core/src/main/java/org/apricotstand/model/InstanceId.java
+++ b/core/src/main/java/org/apricotstand/model/InstanceId.java
@@ -10,7 +10,7 @@
     checkArgument(value != null && !value.isEmpty(), "instance id must not be empty");
   }
 
-  // Written out, since a start links the generated methods of a record at their first call.
+  // Not the generated methods: linking them at their first call costs time at each start.
   @Override
   public boolean equals(Object other) {
     return other == this || other instanceof InstanceId id && value.equals(id.value);
--- a/core/src/main/java/org/apricotstand/quota/FleetQuotas.java
+++ b/core/src/main/java/org/apricotstand/quota/FleetQuotas.java
@@ -375,7 +375,13 @@
       return own.used() / divided + (1 - lentFraction) * part(own, 1.0 / count, EQUAL_FRACTION);
     }
 
-    /** Returns the unused fraction for one or several instances, as part of their number. */
+    /**
+     * Returns the fraction of the limit that some instances get of what is unused.
+     *
+     * @param own their demand and use
+     * @param equalPart their number divided by the instances of the group
+     * @param equalFraction part that is divided equally; the rest is divided by demand
+     */
     private double part(TenantUse own, double equalPart, double equalFraction) {
       if (total.used() >= limit) {
         return 0;
@@ -447,9 +453,9 @@
   }
 
   /**
-   * Does the same for the credit, but not in the first window after the start: groups change
-   * several times until all instances have found their relays, and {@link QuotaLender} lends only a
-   * part of the credit then.
+   * Returns the credit, for a settling time after the group has changed no larger than before. Not
+   * in the first window after the start, in which groups change several times: {@link QuotaLender}
+   * lends only a part of the credit then.
    */
   private QuotaCredit creditAfterChange(QuotaCredit newCredit, long nowMs) {
     if (!isSettling(nowMs) || nowMs - startMs < bounds.windowMs()) {
--- a/core/src/main/java/org/apricotstand/quota/QuotaLender.java
+++ b/core/src/main/java/org/apricotstand/quota/QuotaLender.java
@@ -16,7 +16,7 @@
  * <pre>{@code
  * lender.setCredit(quotas.credit(), nowMs);
  * boolean isLent = lender.lend("n2", number, "tenant", cost, nowMs);
- * lender.recordReport("n2", settled, nowMs);
+ * lender.recordReport("n2", settled);
  * lender.recordPublished(nowMs);
  * }</pre>
  */
@@ -103,7 +103,7 @@
 
   /**
    * Lends the cost of a request; returns false if it exceeds the credit. A question that arrives
-   * again gets the same answer and counts once.
+   * again after its loan was granted gets the same answer and counts once.
    *
    * @param number number of the request at the borrower
    */
--- a/core/src/main/java/org/apricotstand/residency/AdapterKey.java
+++ b/core/src/main/java/org/apricotstand/residency/AdapterKey.java
@@ -26,7 +26,7 @@
     return new AdapterKey(model, "");
   }
 
-  // Written out, since a start links the generated methods of a record at their first call.
+  // Not the generated methods: linking them at their first call costs time at each start.
   @Override
   public boolean equals(Object other) {
     return other == this
--- a/node/src/main/java/org/apricotstand/control/ControlThread.java
+++ b/node/src/main/java/org/apricotstand/control/ControlThread.java
@@ -25,7 +25,7 @@
 
   private static final EventLog LOG = EventLog.of(ControlThread.class);
 
-  /** Distance of the times at which regular tasks run together. */
+  /** Interval to which the times of regular tasks are aligned, so that they share wake-ups. */
   public static final long ALIGNMENT_MS = 50;
 
   /** Differs between instances, so that those on one machine do not all wake up at once. */
@@ -33,13 +33,13 @@
 
   private final PauseWatchdog watchdog = new PauseWatchdog(ControlThread::nowMs);
   private final Queue<Runnable> endActions = new ArrayDeque<>();
-  private volatile Thread currentThread;
+  private volatile Thread controlThread;
   private final ScheduledExecutorService executor =
       Executors.newSingleThreadScheduledExecutor(
           task -> {
             Thread thread = new Thread(task, "control");
             thread.setDaemon(true);
-            currentThread = thread;
+            controlThread = thread;
             return thread;
           });
 
@@ -78,7 +78,7 @@
 
   /** Returns whether the caller runs on this thread. */
   public boolean isCurrent() {
-    return Thread.currentThread() == currentThread;
+    return Thread.currentThread() == controlThread;
   }
 
   /**
--- a/node/src/main/java/org/apricotstand/fleet/DueKeys.java
+++ b/node/src/main/java/org/apricotstand/fleet/DueKeys.java
@@ -16,7 +16,7 @@
     return due;
   }
 
-  /** Returns the keys that are due. A loop, since each tick calls it for several maps. */
+  /** Returns the keys that are due. A loop instead of a stream, which costs more at each tick. */
   static List<String> find(Map<String, Long> dueMs, long nowMs) {
     List<String> due = new ArrayList<>();
     for (Map.Entry<String, Long> entry : dueMs.entrySet()) {
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -51,8 +51,8 @@
 
   private static final EventLog LOG = EventLog.of(FleetService.class);
 
-  /** Period of the tick while loads at own engines, or the end of this instance, wait for it. */
-  private static final long LOADING_TICK_MS = 20;
+  /** Period while loads wait or this instance is leaving, and least delay of urgent entries. */
+  private static final long FAST_TICK_MS = 20;
 
   private static final long TICK_MS = 50;
 
@@ -81,6 +81,7 @@
   private final RefusalTable refusalTable;
   private final KnownInstances knownInstances;
   private final Ticker ticker;
+  private final StalenessLog stalenessLog;
   private final TargetRegistry targetRegistry = new TargetRegistry();
   private final AdapterUsageTracker usageTracker = new AdapterUsageTracker();
   private final Map<AdapterKey, Long> declaredVersions = new HashMap<>();
@@ -91,7 +92,6 @@
   private FleetEventListener eventListener = FleetEventListener.NONE;
   private RoutingPlan plan;
   private List<TargetEntry> targets = List.of();
-  private final StalenessLog stalenessLog;
   private boolean publishScheduled;
   private boolean leaving;
   private boolean starting = true;
@@ -354,7 +354,7 @@
   private void publishOwnedEngine(String engine, Residency residency) {
     setResidency(engine, residency);
     exchange.publishHoldings(Holdings.encode(engine, residency), engineOwner.fencingNumber(engine));
-    scheduleUrgent();
+    scheduleUrgentTick();
     schedulePublish();
   }
 
@@ -467,7 +467,7 @@
     control.execute(
         () -> {
           publication.run();
-          scheduleUrgent();
+          scheduleUrgentTick();
         });
   }
 
@@ -497,7 +497,7 @@
   @Override
   public void onMessage(InstanceId from, PeerMessage message) {
     if (!settings.name().equals(from.value()) && exchange.handle(from.value(), message)) {
-      scheduleUrgent();
+      scheduleUrgentTick();
       return;
     }
     switch (message) {
@@ -507,7 +507,7 @@
         }
         engineOwner.requestLoad(wanted);
         if (engineOwner.hasActiveEngine()) {
-          ticker.schedule(ControlThread.nowMs() + LOADING_TICK_MS);
+          ticker.schedule(ControlThread.nowMs() + FAST_TICK_MS);
         }
       }
       case PeerMessage.AdapterMissing missing ->
@@ -630,15 +630,15 @@
     engineOwner.onInstancesChanged(domains);
   }
 
-  /** Schedules a tick for what waits until it may be sent. */
-  private void scheduleUrgent() {
-    long earliestMs = ControlThread.nowMs() + LOADING_TICK_MS;
+  /** Schedules a tick for the time at which urgent entries may be sent. */
+  private void scheduleUrgentTick() {
+    long earliestMs = ControlThread.nowMs() + FAST_TICK_MS;
     exchange.urgentDueMs().ifPresent(dueMs -> ticker.schedule(Math.max(dueMs, earliestMs)));
   }
 
   private long tickPeriodMs() {
-    scheduleUrgent();
-    return leaving || engineOwner.hasActiveEngine() ? LOADING_TICK_MS : TICK_MS;
+    scheduleUrgentTick();
+    return leaving || engineOwner.hasActiveEngine() ? FAST_TICK_MS : TICK_MS;
   }
 
   private void tick() {
--- a/node/src/main/java/org/apricotstand/fleet/LocalLoadTracker.java
+++ b/node/src/main/java/org/apricotstand/fleet/LocalLoadTracker.java
@@ -116,7 +116,10 @@
     settledLoans = number;
   }
 
-  /** Returns that number; what is taken from this tracker afterwards includes their use. */
+  /**
+   * Returns the number up to which no request waits for credit; what is taken from this tracker
+   * afterwards includes the use of those loans.
+   */
   public long settledLoans() {
     return settledLoans;
   }
--- a/node/src/main/java/org/apricotstand/fleet/MemberReports.java
+++ b/node/src/main/java/org/apricotstand/fleet/MemberReports.java
@@ -23,11 +23,10 @@
 
   private final Map<String, Member> members = new TreeMap<>();
   private final Map<String, Integer> arrivals = new HashMap<>();
+  private final Map<String, AnswerTimes> answerTimes = new HashMap<>();
   private final List<LostUse> lostUses = new ArrayList<>();
   private final long quotaWindowMs;
 
-  private final Map<String, AnswerTimes> answerTimes = new HashMap<>();
-
   private record Member(PeerMessage.MemberReport report, long silentFromMs) {}
 
   /** What a process reported last that was replaced or turned silent. */
--- a/node/src/main/java/org/apricotstand/fleet/SilentRelayLog.java
+++ b/node/src/main/java/org/apricotstand/fleet/SilentRelayLog.java
@@ -10,7 +10,7 @@
  */
 final class SilentRelayLog {
 
-  // The lines keep the source under which they are documented.
+  // Named after the user of this class, so that searches by source still find the lines.
   private static final EventLog LOG = EventLog.of(FleetExchange.class);
   private static final long PERIOD_MS = 1_000;
 
--- a/node/src/main/java/org/apricotstand/fleet/StalenessLog.java
+++ b/node/src/main/java/org/apricotstand/fleet/StalenessLog.java
@@ -7,7 +7,7 @@
 /** Logs when requests with known keys begin to be refused, and when they are admitted again. */
 final class StalenessLog {
 
-  // The lines keep the source under which they are documented.
+  // Named after the user of this class, so that searches by source still find the lines.
   private static final EventLog LOG = EventLog.of(FleetService.class);
 
   private final FreshnessBounds bounds;
--- a/node/src/main/java/org/apricotstand/peer/PeerCodec.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerCodec.java
@@ -21,7 +21,7 @@
 
   private static final ObjectMapper MAPPER =
       new ObjectMapper(new MessagePackFactory())
-          .addMixIn(TenantUse.class, ArrayForm.class)
+          .addMixIn(TenantUse.class, UseArrayForm.class)
           .addMixIn(AnswerTimes.class, TimesArrayForm.class);
 
   private static final ObjectReader READER = MAPPER.readerFor(PeerMessage.class);
@@ -30,9 +30,9 @@
   /** Encodes a type without the names of its components, since messages contain it many times. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   @JsonPropertyOrder({"offered", "used"})
-  private interface ArrayForm {}
+  private interface UseArrayForm {}
 
-  /** The same for the times of answers. */
+  /** Encodes {@link AnswerTimes} without the names of its components. */
   @JsonFormat(shape = JsonFormat.Shape.ARRAY)
   @JsonPropertyOrder({"count", "totalMs"})
   private interface TimesArrayForm {}
--- a/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerNetwork.java
@@ -52,7 +52,6 @@
   private static final AttributeKey<PeerMessage.Hello> HELLO_ATTRIBUTE =
       AttributeKey.valueOf("peer.hello");
   private static final int LENGTH_BYTES = 4;
-
   private static final int CONNECT_TIMEOUT_MS = 1_000;
 
   private final EventLoopGroup group;
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
@@ -32,7 +32,8 @@
 
 /**
  * Pools connections to targets and keeps their number within the limit of each target. Connections
- * in use, being opened, idle and being closed count towards it. Used on the traffic thread only.
+ * in use, being opened, idle and being closed count towards it, except idle ones that are closed to
+ * make room. Used on the traffic thread only.
  *
  * <pre>{@code
  * connections.send(target, request, listener, connection -> isWanted());
@@ -125,7 +126,10 @@
     return sockets.open(target.incarnation());
   }
 
-  /** Closes an idle connection. The target sees that before it sees a new connection. */
+  /**
+   * Closes an idle connection, which stops counting at once: the target sees the close before a new
+   * connection.
+   */
   private void closeIdle(String incarnation, TargetConnection connection) {
     removeIdle(incarnation, connection);
     sockets.forget(incarnation, peers.get(connection).socket);
