Bound the work for input in a turn of the event loop

Cause: a turn of the event loop handled all chunks that had arrived, up to sixteen reads of 64 KB, and each of them was written to the caller with a system call of its own. Change: a gate before the decoder of each connection to a target, the store or an engine passes input on in parts and holds it back when its source has used its share of the turn; parts that arrive together are sent together; delays of the traffic thread are logged and published; what is collected of answers of the store and of engines has one limit for all. The fix bounds work whatever the bytes are: bytes, messages and header lines count.

--- a/node/src/main/java/org/apricotstand/front/ByteCollector.java
+++ b/node/src/main/java/org/apricotstand/front/ByteCollector.java
@@ -68,7 +68,7 @@
   }
 
   /** Drops the bytes collected. */
-  void clear() {
+  public void clear() {
     segments.clear();
     bytes = 0;
     heldBytes = 0;
--- a/node/src/main/java/org/apricotstand/front/CallReply.java
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -18,13 +18,18 @@
 /** Writes the answer to one request to the connection it arrived on. */
 final class CallReply implements Reply {
 
+  /** Shorter parts are copied into one, since each part costs more than so many bytes to send. */
+  private static final int MIN_SEPARATE_BYTES = 1_024;
+
   private final CallerConnection connection;
   private final Channel channel;
   private final CallerRequest request;
   private final boolean callerKeepsAlive;
   private CallHandler.ActiveCall call;
+  private final ByteCollector smallParts = new ByteCollector();
   private boolean keepsAlive;
   private boolean begun;
+  private boolean hasUnflushedParts;
   private boolean ended;
   private boolean disconnected;
 
@@ -46,6 +51,7 @@
   void onDisconnected() {
     disconnected = true;
     ended = true;
+    smallParts.clear();
     if (call != null) {
       call.onCallerDisconnected();
     }
@@ -98,8 +104,30 @@
 
   @Override
   public void writePart(ByteBuf part) {
-    if (!ended) {
-      channel.writeAndFlush(new DefaultHttpContent(part.retainedSlice()), channel.voidPromise());
+    if (ended) {
+      return;
+    }
+    hasUnflushedParts = true;
+    if (part.readableBytes() < MIN_SEPARATE_BYTES) {
+      smallParts.add(part);
+    } else {
+      writeSmallParts();
+      channel.write(new DefaultHttpContent(part.retainedSlice()), channel.voidPromise());
+    }
+  }
+
+  private void writeSmallParts() {
+    if (smallParts.size() > 0) {
+      channel.write(new DefaultHttpContent(smallParts.take()), channel.voidPromise());
+    }
+  }
+
+  @Override
+  public void flush() {
+    if (!ended && hasUnflushedParts) {
+      hasUnflushedParts = false;
+      writeSmallParts();
+      channel.flush();
       connection.onOutputChanged();
     }
   }
@@ -107,6 +135,7 @@
   @Override
   public void end() {
     if (!ended) {
+      writeSmallParts();
       finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
     }
   }
@@ -114,6 +143,7 @@
   @Override
   public void abort() {
     if (!ended) {
+      flush();
       ended = true;
       connection.onReplyAborted();
     }
--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -26,6 +26,7 @@
 import org.apricotstand.memory.MemoryLimiter;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
+import org.apricotstand.observe.ThreadDelay;
 import org.apricotstand.route.CallerLimits;
 
 /** Accepts the connections of callers; runs on the traffic thread. */
@@ -43,6 +44,7 @@
   private final CallHandler handler;
   private final Metrics metrics;
   private final MemoryLimiter memory;
+  private final ThreadDelay delay;
   private final int maxConnections;
   private final ChannelGroup connections;
 
@@ -77,6 +79,7 @@
     this.handler = handler;
     this.metrics = metrics;
     this.memory = memory;
+    this.delay = new ThreadDelay("traffic", SWEEP_INTERVAL_MS, metrics);
     this.maxConnections = maxConnections;
     this.connections = new DefaultChannelGroup(loop);
   }
@@ -259,6 +262,7 @@
 
   private void sweep() {
     long nowMs = ControlThread.nowMs();
+    delay.record(nowMs);
     callerConnections().forEach(connection -> connection.sweep(nowMs));
     memory.releaseExcess();
     memory.publish();
--- a/node/src/main/java/org/apricotstand/front/Reply.java
+++ b/node/src/main/java/org/apricotstand/front/Reply.java
@@ -18,9 +18,15 @@
   /** Writes the status and headers of a target's answer. */
   void writeHead(HttpResponse head);
 
-  /** Writes a part of the body. The buffer stays with the calling code, which releases it. */
+  /**
+   * Writes a part of the body, which leaves with the next {@link #flush} or the end of the answer.
+   * The buffer stays with the calling code, which releases it.
+   */
   void writePart(ByteBuf part);
 
+  /** Sends the parts that were written. */
+  void flush();
+
   /** Ends an answer that is complete. */
   void end();
 
--- a/node/src/main/java/org/apricotstand/http/HttpClient.java
+++ b/node/src/main/java/org/apricotstand/http/HttpClient.java
@@ -1,6 +1,7 @@
 package org.apricotstand.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
@@ -8,10 +9,14 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import javax.net.ssl.SSLEngine;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.input.InputGate;
+import org.apricotstand.input.InputTurns;
 import org.apricotstand.limit.MemoryBudget.Kind;
 import org.apricotstand.limit.MemoryHolder;
 import org.asynchttpclient.AsyncHttpClient;
@@ -22,6 +27,7 @@
 import org.asynchttpclient.RequestBuilder;
 import org.asynchttpclient.channel.ChannelPoolPartitioning;
 import org.asynchttpclient.channel.DefaultKeepAliveStrategy;
+import org.asynchttpclient.netty.channel.ChannelManager;
 
 /**
  * HTTP client that sends each call at most once: it neither retries nor follows redirects.
@@ -40,6 +46,7 @@
 
   private final AsyncHttpClient client;
   private final HttpMemory memory;
+  private final Map<EventLoop, InputTurns> turnsByLoop = new ConcurrentHashMap<>();
 
   /** Creates a client on the given event loops. */
   public HttpClient(EventLoopGroup group) {
@@ -63,14 +70,17 @@
             .setCookieStore(null)
             .setKeepAliveStrategy(new UntilRefusal())
             .setSslEngineFactory(HttpClient::refuseTls)
-            .setHttpAdditionalChannelInitializer(HttpClient::addHandlers)
+            .setHttpAdditionalChannelInitializer(this::addHandlers)
             .build();
     this.client = new DefaultAsyncHttpClient(config);
   }
 
-  private static void addHandlers(Channel channel) {
-    LateAnswerGuard.addTo(channel);
-    channel.pipeline().addFirst(new ResetRecorder());
+  private void addHandlers(Channel channel) {
+    InputGate gate =
+        new InputGate(turnsByLoop.computeIfAbsent(channel.eventLoop(), InputTurns::of));
+    LateAnswerGuard.addTo(channel, gate);
+    channel.pipeline().addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, gate.meter());
+    channel.pipeline().addFirst(new ResetRecorder(), gate);
   }
 
   /**
--- a/node/src/main/java/org/apricotstand/http/HttpMemory.java
+++ b/node/src/main/java/org/apricotstand/http/HttpMemory.java
@@ -58,6 +58,11 @@
     return new HttpMemory(Optional.empty(), new Metrics());
   }
 
+  /** Creates a memory of a number of bytes whose metrics are not published. */
+  public static HttpMemory ofBytes(long maxBytes) {
+    return new HttpMemory(Optional.of(new MemoryBudget<>(maxBytes, maxBytes)), new Metrics());
+  }
+
   /** Creates a memory of a number of bytes and registers its metrics. */
   public static HttpMemory ofBytes(long maxBytes, Metrics metrics) {
     HttpMemory memory =
--- a/node/src/main/java/org/apricotstand/http/LateAnswerGuard.java
+++ b/node/src/main/java/org/apricotstand/http/LateAnswerGuard.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.Optional;
+import org.apricotstand.input.InputGate;
 import org.asynchttpclient.netty.channel.ChannelManager;
 
 /**
@@ -21,13 +22,20 @@
  */
 final class LateAnswerGuard extends ChannelDuplexHandler {
 
+  private final InputGate gate;
   private boolean answerDue;
 
-  private LateAnswerGuard() {}
+  private LateAnswerGuard(InputGate gate) {
+    this.gate = gate;
+  }
 
-  /** Adds a guard to the pipeline of a client's connection. */
-  static void addTo(Channel channel) {
-    LateAnswerGuard guard = new LateAnswerGuard();
+  /**
+   * Adds a guard to the pipeline of a client's connection.
+   *
+   * @param gate holds back input that is not decoded yet
+   */
+  static void addTo(Channel channel, InputGate gate) {
+    LateAnswerGuard guard = new LateAnswerGuard(gate);
     ChannelPipeline pipeline = channel.pipeline();
     pipeline.addFirst(guard);
     pipeline.addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, guard.new HeadHandler());
@@ -68,6 +76,10 @@
       }
       if (message instanceof LastHttpContent && !interim) {
         answerDue = false;
+        if (gate.heldBytes() > 0) {
+          // They would be taken for the beginning of the next answer.
+          context.close();
+        }
       }
       context.fireChannelRead(message);
     }
--- a/node/src/main/java/org/apricotstand/http/ReplyListenerAdapter.java
+++ b/node/src/main/java/org/apricotstand/http/ReplyListenerAdapter.java
@@ -9,6 +9,7 @@
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeoutException;
+import org.apricotstand.input.InputGate;
 import org.asynchttpclient.AsyncHandler;
 import org.asynchttpclient.HttpResponseBodyPart;
 import org.asynchttpclient.HttpResponseStatus;
@@ -139,12 +140,12 @@
   private record ChannelControl(Channel channel) implements ReplyControl {
     @Override
     public void suspend() {
-      channel.config().setAutoRead(false);
+      setReading(false);
     }
 
     @Override
     public void resume() {
-      channel.config().setAutoRead(true);
+      setReading(true);
     }
 
     @Override
@@ -152,5 +153,18 @@
       channel.config().setAutoRead(true);
       channel.close();
     }
+
+    /** Pauses or resumes the input; the gate belongs to the event loop, unlike the callers. */
+    private void setReading(boolean reading) {
+      InputGate gate = channel.pipeline().get(InputGate.class);
+      if (gate == null) {
+        return;
+      }
+      if (channel.eventLoop().inEventLoop()) {
+        gate.setReading(reading);
+      } else {
+        channel.eventLoop().execute(() -> gate.setReading(reading));
+      }
+    }
   }
 }
--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -266,18 +266,25 @@
     if (closed) {
       return;
     }
-    account.update(Kind.ANSWER, heldHeadBytes + body.heldBytes(), ControlThread.nowMs());
-    router.memory().releaseExcess();
-    if (closed) {
-      return;
-    }
     if (body.isDiscontinued()) {
       giveUp("event that does not continue the stream");
     } else if (use() == AnswerBody.Use.EVENTS && body.hasForeignLine()) {
       giveUp("bytes that are no event in a stream of events");
     } else if (body.exceedsLimits()) {
       giveUp("answer without end");
-    } else if (flow.isAnswerStarted() && !flow.reply().isWritable()) {
+    }
+  }
+
+  @Override
+  public void onReadComplete() {
+    flow.reply().flush();
+    if (closed) {
+      return;
+    }
+    long heldBytes = heldHeadBytes + body.heldBytes() + connection.heldInputBytes();
+    account.update(Kind.ANSWER, heldBytes, ControlThread.nowMs());
+    router.memory().releaseExcess();
+    if (!closed && flow.isAnswerStarted() && !flow.reply().isWritable()) {
       connection.setReading(false);
     }
   }
@@ -409,6 +416,8 @@
     if (closed) {
       return;
     }
+    // The caller has them before another target continues the stream.
+    flow.reply().flush();
     close();
     if (discardAnswer && head.isNotExecuted()) {
       flow.onRejected(this, head.status());
--- a/node/src/main/java/org/apricotstand/upstream/AnswerListener.java
+++ b/node/src/main/java/org/apricotstand/upstream/AnswerListener.java
@@ -12,6 +12,9 @@
   /** Called when a part of the body arrived; the buffer is released after the call. */
   void onPart(ByteBuf part);
 
+  /** Called when all parts that arrived together were passed to {@link #onPart}. */
+  void onReadComplete();
+
   /** Called when the answer is complete. */
   void onEnd();
 
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.input.InputGate;
 
 /**
  * A connection to a target that carries one request at a time. An answer that echoes the id of
@@ -30,6 +31,7 @@
   private static final int SKIPPED_HEAD_BYTES = 1_024;
 
   private final TargetConnectionPool pool;
+  private final InputGate gate;
   private final AnswerDecoder decoder;
   private Channel channel;
   private TargetRequest request;
@@ -43,8 +45,9 @@
   private long idleSinceMs;
   private long idleUntilMs = Long.MAX_VALUE;
 
-  TargetConnection(TargetConnectionPool pool, AnswerDecoder decoder) {
+  TargetConnection(TargetConnectionPool pool, InputGate gate, AnswerDecoder decoder) {
     this.pool = pool;
+    this.gate = gate;
     this.decoder = decoder;
   }
 
@@ -93,7 +96,12 @@
 
   /** Pauses or resumes reading from the target, so that a slow caller does not fill the buffers. */
   public void setReading(boolean reading) {
-    channel.config().setAutoRead(reading);
+    gate.setReading(reading);
+  }
+
+  /** Returns the number of bytes that were read and wait for their turn to be decoded. */
+  public int heldInputBytes() {
+    return gate.heldBytes();
   }
 
   boolean isUsable(long nowMs) {
@@ -200,16 +208,23 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
+    if (listener != null) {
+      listener.onReadComplete();
+    }
+  }
+
   private void complete() {
     AnswerListener endedListener = listener;
     listener = null;
     // An idle connection would keep the body, which may be as large as the limits allow.
     request = request.withoutContent();
     decoder.expectNothing();
-    if (decoder.hasUnreadBytes()) {
+    if (decoder.hasUnreadBytes() || gate.heldBytes() > 0) {
       channel.close();
     } else if (reusable && channel.isActive()) {
-      channel.config().setAutoRead(true);
+      gate.setReading(true);
       pool.release(this);
     } else {
       channel.close();
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
@@ -27,6 +27,8 @@
 import jdk.net.ExtendedSocketOptions;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.dispatch.TargetEntry;
+import org.apricotstand.input.InputGate;
+import org.apricotstand.input.InputTurns;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.port.HeaderNames;
 
@@ -54,6 +56,7 @@
   private final HeaderNames headerNames;
   private final int maxSkippedBytes;
   private final ToIntFunction<TargetEntry> maxConnections;
+  private final InputTurns turns;
   private final TargetSockets sockets = new TargetSockets();
   private final Map<String, Deque<TargetConnection>> idleByIncarnation = new HashMap<>();
   private final Map<TargetConnection, Peer> peers = new HashMap<>();
@@ -78,6 +81,7 @@
     this.headerNames = headerNames;
     this.maxSkippedBytes = maxSkippedBytes;
     this.maxConnections = maxConnections;
+    this.turns = InputTurns.of(loop);
   }
 
   /** Returns whether a request can be sent to a target within the limit of its connections. */
@@ -182,12 +186,15 @@
       return;
     }
     AnswerDecoder decoder = new AnswerDecoder();
-    TargetConnection connection = new TargetConnection(this, decoder);
+    InputGate gate = new InputGate(turns);
+    TargetConnection connection = new TargetConnection(this, gate, decoder);
     ChannelInitializer<Channel> pipeline =
         new ChannelInitializer<>() {
           @Override
           protected void initChannel(Channel channel) {
-            channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
+            channel
+                .pipeline()
+                .addLast(gate, decoder, gate.meter(), new HttpRequestEncoder(), connection);
           }
         };
     bootstrap(socket, pipeline)
--- a/node/src/test/java/org/apricotstand/upstream/TargetConnectionPoolTest.java
+++ b/node/src/test/java/org/apricotstand/upstream/TargetConnectionPoolTest.java
@@ -73,6 +73,9 @@
     @Override
     public void onPart(ByteBuf part) {}
 
+    @Override
+    public void onReadComplete() {}
+
     @Override
     public void onEnd() {}
 
