Look at each byte of an event once

Cause: EventSplitter joined the incomplete event with each part, copied it twice and searched it from its first byte; its limit of 1 MB bounded the memory only. Change: EventCollector keeps an incomplete event in segments and remembers where it is in a line. TokenEventSplitter, which had the same fault and no limit, uses it too and gives up events of more than 256 KB. The fix takes time and memory in proportion to the bytes.

--- a/node/src/main/java/org/apricotstand/owner/EngineAnswerHandler.java
+++ b/node/src/main/java/org/apricotstand/owner/EngineAnswerHandler.java
@@ -135,6 +135,9 @@
       if (splitter != null && splitter.hasForeignEvent()) {
         forwarding = false;
         giveUp(outcomeUnknown("answer_incomplete", "bytes that are no event in the stream"));
+      } else if (splitter != null && splitter.hasOverlongEvent()) {
+        forwarding = false;
+        giveUp(outcomeUnknown("answer_incomplete", "an event without end"));
       } else if (!sink.isWritable()) {
         control.suspend();
       }
--- a/node/src/main/java/org/apricotstand/owner/TokenEventSplitter.java
+++ b/node/src/main/java/org/apricotstand/owner/TokenEventSplitter.java
@@ -1,7 +1,9 @@
 package org.apricotstand.owner;
 
-import java.io.ByteArrayOutputStream;
-import java.util.Arrays;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import org.apricotstand.sse.EventCollector;
 
 /**
  * Splits a stream of server-sent events into whole events and counts those that carry a token, so
@@ -12,14 +14,15 @@
  * long fromToken = splitter.tokenCount();   // index of the token to resume from
  * }</pre>
  */
-final class TokenEventSplitter {
+final class TokenEventSplitter implements EventCollector.EventListener {
 
-  private static final byte[] DONE_EVENT = {
-    'd', 'a', 't', 'a', ':', ' ', '[', 'D', 'O', 'N', 'E', ']'
-  };
-  private static final byte[] EMPTY = new byte[0];
+  /** Much more than an event with one token; a longer one has no end. */
+  static final int MAX_EVENT_BYTES = 262_144;
 
-  private byte[] incomplete = EMPTY;
+  private static final String DONE_EVENT = "data: [DONE]";
+
+  private final EventCollector events = new EventCollector(this);
+  private String firstLine = "";
   private long tokenCount;
   private boolean done;
   private boolean foreign;
@@ -29,21 +32,16 @@
    * are no event.
    */
   byte[] feed(byte[] part) {
-    byte[] joined = concat(incomplete, part);
-    int end = 0;
-    for (int i = 1; i < joined.length && !foreign; i++) {
-      if (joined[i] == '\n' && joined[i - 1] == '\n' && i > end) {
-        foreign = !isEventStart(joined[end]);
-        end = foreign ? end : countEvent(joined, end, i + 1);
-      }
-    }
-    incomplete = Arrays.copyOfRange(joined, end, joined.length);
-    return Arrays.copyOf(joined, end);
+    ByteBuf wholeEvents = events.feed(Unpooled.wrappedBuffer(part));
+    byte[] bytes = ByteBufUtil.getBytes(wholeEvents);
+    wholeEvents.release();
+    return bytes;
   }
 
   /** Discards the incomplete event at the end, since the resumed stream sends it again. */
   void dropIncomplete() {
-    incomplete = EMPTY;
+    firstLine = "";
+    events.takeIncomplete();
   }
 
   /** Returns the number of whole events so far that carry a token. */
@@ -56,38 +54,49 @@
     return foreign;
   }
 
+  /** Returns whether an event is longer than any event of a sound engine. */
+  boolean hasOverlongEvent() {
+    return events.incompleteBytes() > MAX_EVENT_BYTES;
+  }
+
   /** Returns whether the final event of the answer, {@code [DONE]}, has arrived. */
   boolean isDone() {
     return done;
   }
 
-  /** Returns whether an event can begin so: with a comment, a field name, or an empty line. */
-  private static boolean isEventStart(byte first) {
-    return first == ':' || first == '\n' || first == '\r' || (first >= 'a' && first <= 'z');
+  @Override
+  public void onLine(String start, boolean isWhole) {
+    if (firstLine.isEmpty()) {
+      firstLine = start;
+    }
   }
 
-  /** Counts an event and returns its end. */
-  private int countEvent(byte[] bytes, int start, int end) {
-    boolean isDoneEvent =
-        bytes.length >= start + DONE_EVENT.length
-            && Arrays.equals(
-                bytes, start, start + DONE_EVENT.length, DONE_EVENT, 0, DONE_EVENT.length);
-    if (isDoneEvent) {
-      done = true;
-    } else if (bytes[start] != ':') {
-      // An event that starts with a colon is a comment and carries no token.
-      tokenCount++;
+  /** Counts an event, unless it is none. */
+  @Override
+  public boolean onEventEnd() {
+    String first = firstLine;
+    firstLine = "";
+    if (first.isEmpty()) {
+      return true;
+    }
+    foreign = !isEventStart(first.charAt(0));
+    if (!foreign) {
+      count(first);
     }
-    return end;
+    return !foreign;
+  }
+
+  /** Returns whether an event can begin so: with a comment or a field name. */
+  private static boolean isEventStart(char first) {
+    return first == ':' || (first >= 'a' && first <= 'z');
   }
 
-  private static byte[] concat(byte[] first, byte[] second) {
-    if (first.length == 0) {
-      return second;
+  private void count(String first) {
+    if (first.startsWith(DONE_EVENT)) {
+      done = true;
+    } else if (first.charAt(0) != ':') {
+      // An event that starts with a colon is a comment and carries no token.
+      tokenCount++;
     }
-    ByteArrayOutputStream joined = new ByteArrayOutputStream(first.length + second.length);
-    joined.writeBytes(first);
-    joined.writeBytes(second);
-    return joined.toByteArray();
   }
 }
--- a/node/src/main/java/org/apricotstand/request/AnswerBody.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerBody.java
@@ -1,7 +1,6 @@
 package org.apricotstand.request;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import org.apricotstand.front.ByteCollector;
 import org.apricotstand.port.AnswerLimits;
@@ -60,9 +59,7 @@
   }
 
   private ByteBuf passOn(ByteBuf part) {
-    return eventSplitter == null
-        ? part.retainedSlice()
-        : Unpooled.wrappedBuffer(eventSplitter.feed(ByteBufUtil.getBytes(part)));
+    return eventSplitter == null ? part.retainedSlice() : eventSplitter.feed(part);
   }
 
   /** Returns whether a stream of events holds something else. */
@@ -87,8 +84,9 @@
 
   /** Removes and returns the bytes that were kept until the answer is complete. */
   ByteBuf takeRest() {
-    byte[] incompleteEvent = eventSplitter == null ? new byte[0] : eventSplitter.takeIncomplete();
-    return Unpooled.wrappedBuffer(buffered.take(), Unpooled.wrappedBuffer(incompleteEvent));
+    ByteBuf incompleteEvent =
+        eventSplitter == null ? Unpooled.EMPTY_BUFFER : eventSplitter.takeIncomplete();
+    return Unpooled.wrappedBuffer(buffered.take(), incompleteEvent);
   }
 
   /** Returns the number of bytes that are kept. */
--- a/node/src/main/java/org/apricotstand/request/EventSplitter.java
+++ b/node/src/main/java/org/apricotstand/request/EventSplitter.java
@@ -1,28 +1,28 @@
 package org.apricotstand.request;
 
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
-import java.util.List;
+import io.netty.buffer.ByteBuf;
 import java.util.Optional;
+import org.apricotstand.sse.EventCollector;
 
 /**
  * Splits a stream of server-sent events into whole events and keeps the id of the last whole event,
  * after which a broken stream can be resumed.
  *
  * <pre>{@code
- * byte[] wholeEvents = splitter.feed(part); // may be empty
+ * ByteBuf wholeEvents = splitter.feed(part); // may be empty
  * String resumeAfter = splitter.lastEventId();
  * }</pre>
  */
-final class EventSplitter {
+final class EventSplitter implements EventCollector.EventListener {
 
-  private static final byte[] EMPTY = new byte[0];
   private static final String ID_FIELD = "id:";
 
   private static final String COMMENT = ":";
 
+  private final EventCollector events = new EventCollector(this);
   private final EventIds ids = new EventIds();
-  private byte[] incomplete = EMPTY;
+  private Optional<String> id = Optional.empty();
+  private boolean hasField;
   private boolean continuation;
   private boolean continued;
   private boolean discontinued;
@@ -32,39 +32,29 @@
    * its events needs an id that can follow.
    */
   void beginContinuation() {
-    incomplete = EMPTY;
+    takeIncomplete();
     continuation = true;
     continued = false;
     discontinued = false;
   }
 
   /**
-   * Adds a part of the stream and returns all events that it completes, unchanged. Events behind
-   * one that does not continue the stream are dropped.
+   * Adds a part of the stream and returns a new buffer with all events that it completes,
+   * unchanged. Events behind one that does not continue the stream are dropped.
    */
-  byte[] feed(byte[] part) {
-    byte[] joined = concat(incomplete, part);
-    int end = 0;
-    for (int i = 1; i < joined.length && !discontinued; i++) {
-      if (joined[i] == '\n' && isEventEnd(joined, i - 1)) {
-        discontinued = !accept(new String(joined, end, i - end, StandardCharsets.UTF_8));
-        end = discontinued ? end : i + 1;
-      }
-    }
-    incomplete = Arrays.copyOfRange(joined, end, joined.length);
-    return Arrays.copyOf(joined, end);
+  ByteBuf feed(ByteBuf part) {
+    return events.feed(part);
   }
 
   /** Removes and returns the bytes of the last event if its end has not arrived. */
-  byte[] takeIncomplete() {
-    byte[] taken = incomplete;
-    incomplete = EMPTY;
-    return taken;
+  ByteBuf takeIncomplete() {
+    beginEvent();
+    return events.takeIncomplete();
   }
 
   /** Returns the number of bytes that wait for the end of their event. */
   int incompleteBytes() {
-    return incomplete.length;
+    return events.incompleteBytes();
   }
 
   /** Returns the id of the last whole event that had one; null if there was none. */
@@ -87,36 +77,35 @@
     return discontinued;
   }
 
-  /** Returns whether the line feed after this index ends an empty line, which ends an event. */
-  private static boolean isEventEnd(byte[] bytes, int index) {
-    return bytes[index] == '\n' || (bytes[index] == '\r' && index > 0 && bytes[index - 1] == '\n');
+  @Override
+  public void onLine(String start, boolean isWhole) {
+    if (start.startsWith(COMMENT)) {
+      return;
+    }
+    hasField = true;
+    if (start.startsWith(ID_FIELD)) {
+      // An id that is not known whole can't be sent to another target.
+      id = isWhole ? Optional.of(start.substring(ID_FIELD.length()).trim()) : Optional.empty();
+    }
   }
 
-  /** Returns whether an event may follow those before it, and records it in this case. */
-  private boolean accept(String event) {
-    List<String> lines = event.lines().filter(line -> !line.isEmpty()).toList();
-    if (lines.stream().allMatch(line -> line.startsWith(COMMENT))) {
-      return true;
-    }
-    Optional<String> id =
-        lines.stream()
-            .filter(line -> line.startsWith(ID_FIELD))
-            .map(line -> line.substring(ID_FIELD.length()).trim())
-            .reduce((first, second) -> second);
-    if (continuation && !id.map(ids::canFollow).orElse(false)) {
-      return false;
+  /** Returns whether the event may follow those before it, and records it in this case. */
+  @Override
+  public boolean onEventEnd() {
+    if (hasField) {
+      if (continuation && !id.map(ids::canFollow).orElse(false)) {
+        discontinued = true;
+        return false;
+      }
+      ids.record(id);
+      continued = true;
     }
-    ids.record(id);
-    continued = true;
+    beginEvent();
     return true;
   }
 
-  private static byte[] concat(byte[] first, byte[] second) {
-    if (first.length == 0) {
-      return second;
-    }
-    byte[] joined = Arrays.copyOf(first, first.length + second.length);
-    System.arraycopy(second, 0, joined, first.length, second.length);
-    return joined;
+  private void beginEvent() {
+    id = Optional.empty();
+    hasField = false;
   }
 }
--- /dev/null
+++ b/node/src/main/java/org/apricotstand/sse/package-info.java
@@ -0,0 +1,2 @@
+/** Server-sent events in the answers of targets. */
+package org.apricotstand.sse;
