Keep only entries of targets that can have expired

Cause: one read without an answer counted as an outage of the store, and after an outage all missing entries were kept for 2.5 s as if they had expired, also those that were removed. A call that gets no answer in time closes the pooled connections that it could have used, which may be as silent. The fix drops a removed entry whatever the store did meanwhile.

--- a/core/src/main/java/org/apricotstand/dispatch/TargetRegistry.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetRegistry.java
@@ -3,15 +3,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Holds the targets of the stored list, whose entries may expire while the store is unavailable. An
- * entry that is missing right after the store's recovery is kept for a grace period, because its
- * target writes it again if it is still running.
+ * entry that has expired and is missing right after the store's recovery is kept for a grace
+ * period, because its target writes it again if it is still running. An entry that was removed is
+ * never kept.
  *
  * <pre>{@code
  * registry.onStoreRecovered(nowMs);
- * registry.update(targets, nowMs);
+ * registry.update(targets, expiredIds, nowMs);
  * List<TargetEntry> current = registry.current(nowMs);
  * }</pre>
  */
@@ -30,17 +32,19 @@
   }
 
   /**
-   * Replaces the list. During the grace period, entries that the new list lacks are kept as expired
-   * ones, except those of targets that were draining.
+   * Replaces the list. During the grace period, entries that have expired are kept, except those of
+   * targets that were draining.
+   *
+   * @param expiredIds ids of entries that are gone and may have expired
    */
-  public void update(List<TargetEntry> targets, long nowMs) {
+  public void update(List<TargetEntry> targets, Set<String> expiredIds, long nowMs) {
     Map<String, TargetEntry> before = Map.copyOf(listedTargets);
     listedTargets.clear();
     targets.forEach(target -> listedTargets.put(target.id(), target));
     if (nowMs < graceUntilMs) {
       before.forEach(
           (id, target) -> {
-            if (!listedTargets.containsKey(id) && !target.leaving()) {
+            if (expiredIds.contains(id) && !target.leaving()) {
               expiredTargets.put(id, target);
             }
           });
--- a/core/src/test/java/org/apricotstand/dispatch/TargetRegistryTest.java
+++ b/core/src/test/java/org/apricotstand/dispatch/TargetRegistryTest.java
@@ -4,6 +4,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class TargetRegistryTest {
@@ -19,9 +20,9 @@
   @Test
   void keepsEntriesThatExpiredWhileTheStoreWasUnavailable() {
     TargetEntry target = target("t", false);
-    registry.update(List.of(target), 0);
+    registry.update(List.of(target), Set.of(), 0);
     registry.onStoreRecovered(10_000);
-    registry.update(List.of(), 10_000);
+    registry.update(List.of(), Set.of("t"), 10_000);
     assertThat(registry.current(10_100)).containsExactly(target);
     assertThat(registry.current(10_000 + TargetRegistry.EXPIRY_GRACE_MS)).isEmpty();
   }
@@ -29,17 +30,27 @@
   // Guards against requests to a target that was removed from the list in normal operation.
   @Test
   void dropsAMissingEntryAtOnceWhileTheStoreAnswers() {
-    registry.update(List.of(target("t", false)), 0);
-    registry.update(List.of(), 1_000);
+    registry.update(List.of(target("t", false)), Set.of(), 0);
+    registry.update(List.of(), Set.of("t"), 1_000);
     assertThat(registry.current(1_000)).isEmpty();
   }
 
   // Guards against keeping a target after an outage that was draining before it.
   @Test
   void doesNotKeepLeavingTargets() {
-    registry.update(List.of(target("t", true)), 0);
+    registry.update(List.of(target("t", true)), Set.of(), 0);
     registry.onStoreRecovered(5_000);
-    registry.update(List.of(), 5_000);
+    registry.update(List.of(), Set.of("t"), 5_000);
     assertThat(registry.current(5_001)).isEmpty();
   }
+
+  // Guards against requests to a target that left right after an outage: its entry was kept for the
+  // whole grace period, as if it had expired.
+  @Test
+  void doesNotKeepAnEntryThatWasRemoved() {
+    registry.update(List.of(target("t", false)), Set.of(), 0);
+    registry.onStoreRecovered(1_500);
+    registry.update(List.of(), Set.of(), 1_500);
+    assertThat(registry.current(1_500)).isEmpty();
+  }
 }
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -288,8 +288,8 @@
   }
 
   @Override
-  public void onTargets(List<TargetEntry> listed) {
-    targetRegistry.update(listed, ControlThread.nowMs());
+  public void onTargets(List<TargetEntry> listed, Set<String> expiredIds) {
+    targetRegistry.update(listed, expiredIds, ControlThread.nowMs());
     updateTargets();
   }
 
--- a/node/src/main/java/org/apricotstand/http/HttpClient.java
+++ b/node/src/main/java/org/apricotstand/http/HttpClient.java
@@ -98,14 +98,28 @@
       listener.onFailure(new CallFailure(false, CallFailure.TIMEOUT, "the deadline had passed"));
       return;
     }
-    ReplyListenerAdapter handler = new ReplyListenerAdapter(listener);
+    Request request = toRequest(call, remainingMs);
+    ReplyListenerAdapter handler =
+        new ReplyListenerAdapter(listener, () -> closeIdleConnections(request));
     try {
-      client.executeRequest(toRequest(call, remainingMs), handler);
+      client.executeRequest(request, handler);
     } catch (RuntimeException e) {
       handler.onThrowable(e);
     }
   }
 
+  /**
+   * Closes the pooled connections that a request could have used. When one of them has gone silent
+   * the others may have too, and each would cost a call its time.
+   */
+  private void closeIdleConnections(Request request) {
+    Object partition =
+        request
+            .getChannelPoolPartitioning()
+            .getPartitionKey(request.getUri(), request.getVirtualHost(), null);
+    client.flushChannelPoolPartitions(partition::equals);
+  }
+
   /**
    * Sends a call and collects the whole answer. The future fails only with a {@link CallException}.
    */
--- a/node/src/main/java/org/apricotstand/http/ReplyListenerAdapter.java
+++ b/node/src/main/java/org/apricotstand/http/ReplyListenerAdapter.java
@@ -22,6 +22,7 @@
   private static final int NOT_MODIFIED = 304;
 
   private final ReplyListener listener;
+  private final Runnable timeoutHandler;
   private volatile Channel channel;
   private volatile boolean maybeSent;
   private volatile boolean isHead;
@@ -31,8 +32,14 @@
   private boolean empty = true;
   private boolean finished;
 
-  ReplyListenerAdapter(ReplyListener listener) {
+  /**
+   * Creates an adapter for one call.
+   *
+   * @param timeoutHandler runs before the listener is told that the call got no answer in time
+   */
+  ReplyListenerAdapter(ReplyListener listener, Runnable timeoutHandler) {
     this.listener = listener;
+    this.timeoutHandler = timeoutHandler;
   }
 
   @Override
@@ -92,6 +99,9 @@
       return;
     }
     finished = true;
+    if (cause instanceof TimeoutException) {
+      timeoutHandler.run();
+    }
     listener.onFailure(
         new CallFailure(maybeSent, codeOf(cause), String.valueOf(cause.getMessage())));
   }
