Pass on no answer whose status is none

Operators of a system like this one saw an answer with the status 000 that a caller got. Cause: the HTTP decoder takes any number for a status; only the path of the users' platform checked it, for its form. Change: a status is a number from 100 to 599 on both paths and for the store; another one fails the call as one that may have run.

--- a/node/src/main/java/org/apricotstand/http/LateAnswerGuard.java
+++ b/node/src/main/java/org/apricotstand/http/LateAnswerGuard.java
@@ -18,7 +18,7 @@
 /**
  * Keeps parts of a late answer from becoming the beginning of the next one on a pooled connection.
  * Closes a connection that receives bytes while no answer is due, and fails an answer whose head
- * contains a second status line.
+ * contains a second status line or a status that is none.
  */
 final class LateAnswerGuard extends ChannelDuplexHandler {
 
@@ -85,15 +85,22 @@
     }
 
     private static void check(HttpResponse head) {
-      Optional<String> place =
-          StatusLine.isContainedIn(head.status().reasonPhrase())
-              ? Optional.of("the reason phrase")
-              : StatusLine.findIn(head.headers()).map(name -> "header " + name);
-      place.ifPresent(
-          name -> {
-            String detail = "second status line in " + name;
-            head.setDecoderResult(DecoderResult.failure(new IllegalArgumentException(detail)));
-          });
+      findFault(head)
+          .ifPresent(
+              fault ->
+                  head.setDecoderResult(
+                      DecoderResult.failure(new IllegalArgumentException(fault))));
+    }
+
+    /** Returns why a head can't be that of a single answer; empty if it can. */
+    private static Optional<String> findFault(HttpResponse head) {
+      int status = head.status().code();
+      if (!StatusLine.isValidStatus(status)) {
+        return Optional.of("invalid status " + status);
+      }
+      return StatusLine.isContainedIn(head.status().reasonPhrase())
+          ? Optional.of("second status line in the reason phrase")
+          : StatusLine.findIn(head.headers()).map(name -> "second status line in header " + name);
     }
   }
 }
--- a/node/src/main/java/org/apricotstand/http/StatusLine.java
+++ b/node/src/main/java/org/apricotstand/http/StatusLine.java
@@ -13,7 +13,9 @@
 public final class StatusLine {
 
   private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
-  private static final Pattern STATUS = Pattern.compile("[1-9]\\d\\d");
+  private static final Pattern STATUS = Pattern.compile("[1-5]\\d\\d");
+  private static final int MIN_STATUS = 100;
+  private static final int MAX_STATUS = 599;
   private static final String START = "HTTP/1.";
   private static final Pattern ANYWHERE = Pattern.compile("HTTP/1\\.[01] [1-9]\\d\\d");
 
@@ -26,6 +28,11 @@
         && !isContainedIn(reason);
   }
 
+  /** Returns whether a number is the status of an answer, from 100 to 599. */
+  static boolean isValidStatus(int status) {
+    return status >= MIN_STATUS && status <= MAX_STATUS;
+  }
+
   /** Returns whether the text contains a status line. */
   public static boolean isContainedIn(String text) {
     return text.contains(START) && ANYWHERE.matcher(text).find();
--- a/node/src/test/java/org/apricotstand/http/HttpClientTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpClientTest.java
@@ -110,6 +110,19 @@
     }
   }
 
+  /**
+   * Guards against an answer that callers get with a status that is none: a server in trouble sent
+   * the status 000, and it was passed on.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "0", "099", "600", "999", "-1"})
+  void failsOnAStatusThatIsNone(String status) throws IOException {
+    String answer = "HTTP/1.1 " + status + " OK\r\ncontent-length: 4\r\n\r\nwhat";
+    try (ScriptedServer server = new ScriptedServer(answer)) {
+      assertThat(failureOf(get(server.url())).maybeSent()).isTrue();
+    }
+  }
+
   /** Guards against taking a body that only its connection ends as complete after a reset. */
   @Test
   void failsOnABodyWithoutLengthThatIsReset() throws Exception {
--- a/node/src/test/java/org/apricotstand/request/BrokenHeadTest.java
+++ b/node/src/test/java/org/apricotstand/request/BrokenHeadTest.java
@@ -42,6 +42,18 @@
     assertThat(answerTo(RequestKind.STREAM, bytes)).startsWith("HTTP/1.1 502 ");
   }
 
+  // Guards against an answer that callers get with a status that is none, as a target in trouble
+  // sends it.
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "0", "099", "600", "999"})
+  void anAnswerWhoseStatusIsNoneIsUnknown(String status) throws IOException {
+    String bytes =
+        HEAD.replace("200", status)
+            + "Content-Type: text/event-stream\r\nContent-Length: 4\r\n\r\nwhat";
+    assertThat(answerTo(RequestKind.NON_IDEMPOTENT, bytes)).startsWith("HTTP/1.1 502 ");
+    assertThat(answerTo(RequestKind.STREAM, bytes)).startsWith("HTTP/1.1 502 ");
+  }
+
   // Guards against reading a length without value as an empty body.
   @ParameterizedTest
   @EnumSource(
