Count the header lines of answers by their memory

Cause: lines were counted by their length. A line of four bytes takes some 200 bytes of memory, and no budget knew of heads that had not ended.

--- a/node/src/main/java/org/apricotstand/front/RequestDecoder.java
+++ b/node/src/main/java/org/apricotstand/front/RequestDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import org.apricotstand.http.HeaderMeter;
 
 /** Decodes requests and rejects those that have both a content length and chunked encoding. */
 final class RequestDecoder extends HttpRequestDecoder {
--- a/node/src/main/java/org/apricotstand/input/InputGate.java
+++ b/node/src/main/java/org/apricotstand/input/InputGate.java
@@ -59,6 +59,11 @@
     };
   }
 
+  /** Records the work of a header line of a message that has not ended. */
+  public void recordHeaderLine() {
+    messageWork += TurnShares.MESSAGE_WORK;
+  }
+
   /** Returns the number of messages and header lines that were decoded for a message. */
   private static long messagesIn(Object message) {
     long lines = 0;
--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -170,6 +170,10 @@
   @Override
   public void onHead(HttpResponse answer) {
     head = new AnswerHead(answer, router.headerNames());
+    accountForHead(answer);
+    if (closed) {
+      return;
+    }
     router.pacer().onAnswer(target, head, sentMs);
     if (head.isUnsignedSuccess()) {
       giveUp("success without signature");
@@ -190,12 +194,10 @@
       continueAnswer();
     } else if (isStreamed()) {
       flow.startAnswer(answer);
-    } else {
-      accountForHead(answer);
     }
   }
 
-  /** Accounts for the head of an answer that is held until it is complete. */
+  /** Accounts for the head of an answer, which is held until the answer is complete. */
   private void accountForHead(HttpResponse answer) {
     for (Map.Entry<String, String> line : answer.headers()) {
       heldHeadBytes += MemoryBudget.headerLineBytes(line.getKey(), line.getValue());
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnection.java
@@ -99,9 +99,12 @@
     gate.setReading(reading);
   }
 
-  /** Returns the number of bytes that were read and wait for their turn to be decoded. */
-  public int heldInputBytes() {
-    return gate.heldBytes();
+  /**
+   * Returns the memory of what was read and not passed to the listener: bytes that wait for their
+   * turn to be decoded, and the lines of a head that has not ended.
+   */
+  public long heldInputBytes() {
+    return gate.heldBytes() + decoder.heldHeaderBytes();
   }
 
   boolean isUsable(long nowMs) {
@@ -144,6 +147,7 @@
   }
 
   private void readHead(HttpResponse head) {
+    decoder.onHeadRead();
     Optional<String> fault = HeadCheck.findFault(head, pool.headerNames());
     if (fault.isPresent()) {
       fail(new SendFailure.Malformed(fault.get()));
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
@@ -185,8 +185,8 @@
       loop.execute(() -> listener.onFailure(new SendFailure.NotSent(String.valueOf(e))));
       return;
     }
-    AnswerDecoder decoder = new AnswerDecoder();
     InputGate gate = new InputGate(turns);
+    AnswerDecoder decoder = new AnswerDecoder(gate::recordHeaderLine);
     TargetConnection connection = new TargetConnection(this, gate, decoder);
     ChannelInitializer<Channel> pipeline =
         new ChannelInitializer<>() {
