Keep pauses and limits of targets whose entry is missing

Targets that had asked for no requests for a time got 32 to 214 from each instance when their entry had expired and come back meanwhile. Cause: pauses and limits were forgotten with the entry. Change: they end by their own time; a target that leaves is forgotten 10 minutes after it was listed last. The test that asked for the fault (targetsThatAreGoneAreForgotten) is replaced by two: what a missing target said holds, and what is over is forgotten.

--- a/core/src/main/java/org/apricotstand/limit/TargetLimits.java
+++ b/core/src/main/java/org/apricotstand/limit/TargetLimits.java
@@ -167,9 +167,12 @@
     return limits.isEmpty();
   }
 
-  /** Forgets the limits of all targets but the given ones. */
-  public void retain(Set<String> targets) {
-    limits.keySet().retainAll(targets);
+  /**
+   * Forgets limits whose time is over. The limit of a target whose entry is missing holds if the
+   * target comes back.
+   */
+  public void removeEnded(long nowMs) {
+    limits.values().removeIf(limit -> nowMs >= limit.untilMs);
   }
 
   private Limit findValid(String target, long nowMs) {
--- a/core/src/main/java/org/apricotstand/limit/TargetPauses.java
+++ b/core/src/main/java/org/apricotstand/limit/TargetPauses.java
@@ -31,6 +31,12 @@
   /** Time after a pause in which requests are spaced. */
   static final long RETURN_SPREAD_MS = 1_000;
 
+  /**
+   * Time for which a target that leaves is remembered after its entry is gone. The entry can come
+   * back, for instance when the target was cut off from the list meanwhile.
+   */
+  static final long LEAVING_LIFETIME_MS = 600_000;
+
   private static final long FOR_GOOD = Long.MAX_VALUE;
 
   private final Map<String, Pause> pauses = new HashMap<>();
@@ -40,12 +46,29 @@
    *
    * @param untilMs end of the time without requests; {@link #FOR_GOOD} if the target leaves
    * @param nextMs time of the next request after those that have reserved a place
+   * @param listedMs time at which a target that leaves was listed last
    */
-  private record Pause(long untilMs, long nextMs) {
+  private record Pause(long untilMs, long nextMs, long listedMs) {
+
+    static Pause until(long untilMs) {
+      return new Pause(untilMs, untilMs, 0);
+    }
+
+    static Pause forGood(long nowMs) {
+      return new Pause(FOR_GOOD, FOR_GOOD, nowMs);
+    }
+
+    Pause listedAt(long nowMs) {
+      return untilMs == FOR_GOOD ? forGood(nowMs) : this;
+    }
 
     boolean isOver(long nowMs) {
       return untilMs != FOR_GOOD && nowMs >= untilMs + RETURN_SPREAD_MS;
     }
+
+    boolean isGone(long nowMs) {
+      return untilMs == FOR_GOOD && nowMs >= listedMs + LEAVING_LIFETIME_MS;
+    }
   }
 
   /**
@@ -61,13 +84,13 @@
     if (boundedMs <= nowMs || known != null && known.untilMs >= boundedMs) {
       return false;
     }
-    pauses.put(target, new Pause(boundedMs, boundedMs));
+    pauses.put(target, Pause.until(boundedMs));
     return true;
   }
 
   /** Records that a target leaves; returns whether this was not known. */
-  public boolean leave(String target) {
-    Pause before = pauses.put(target, new Pause(FOR_GOOD, FOR_GOOD));
+  public boolean leave(String target, long nowMs) {
+    Pause before = pauses.put(target, Pause.forGood(nowMs));
     return before == null || before.untilMs != FOR_GOOD;
   }
 
@@ -97,7 +120,7 @@
     long sendAtMs = Math.max(nowMs, pause.nextMs);
     long lastMs = pause.untilMs + RETURN_SPREAD_MS;
     long nextMs = Math.min(lastMs, sendAtMs + RETURN_SPACING_MS);
-    pauses.put(target, new Pause(pause.untilMs, nextMs));
+    pauses.put(target, new Pause(pause.untilMs, nextMs, pause.listedMs));
     return sendAtMs;
   }
 
@@ -106,9 +129,14 @@
     return pauses.isEmpty();
   }
 
-  /** Forgets all targets but the given ones, and pauses that are over. */
+  /**
+   * Forgets pauses that are over, and targets that leave and have been gone for {@value
+   * #LEAVING_LIFETIME_MS} ms. A pause of a target that is gone holds if the target comes back.
+   *
+   * @param targets incarnations of the targets that are listed
+   */
   public void retain(Set<String> targets, long nowMs) {
-    pauses.keySet().retainAll(targets);
-    pauses.values().removeIf(pause -> pause.isOver(nowMs));
+    pauses.replaceAll((target, pause) -> targets.contains(target) ? pause.listedAt(nowMs) : pause);
+    pauses.values().removeIf(pause -> pause.isOver(nowMs) || pause.isGone(nowMs));
   }
 }
--- a/core/src/test/java/org/apricotstand/limit/TargetPausesTest.java
+++ b/core/src/test/java/org/apricotstand/limit/TargetPausesTest.java
@@ -49,8 +49,8 @@
   // Guards against requests to a target that has said that it leaves, also if it names a time.
   @Test
   void aLeavingTargetGetsNoRequest() {
-    assertThat(pauses.leave("t")).isTrue();
-    assertThat(pauses.leave("t")).isFalse();
+    assertThat(pauses.leave("t", NOW_MS)).isTrue();
+    assertThat(pauses.leave("t", NOW_MS)).isFalse();
     pauses.pause("t", NOW_MS + 10, NOW_MS);
     assertThat(pauses.delayMs("t", NOW_MS + 1_000_000)).isEqualTo(OptionalLong.empty());
     assertThat(pauses.isPaused("t", NOW_MS + 1_000_000)).isTrue();
@@ -65,15 +65,29 @@
     assertThat(pauses.delayMs("t", NOW_MS)).isEqualTo(OptionalLong.of(TargetPauses.MAX_PAUSE_MS));
   }
 
-  // Guards against a target that is left alone after it has come back under the same address.
+  // Guards against a pause that ends because the entry of its target is missing for a while: the
+  // target gets requests within the time in which it asked for none.
   @Test
-  void targetsThatAreGoneAreForgotten() {
-    pauses.leave("t#1");
+  void aPauseHoldsWhileTheTargetIsGone() {
+    pauses.pause("t#1", NOW_MS + 25_000, NOW_MS);
+    pauses.leave("u#1", NOW_MS);
+    pauses.retain(Set.of(), NOW_MS + 10_000);
+    assertThat(pauses.isPaused("t#1", NOW_MS + 24_999)).isTrue();
+    assertThat(pauses.isPaused("u#1", NOW_MS + 60_000)).isTrue();
+  }
+
+  // Guards against memory that grows with each target that was ever paused or has left.
+  @Test
+  void pausesThatAreOverAndTargetsThatAreGoneAreForgotten() {
+    pauses.leave("t#1", NOW_MS);
     pauses.pause("u#1", NOW_MS + 10, NOW_MS);
-    pauses.retain(Set.of("t#2", "u#1"), NOW_MS);
-    assertThat(pauses.delayMs("t#1", NOW_MS)).isEqualTo(OptionalLong.of(0));
-    assertThat(pauses.isEmpty()).isFalse();
-    pauses.retain(Set.of("u#1"), NOW_MS + 10 + TargetPauses.RETURN_SPREAD_MS);
+    pauses.retain(Set.of("t#1"), NOW_MS + 10 + TargetPauses.RETURN_SPREAD_MS);
+    assertThat(pauses.delayMs("u#1", NOW_MS + 10)).isEqualTo(OptionalLong.of(0));
+    long goneMs = NOW_MS + 1_000_000;
+    pauses.retain(Set.of("t#1"), goneMs);
+    pauses.retain(Set.of(), goneMs + TargetPauses.LEAVING_LIFETIME_MS - 1);
+    assertThat(pauses.delayMs("t#1", goneMs)).isEqualTo(OptionalLong.empty());
+    pauses.retain(Set.of(), goneMs + TargetPauses.LEAVING_LIFETIME_MS);
     assertThat(pauses.isEmpty()).isTrue();
   }
 }
--- a/node/src/main/java/org/apricotstand/request/TargetPacer.java
+++ b/node/src/main/java/org/apricotstand/request/TargetPacer.java
@@ -47,7 +47,7 @@
   void onAnswer(TargetEntry target, AnswerHead head, long sentMs) {
     recordLimitOf(target, head, sentMs);
     String incarnation = target.incarnation();
-    if (head.isFromLeavingTarget() && pauses.leave(incarnation)) {
+    if (head.isFromLeavingTarget() && pauses.leave(incarnation, clock.getAsLong())) {
       LOG.info("target_leaving", "target", incarnation);
     }
     head.pauseMs().ifPresent(pauseMs -> recordPause(incarnation, pauseMs));
@@ -122,9 +122,13 @@
     limits.release(target.incarnation(), sendAtMs);
   }
 
-  /** Forgets what all targets have said but those with the given incarnations. */
+  /**
+   * Forgets what no longer holds.
+   *
+   * @param incarnations targets that are listed
+   */
   void retain(Set<String> incarnations) {
-    limits.retain(incarnations);
+    limits.removeEnded(clock.getAsLong());
     pauses.retain(incarnations, clock.getAsLong());
   }
 }
