Bound the work for requests of callers in a turn of the event loop

Change: the connections of callers have a gate too, with a share for each connection. Connections with a gate read at most 16 KB at once, so that what is held back stays small, and nothing is read while bytes are held: a decoder that has made no message of what it got asks for more.

--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -29,6 +29,7 @@
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 import org.apricotstand.control.ControlThread;
+import org.apricotstand.input.InputGate;
 import org.apricotstand.limit.MemoryBudget;
 import org.apricotstand.limit.MemoryBudget.Kind;
 import org.apricotstand.limit.MemoryHolder;
@@ -56,6 +57,7 @@
   private static final int REQUEST_BYTES = 2_048;
 
   private final CallerServer server;
+  private final InputGate gate;
   private final MemoryBudget<MemoryHolder>.Account account;
   private final Queue<PipelinedRequest> pipelinedRequests = new ArrayDeque<>();
   private final ByteCollector body = new ByteCollector();
@@ -79,8 +81,9 @@
 
   private record PipelinedRequest(CallerRequest request, boolean keepAlive, long heldBytes) {}
 
-  CallerConnection(CallerServer server, RequestDecoder decoder) {
+  CallerConnection(CallerServer server, InputGate gate, RequestDecoder decoder) {
     this.server = server;
+    this.gate = gate;
     this.decoder = decoder;
     this.account = server.memory().open(this, "");
   }
@@ -103,8 +106,9 @@
     return ignoringInput;
   }
 
-  /** Accounts for what is held of the requests that arrive; called after bytes were decoded. */
-  void onBytesDecoded() {
+  /** Accounts for what is held of the requests that arrive. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext context) {
     long nowMs = ControlThread.nowMs();
     if (ignoringInput) {
       accountForNoInput();
@@ -114,7 +118,7 @@
         recordFirstByte();
       }
       account.update(Kind.HEAD, heldHeadBytes(), nowMs);
-      account.update(Kind.BODY, body.heldBytes(), nowMs);
+      account.update(Kind.BODY, heldBodyBytes(), nowMs);
     }
     account.update(Kind.QUEUED, queuedBytes, nowMs);
     server.memory().releaseExcess();
@@ -125,6 +129,16 @@
     return decoder == null ? 0 : decoder.heldHeaderBytes() + decoder.heldRawBytes();
   }
 
+  /** Returns the bytes of the body that arrives, as far as they were decoded. */
+  int receivedBodyBytes() {
+    return body.size();
+  }
+
+  /** Returns the memory of the body that arrives, and of bytes that wait to be decoded. */
+  long heldBodyBytes() {
+    return body.heldBytes() + gate.heldBytes();
+  }
+
   /** Accounts for what the caller has not taken of its answers. */
   void onOutputChanged() {
     accountForOutput();
@@ -215,7 +229,7 @@
 
   private void readBody(HttpContent content) {
     ByteBuf part = content.content();
-    if (body.size() + part.readableBytes() > server.limits().maxBodyBytes()) {
+    if (receivedBodyBytes() + part.readableBytes() > server.limits().maxBodyBytes()) {
       refuse(413, "body_too_large");
       return;
     }
@@ -422,7 +436,7 @@
   }
 
   private boolean hasPartOfRequest() {
-    return !ignoringInput && firstByteMs != 0;
+    return !ignoringInput && (firstByteMs != 0 || gate.heldBytes() > 0);
   }
 
   /** Reads nothing more and closes the connection after what is being answered. */
@@ -498,7 +512,8 @@
    */
   private long bodyDeadlineMs() {
     CallerLimits limits = server.limits();
-    long transferMs = body.size() * limits.headerTimeoutMs() / Math.max(1, limits.maxHeaderBytes());
+    long transferMs =
+        receivedBodyBytes() * limits.headerTimeoutMs() / Math.max(1, limits.maxHeaderBytes());
     return limits.idleTimeoutMs() + Math.min(bodyProgressMs, bodySinceMs + transferMs);
   }
 
--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -22,6 +22,8 @@
 import java.util.stream.Stream;
 import org.apricotstand.control.ControlThread;
 import org.apricotstand.http.ServerBootstraps;
+import org.apricotstand.input.InputGate;
+import org.apricotstand.input.InputTurns;
 import org.apricotstand.kernel.Service;
 import org.apricotstand.memory.MemoryLimiter;
 import org.apricotstand.observe.EventLog;
@@ -47,6 +49,7 @@
   private final ThreadDelay delay;
   private final int maxConnections;
   private final ChannelGroup connections;
+  private final InputTurns turns;
 
   /** Connections that have sent nothing yet, the oldest first. */
   private final Set<CallerConnection> unused = new LinkedHashSet<>();
@@ -82,6 +85,7 @@
     this.delay = new ThreadDelay("traffic", SWEEP_INTERVAL_MS, metrics);
     this.maxConnections = maxConnections;
     this.connections = new DefaultChannelGroup(loop);
+    this.turns = InputTurns.ofCallers(loop);
   }
 
   @Override
@@ -89,6 +93,7 @@
     listener =
         ServerBootstraps.create(loop)
             .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, InputGate.READ_BUFFERS)
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
@@ -110,30 +115,47 @@
     }
     connections.add(channel);
     RequestDecoder decoder = new RequestDecoder(limits.get().maxHeaderBytes());
-    CallerConnection connection = new CallerConnection(this, decoder);
+    InputGate gate = new InputGate(turns);
+    CallerConnection connection = new CallerConnection(this, gate, decoder);
     unused.add(connection);
     channel
         .pipeline()
         .addLast(
-            new ChannelInboundHandlerAdapter() {
-              @Override
-              public void channelRead(ChannelHandlerContext context, Object message) {
-                if (connection.isIgnoringInput()) {
-                  ReferenceCountUtil.release(message);
-                  return;
-                }
-                if (message instanceof ByteBuf bytes && !RequestDecoder.isSkipped(bytes)) {
-                  connection.recordFirstByte();
-                }
-                context.fireChannelRead(message);
-                connection.onBytesDecoded();
-              }
-            },
+            new FirstByteHandler(connection),
+            gate,
+            new FirstByteHandler(connection),
             decoder,
+            gate.meter(),
             new HttpResponseEncoder(),
             connection);
   }
 
+  /**
+   * Records when a request begins to arrive, and drops input that is ignored. Stands before the
+   * gate, for the bytes that it holds back, and behind it, for requests that follow another one in
+   * the same read.
+   */
+  private static final class FirstByteHandler extends ChannelInboundHandlerAdapter {
+
+    private final CallerConnection connection;
+
+    FirstByteHandler(CallerConnection connection) {
+      this.connection = connection;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+      if (connection.isIgnoringInput()) {
+        ReferenceCountUtil.release(message);
+        return;
+      }
+      if (message instanceof ByteBuf bytes && !RequestDecoder.isSkipped(bytes)) {
+        connection.recordFirstByte();
+      }
+      context.fireChannelRead(message);
+    }
+  }
+
   /**
    * Closes the connection that least likely carries a request that will be served: one that has
    * sent nothing, else the one that has been idle longest, else the one whose incomplete request
--- a/node/src/main/java/org/apricotstand/http/HttpClient.java
+++ b/node/src/main/java/org/apricotstand/http/HttpClient.java
@@ -1,6 +1,7 @@
 package org.apricotstand.http;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -70,6 +71,7 @@
             .setCookieStore(null)
             .setKeepAliveStrategy(new UntilRefusal())
             .setSslEngineFactory(HttpClient::refuseTls)
+            .addChannelOption(ChannelOption.RECVBUF_ALLOCATOR, InputGate.READ_BUFFERS)
             .setHttpAdditionalChannelInitializer(this::addHandlers)
             .build();
     this.client = new DefaultAsyncHttpClient(config);
--- a/node/src/main/java/org/apricotstand/input/InputGate.java
+++ b/node/src/main/java/org/apricotstand/input/InputGate.java
@@ -2,11 +2,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.apricotstand.limit.TurnShares;
@@ -17,11 +19,18 @@
  * turns to another connection; a read of 64 KB can hold over ten thousand chunks.
  *
  * <p>The gate stands before the decoder, and its {@link #meter} behind it. All connections to one
- * address are one source. Nothing is read from the socket while bytes are held back, so that a
- * connection holds no more than one read.
+ * address are one source; each connection of a caller is one. Nothing is read from the socket while
+ * bytes are held back, so that a connection holds no more than one read.
  */
 public final class InputGate extends ChannelDuplexHandler {
 
+  /**
+   * Buffers for the reads of a connection with a gate, which may hold a whole read. They grow with
+   * what arrives, so that a connection that sends little holds little.
+   */
+  public static final RecvByteBufAllocator READ_BUFFERS =
+      new AdaptiveRecvByteBufAllocator(64, 2_048, 16_384);
+
   /** Bytes that are passed on at once while they hold many messages. */
   static final int MIN_PART_BYTES = 1_024;
 
@@ -186,6 +195,14 @@
     context.fireChannelReadComplete();
   }
 
+  /** Passes a request for input on; a decoder asks for more although bytes are held back. */
+  @Override
+  public void read(ChannelHandlerContext readContext) {
+    if (!held.isReadable()) {
+      readContext.read();
+    }
+  }
+
   @Override
   public void close(ChannelHandlerContext closeContext, ChannelPromise promise) {
     isClosing = true;
--- a/node/src/main/java/org/apricotstand/input/InputTurns.java
+++ b/node/src/main/java/org/apricotstand/input/InputTurns.java
@@ -32,6 +32,9 @@
    */
   private static final long MAX_SOURCE_WORK = 65_536;
 
+  /** Work of one connection of a caller in a turn; there are many more of them than of targets. */
+  private static final long MAX_CALLER_WORK = 16_384;
+
   private final TurnShares shares;
   private final Consumer<Runnable> nextTurn;
 
@@ -50,11 +53,20 @@
     this.nextTurn = nextTurn;
   }
 
-  /** Creates the turns of an event loop. */
+  /** Creates the turns of an event loop for connections to targets or services. */
   public static InputTurns of(EventLoop loop) {
+    return of(loop, MAX_SOURCE_WORK);
+  }
+
+  /** Creates the turns of an event loop for connections of callers. */
+  public static InputTurns ofCallers(EventLoop loop) {
+    return of(loop, MAX_CALLER_WORK);
+  }
+
+  private static InputTurns of(EventLoop loop, long maxSourceWork) {
     // A task that is executed runs in the same iteration of the loop; a scheduled one does not.
     return new InputTurns(
-        new TurnShares(MAX_TURN_WORK, MAX_SOURCE_WORK),
+        new TurnShares(MAX_TURN_WORK, maxSourceWork),
         task -> loop.schedule(task, 0, TimeUnit.NANOSECONDS));
   }
 
--- a/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
+++ b/node/src/main/java/org/apricotstand/upstream/TargetConnectionPool.java
@@ -152,6 +152,7 @@
         .group(loop)
         .channelFactory(() -> new NioSocketChannel(socket))
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, InputGate.READ_BUFFERS)
         .option(ChannelOption.SO_KEEPALIVE, true)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEPALIVE_IDLE_S)
         .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEPALIVE_INTERVAL_S)
--- a/node/src/test/java/org/apricotstand/input/InputGateTest.java
+++ b/node/src/test/java/org/apricotstand/input/InputGateTest.java
@@ -6,12 +6,14 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.apricotstand.limit.TurnShares;
 import org.junit.jupiter.api.Test;
 
@@ -156,6 +158,33 @@
     assertThat(connection.counter.messages).isEqualTo(before);
   }
 
+  // Guards against memory that grows with the answer: a decoder that has made no message of what it
+  // got asks for more, so that a read came on top of the bytes that were held.
+  @Test
+  void nothingIsReadWhileBytesAreHeld() {
+    AtomicInteger reads = new AtomicInteger();
+    Connection connection = new Connection();
+    connection
+        .channel
+        .pipeline()
+        .addFirst(
+            new ChannelOutboundHandlerAdapter() {
+              @Override
+              public void read(ChannelHandlerContext context) {
+                reads.incrementAndGet();
+                context.read();
+              }
+            });
+    connection.receive(HEAD + CHUNK.repeat(1_000));
+    reads.set(0);
+    connection.channel.read();
+    assertThat(reads.get()).isEqualTo(0);
+    while (!turnTasks.isEmpty()) {
+      runTurn();
+    }
+    assertThat(reads.get()).isEqualTo(1);
+  }
+
   // Guards against an answer that goes on to a caller that does not read.
   @Test
   void pausedInputIsHeldBack() {
