--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -32,6 +32,7 @@
 import org.apricotstand.port.HeaderNames;
 import org.apricotstand.port.MemoryLimits;
 import org.apricotstand.port.ServingSettings;
+import org.apricotstand.port.TestHeaders;
 import org.apricotstand.quota.QuotaBounds;
 import org.apricotstand.quota.QuotaShares;
 import org.apricotstand.residency.AdapterKey;
@@ -52,23 +53,7 @@
 /** A router and a server for callers on the loopback interface, with scripted targets. */
 abstract class RequestRouterFixture {
 
-  static final HeaderNames NAMES =
-      new HeaderNames(
-          "x-id",
-          "x-deadline",
-          "x-model",
-          "x-expect-target",
-          "x-expect-version",
-          "x-urgency",
-          "x-not-executed",
-          "x-seal",
-          "x-prompt",
-          "x-limit",
-          "x-leaving",
-          "last-event-id",
-          "x-tenant",
-          "x-token-count",
-          Set.of("x-expect-target", "x-reserved"));
+  static final HeaderNames NAMES = TestHeaders.NAMES;
   static final AdapterKey ADAPTER = new AdapterKey("m", "a1");
   static final long TEST_TIMEOUT_MS = 20_000;
 
--- a/node/src/test/java/org/apricotstand/upstream/AnswerTurnsTest.java
+++ b/node/src/test/java/org/apricotstand/upstream/AnswerTurnsTest.java
@@ -16,11 +16,10 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apricotstand.dispatch.TargetEntry;
-import org.apricotstand.port.HeaderNames;
+import org.apricotstand.port.TestHeaders;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -36,28 +35,11 @@
    */
   private static final int MAX_PARTS = 2 * (65_536 / 128 + 1_024 / 6 + 1);
 
-  private static final HeaderNames NAMES =
-      new HeaderNames(
-          "x-id",
-          "x-deadline",
-          "x-model",
-          "x-expect-target",
-          "x-expect-version",
-          "x-urgency",
-          "x-not-executed",
-          "x-seal",
-          "x-prompt",
-          "x-limit",
-          "x-leaving",
-          "last-event-id",
-          "x-tenant",
-          "x-token-count",
-          Set.of());
-
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
-  private final TargetConnectionPool pool = new TargetConnectionPool(loop, NAMES, 1_024, any -> 9);
+  private final TargetConnectionPool pool =
+      new TargetConnectionPool(loop, TestHeaders.NAMES, 1_024, any -> 9);
 
   @AfterEach
   void close() {
--- a/node/src/test/java/org/apricotstand/upstream/TargetConnectionPoolTest.java
+++ b/node/src/test/java/org/apricotstand/upstream/TargetConnectionPoolTest.java
@@ -13,11 +13,10 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.apricotstand.dispatch.TargetEntry;
-import org.apricotstand.port.HeaderNames;
+import org.apricotstand.port.TestHeaders;
 import org.apricotstand.upstream.TargetConnectionPool.ProbeResult;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -26,28 +25,12 @@
 class TargetConnectionPoolTest {
 
   private static final int TIMEOUT_S = 20;
-  private static final HeaderNames NAMES =
-      new HeaderNames(
-          "x-id",
-          "x-deadline",
-          "x-model",
-          "x-expect-target",
-          "x-expect-version",
-          "x-urgency",
-          "x-not-executed",
-          "x-seal",
-          "x-prompt",
-          "x-limit",
-          "x-leaving",
-          "last-event-id",
-          "x-tenant",
-          "x-token-count",
-          Set.of());
 
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = group.next();
-  private final TargetConnectionPool pool = new TargetConnectionPool(loop, NAMES, 1_024, any -> 1);
+  private final TargetConnectionPool pool =
+      new TargetConnectionPool(loop, TestHeaders.NAMES, 1_024, any -> 1);
   private ServerSocket listener;
   private TargetEntry target;
 
