Bound the work for requests of callers of entry instances

Cause: the server of entry instances handled all chunks that had arrived in one turn of its event loop, as that of the users' platform did. Change: its connections have the gate too; a connection that holds input back counts as receiving when it is closed.

--- a/node/src/main/java/org/apricotstand/front/CallerServer.java
+++ b/node/src/main/java/org/apricotstand/front/CallerServer.java
@@ -93,7 +93,6 @@
     listener =
         ServerBootstraps.create(loop)
             .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.RECVBUF_ALLOCATOR, InputGate.READ_BUFFERS)
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.Queue;
 import java.util.concurrent.TimeUnit;
+import org.apricotstand.input.InputGate;
 import org.apricotstand.limit.MemoryBudget.Kind;
 import org.apricotstand.limit.MemoryHolder;
 import org.apricotstand.observe.EventLog;
@@ -54,6 +55,7 @@
   private final HttpHandler handler;
   private final HttpMemory memory;
   private final HttpMemory.Account account;
+  private final InputGate gate;
   private final Queue<FullHttpRequest> pipelinedRequests = new ArrayDeque<>();
   private NettyExchange currentExchange;
   private boolean inputClosed;
@@ -63,7 +65,8 @@
   private long queuedBytes;
   private long accountedOutputBytes;
 
-  HttpConnection(HttpHandler handler, HttpMemory memory) {
+  HttpConnection(HttpHandler handler, HttpMemory memory, InputGate gate) {
+    this.gate = gate;
     this.handler = handler;
     this.memory = memory;
     this.account = memory.open(this, "");
@@ -95,7 +98,7 @@
   }
 
   private void closeIfIdle() {
-    if (currentExchange == null) {
+    if (currentExchange == null && gate.heldBytes() == 0) {
       channelContext.close();
     }
   }
@@ -324,7 +327,9 @@
    */
   private void closeAfterInput(ChannelHandlerContext context) {
     boolean isReceiving =
-        ignoringInput || context.pipeline().get(RequestReadTimeout.class).isReceiving();
+        ignoringInput
+            || gate.heldBytes() > 0
+            || context.pipeline().get(RequestReadTimeout.class).isReceiving();
     ignoringInput = true;
     if (!inputClosed && isReceiving && context.channel() instanceof DuplexChannel duplex) {
       duplex.shutdownOutput();
--- a/node/src/main/java/org/apricotstand/http/HttpServer.java
+++ b/node/src/main/java/org/apricotstand/http/HttpServer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
@@ -13,7 +14,11 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import org.apricotstand.input.InputGate;
+import org.apricotstand.input.InputTurns;
 
 /**
  * HTTP/1.0 and HTTP/1.1 server.
@@ -31,6 +36,7 @@
   private final HttpMemory memory;
   private final HttpHandler handler;
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final Map<EventLoop, InputTurns> turnsByLoop = new ConcurrentHashMap<>();
   private volatile boolean draining;
   private Channel serverChannel;
 
@@ -93,14 +99,16 @@
       channel.close();
       return;
     }
-    HttpConnection connection = new HttpConnection(handler, memory);
-    addHandlers(channel, connection);
+    InputGate gate =
+        new InputGate(turnsByLoop.computeIfAbsent(channel.eventLoop(), InputTurns::ofCallers));
+    HttpConnection connection = new HttpConnection(handler, memory, gate);
+    addHandlers(channel, gate, connection);
     if (draining) {
       connection.drain();
     }
   }
 
-  private void addHandlers(Channel channel, HttpConnection connection) {
+  private void addHandlers(Channel channel, InputGate gate, HttpConnection connection) {
     RequestMemory requestMemory = new RequestMemory(connection.account(), limits.maxBodyBytes());
     HttpDecoderConfig decoder =
         new HttpDecoderConfig()
@@ -113,7 +121,9 @@
         .pipeline()
         .addLast(new IdleStateHandler(0, 0, limits.idleTimeoutMs(), TimeUnit.MILLISECONDS))
         .addLast(readTimeout)
+        .addLast(gate)
         .addLast(new HttpServerCodec(decoder))
+        .addLast(gate.meter())
         .addLast(new RequestEndHandler(readTimeout))
         .addLast(requestMemory)
         .addLast(new BodyCollector(limits.maxBodyBytes()))
--- a/node/src/main/java/org/apricotstand/http/ServerBootstraps.java
+++ b/node/src/main/java/org/apricotstand/http/ServerBootstraps.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import org.apricotstand.input.InputGate;
 
 /** Creates server bootstraps with the socket options that all HTTP servers share. */
 public final class ServerBootstraps {
@@ -22,6 +23,7 @@
         .channel(NioServerSocketChannel.class)
         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, InputGate.READ_BUFFERS)
         .childOption(
             ChannelOption.WRITE_BUFFER_WATER_MARK,
             new WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES));
--- a/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerMemoryTest.java
@@ -22,6 +22,8 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.apricotstand.input.InputGate;
+import org.apricotstand.input.InputTurns;
 import org.apricotstand.observe.Metrics;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -259,7 +261,8 @@
   /** Guards against the loss of the buffer of a request behind the last one that is answered. */
   @Test
   void requestBehindTheLastAnsweredOneIsReleased() {
-    HttpConnection connection = new HttpConnection(held::add, HttpMemory.unlimited());
+    InputGate gate = new InputGate(InputTurns.ofCallers(new EmbeddedChannel().eventLoop()));
+    HttpConnection connection = new HttpConnection(held::add, HttpMemory.unlimited(), gate);
     EmbeddedChannel channel = new EmbeddedChannel(new RequestReadTimeout(60_000), connection);
     FullHttpRequest last =
         new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/held");
