Count the header lines that the HTTP client reads by their memory

Change: the client's decoder counts lines by their memory, up to 64 KB for a head, and drops trailers. Evidence: HttpClientTest's new case passed such a head on before.

--- a/node/src/main/java/org/apricotstand/http/HeaderMeter.java
+++ b/node/src/main/java/org/apricotstand/http/HeaderMeter.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import java.util.function.Supplier;
 import org.apricotstand.limit.MemoryBudget;
 
 /**
@@ -67,41 +68,35 @@
     }
   }
 
-  private HttpHeadersFactory metered(DefaultHttpHeadersFactory validation) {
-    return new HttpHeadersFactory() {
-      @Override
-      public HttpHeaders newHeaders() {
-        return new MeteredHeaders(validation);
-      }
-
-      @Override
-      public HttpHeaders newEmptyHeaders() {
-        return new MeteredHeaders(validation);
-      }
-    };
-  }
-
-  /** Returns the factory of the headers of heads. */
+  /** Returns the factory of the headers of heads; each of them begins the count anew. */
   public HttpHeadersFactory heads() {
-    return metered(DefaultHttpHeadersFactory.headersFactory());
+    return factory(
+        () -> {
+          reset();
+          return new MeteredHeaders(DefaultHttpHeadersFactory.headersFactory());
+        });
   }
 
   /** Returns the factory of the headers of trailers. */
   public HttpHeadersFactory trailers() {
-    return metered(DefaultHttpHeadersFactory.trailersFactory());
+    return factory(() -> new MeteredHeaders(DefaultHttpHeadersFactory.trailersFactory()));
   }
 
   /** Returns a factory of trailers whose lines are not kept. */
   public HttpHeadersFactory droppedTrailers() {
+    return factory(DroppedHeaders::new);
+  }
+
+  private static HttpHeadersFactory factory(Supplier<HttpHeaders> headers) {
     return new HttpHeadersFactory() {
       @Override
       public HttpHeaders newHeaders() {
-        return new DroppedHeaders();
+        return headers.get();
       }
 
       @Override
       public HttpHeaders newEmptyHeaders() {
-        return new DroppedHeaders();
+        return headers.get();
       }
     };
   }
--- a/node/src/main/java/org/apricotstand/http/HttpClient.java
+++ b/node/src/main/java/org/apricotstand/http/HttpClient.java
@@ -4,6 +4,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -40,6 +42,11 @@
 public final class HttpClient implements AutoCloseable {
 
   private static final int MAX_REPLY_BYTES = 16 * 1024 * 1024;
+  private static final int MAX_HEAD_BYTES = 8_192;
+
+  /** Some 300 short lines; a line of four bytes takes some 200 bytes of memory. */
+  private static final long MAX_HEAD_MEMORY_BYTES = 65_536;
+
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(2_000);
   // Shorter than the idle timeout of servers, so that a pooled connection is rarely one that the
   // other side has just closed.
@@ -80,11 +87,26 @@
   private void addHandlers(Channel channel) {
     InputGate gate =
         new InputGate(turnsByLoop.computeIfAbsent(channel.eventLoop(), InputTurns::of));
+    channel
+        .pipeline()
+        .replace(
+            ChannelManager.HTTP_CLIENT_CODEC,
+            ChannelManager.HTTP_CLIENT_CODEC,
+            new HttpClientCodec(decoderConfig(gate), false, false));
     LateAnswerGuard.addTo(channel, gate);
     channel.pipeline().addAfter(ChannelManager.HTTP_CLIENT_CODEC, null, gate.meter());
     channel.pipeline().addFirst(new ResetRecorder(), gate);
   }
 
+  /** Returns the limits of a decoder that counts header lines by their memory. */
+  private static HttpDecoderConfig decoderConfig(InputGate gate) {
+    HeaderMeter meter = new HeaderMeter(MAX_HEAD_MEMORY_BYTES, gate::recordHeaderLine);
+    return new HttpDecoderConfig()
+        .setMaxHeaderSize(MAX_HEAD_BYTES)
+        .setHeadersFactory(meter.heads())
+        .setTrailersFactory(meter.droppedTrailers());
+  }
+
   /**
    * Rejects TLS connections; all calls are plain HTTP inside the network. Without this factory the
    * library would load a TLS provider and all trusted certificates at start.
--- a/node/src/test/java/org/apricotstand/http/HttpClientTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpClientTest.java
@@ -123,6 +123,18 @@
     }
   }
 
+  /**
+   * Guards against heads that exhaust the heap: 1,900 lines of four bytes are within the limit of 8
+   * KB and take 0.4 MB.
+   */
+  @Test
+  void failsOnAHeadOfManyShortLines() throws IOException {
+    String answer = "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n" + "a:\r\n".repeat(1_900) + "\r\n";
+    try (ScriptedServer server = new ScriptedServer(answer)) {
+      assertThat(failureOf(get(server.url())).maybeSent()).isTrue();
+    }
+  }
+
   /** Guards against taking a body that only its connection ends as complete after a reset. */
   @Test
   void failsOnABodyWithoutLengthThatIsReset() throws Exception {
