--- a/node/src/main/java/org/apricotstand/owner/TokenEventSplitter.java
+++ b/node/src/main/java/org/apricotstand/owner/TokenEventSplitter.java
@@ -17,7 +17,7 @@
 final class TokenEventSplitter implements EventCollector.EventListener {
 
   /** Much more than an event with one token; a longer one has no end. */
-  static final int MAX_EVENT_BYTES = 262_144;
+  static final int MAX_EVENT_BYTES = 65_536;
 
   private static final String DONE_EVENT = "data: [DONE]";
 
--- a/node/src/test/java/org/apricotstand/owner/TokenEventSplitterTest.java
+++ b/node/src/test/java/org/apricotstand/owner/TokenEventSplitterTest.java
@@ -51,6 +51,19 @@
     assertThat(splitter.isDone()).isFalse();
   }
 
+  /** Guards against an event without end that is kept until the memory is full. */
+  @Test
+  void anEventWithoutEndIsOverlong() {
+    TokenEventSplitter splitter = new TokenEventSplitter();
+    byte[] part = bytes("x".repeat(1_024));
+    for (int i = 0; i < TokenEventSplitter.MAX_EVENT_BYTES / part.length; i++) {
+      splitter.feed(part);
+    }
+    assertThat(splitter.hasOverlongEvent()).isFalse();
+    splitter.feed(part);
+    assertThat(splitter.hasOverlongEvent()).isTrue();
+  }
+
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
