--- a/node/src/main/java/org/apricotstand/input/InputTurns.java
+++ b/node/src/main/java/org/apricotstand/input/InputTurns.java
@@ -26,10 +26,7 @@
   /** Work of a turn; at least as many bytes as four sources may send in full. */
   private static final long MAX_TURN_WORK = 262_144;
 
-  /**
-   * Work of one source in a turn; some 500 messages of a few bytes, or the largest read of an
-   * answer that arrives in one piece.
-   */
+  /** Work of one source in a turn; some 500 messages of a few bytes, or four reads of a body. */
   private static final long MAX_SOURCE_WORK = 65_536;
 
   /** Work of one connection of a caller in a turn; there are many more of them than of targets. */
