--- a/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerConnectionTest.java
@@ -58,15 +58,6 @@
   private volatile CallerLimits limits = new CallerLimits(16_384, 65_536, 3_000, 15_000);
   private CallerServer server;
 
-  /** Leaves each request in progress until the test answers it. */
-  private static final class UnfinishedCall implements CallHandler.ActiveCall {
-    @Override
-    public void onCallerDisconnected() {}
-
-    @Override
-    public void onCallerWritable() {}
-  }
-
   @BeforeEach
   void start() {
     CallHandler handler =
--- a/node/src/test/java/org/apricotstand/front/CallerDrainTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerDrainTest.java
@@ -41,15 +41,6 @@
   private final MultiThreadIoEventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
 
-  /** Leaves each request in progress until the test answers it. */
-  private static final class UnfinishedCall implements CallHandler.ActiveCall {
-    @Override
-    public void onCallerDisconnected() {}
-
-    @Override
-    public void onCallerWritable() {}
-  }
-
   /** A connection of a caller; the rest of its last request may still have to be sent. */
   private static final class CallerSocket {
     private final Socket socket;
--- a/node/src/test/java/org/apricotstand/front/CallerMemoryTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerMemoryTest.java
@@ -50,15 +50,6 @@
   private volatile CallerLimits limits = new CallerLimits(16_384, BODY_BYTES, 3_000, 15_000);
   private CallerServer server;
 
-  /** Leaves each request in progress until the test answers it. */
-  private static final class UnfinishedCall implements CallHandler.ActiveCall {
-    @Override
-    public void onCallerDisconnected() {}
-
-    @Override
-    public void onCallerWritable() {}
-  }
-
   @BeforeEach
   void start() {
     start(MEMORY);
--- a/node/src/test/java/org/apricotstand/front/CallerTurnsTest.java
+++ b/node/src/test/java/org/apricotstand/front/CallerTurnsTest.java
@@ -26,15 +26,6 @@
   private final TurnMeter meter = new TurnMeter(loop, this::receivedBytes);
   private CallerServer server;
 
-  /** A call that the test never answers. */
-  private static final class UnfinishedCall implements CallHandler.ActiveCall {
-    @Override
-    public void onCallerDisconnected() {}
-
-    @Override
-    public void onCallerWritable() {}
-  }
-
   @BeforeEach
   void start() {
     CallHandler handler =
