--- a/core/src/main/java/org/apricotstand/dispatch/TargetRegistry.java
+++ b/core/src/main/java/org/apricotstand/dispatch/TargetRegistry.java
@@ -38,17 +38,14 @@
    * @param expiredIds ids of entries that are gone and may have expired
    */
   public void update(List<TargetEntry> targets, Set<String> expiredIds, long nowMs) {
-    Map<String, TargetEntry> before = Map.copyOf(listedTargets);
-    listedTargets.clear();
-    targets.forEach(target -> listedTargets.put(target.id(), target));
     if (nowMs < graceUntilMs) {
-      before.forEach(
-          (id, target) -> {
-            if (expiredIds.contains(id) && !target.leaving()) {
-              expiredTargets.put(id, target);
-            }
-          });
+      expiredIds.stream()
+          .map(listedTargets::get)
+          .filter(target -> target != null && !target.leaving())
+          .forEach(target -> expiredTargets.put(target.id(), target));
     }
+    listedTargets.clear();
+    targets.forEach(target -> listedTargets.put(target.id(), target));
     expiredTargets.keySet().removeAll(listedTargets.keySet());
   }
 
--- a/node/src/main/java/org/apricotstand/front/CallReply.java
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -25,8 +25,8 @@
   private final Channel channel;
   private final CallerRequest request;
   private final boolean callerKeepsAlive;
-  private CallHandler.ActiveCall call;
   private final ByteCollector smallParts = new ByteCollector();
+  private CallHandler.ActiveCall call;
   private boolean keepsAlive;
   private boolean begun;
   private boolean hasUnflushedParts;
--- a/node/src/main/java/org/apricotstand/http/LateAnswerGuard.java
+++ b/node/src/main/java/org/apricotstand/http/LateAnswerGuard.java
@@ -94,9 +94,8 @@
 
     /** Returns why a head can't be that of a single answer; empty if it can. */
     private static Optional<String> findFault(HttpResponse head) {
-      int status = head.status().code();
-      if (!StatusLine.isValidStatus(status)) {
-        return Optional.of("invalid status " + status);
+      if (head.status().codeClass() == HttpStatusClass.UNKNOWN) {
+        return Optional.of("invalid status " + head.status().code());
       }
       return StatusLine.isContainedIn(head.status().reasonPhrase())
           ? Optional.of("second status line in the reason phrase")
--- a/node/src/main/java/org/apricotstand/http/StatusLine.java
+++ b/node/src/main/java/org/apricotstand/http/StatusLine.java
@@ -14,8 +14,6 @@
 
   private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
   private static final Pattern STATUS = Pattern.compile("[1-5]\\d\\d");
-  private static final int MIN_STATUS = 100;
-  private static final int MAX_STATUS = 599;
   private static final String START = "HTTP/1.";
   private static final Pattern ANYWHERE = Pattern.compile("HTTP/1\\.[01] [1-9]\\d\\d");
 
@@ -28,11 +26,6 @@
         && !isContainedIn(reason);
   }
 
-  /** Returns whether a number is the status of an answer, from 100 to 599. */
-  static boolean isValidStatus(int status) {
-    return status >= MIN_STATUS && status <= MAX_STATUS;
-  }
-
   /** Returns whether the text contains a status line. */
   public static boolean isContainedIn(String text) {
     return text.contains(START) && ANYWHERE.matcher(text).find();
--- a/node/src/main/java/org/apricotstand/input/InputTurns.java
+++ b/node/src/main/java/org/apricotstand/input/InputTurns.java
@@ -74,6 +74,10 @@
   /** Lets a gate go on in the next turn in which its source has room. */
   void await(InputGate gate) {
     waiting.computeIfAbsent(gate.source(), key -> new ArrayDeque<>()).addLast(gate);
+    scheduleTurn();
+  }
+
+  private void scheduleTurn() {
     if (!turnScheduled) {
       turnScheduled = true;
       nextTurn.accept(this::runTurn);
@@ -97,9 +101,8 @@
       }
       runGatesOf(source);
     }
-    if (!waiting.isEmpty() && !turnScheduled) {
-      turnScheduled = true;
-      nextTurn.accept(this::runTurn);
+    if (!waiting.isEmpty()) {
+      scheduleTurn();
     }
   }
 
