--- a/core/src/main/java/org/apricotstand/dispatch/EntryHeartbeats.java
+++ b/core/src/main/java/org/apricotstand/dispatch/EntryHeartbeats.java
@@ -4,6 +4,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.apricotstand.model.StoreVersion;
 
 /**
  * Tells entries of the stored list that may have expired from those that were removed because their
@@ -23,7 +24,7 @@
   private final Map<String, Seen> seenById = new HashMap<>();
 
   /** The newest version of an entry, and when it was first read. */
-  private record Seen(long version, long seenMs) {}
+  private record Seen(StoreVersion version, long seenMs) {}
 
   /**
    * Creates a record of no entries.
@@ -36,9 +37,9 @@
   }
 
   /** Records that an entry was read; a version that was read before is no sign of life. */
-  public void record(String id, long version, long nowMs) {
+  public void record(String id, StoreVersion version, long nowMs) {
     Seen before = seenById.get(id);
-    if (before == null || before.version != version) {
+    if (before == null || !before.version.equals(version)) {
       seenById.put(id, new Seen(version, nowMs));
     }
   }
--- a/core/src/main/java/org/apricotstand/enginelease/EngineLeases.java
+++ b/core/src/main/java/org/apricotstand/enginelease/EngineLeases.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.placement.Rendezvous;
 
 /**
@@ -24,6 +24,11 @@
  * in the failure domain of the engine try first, so that a network partition between domains cuts
  * off an engine together with its owner.
  *
+ * <p>The table service may be restored from an older copy, which begins a new era. Rows that were
+ * written in an earlier era, and rows that are missing, then prove nothing: a lease may have been
+ * acquired after the copy was made. Its holder writes the row again. Everybody else waits until a
+ * lease of the earlier era would have expired, counted from the first answer of the new era.
+ *
  * <pre>{@code
  * if (leases.mayCommand(engine, nowMs)) { ... }
  * }</pre>
@@ -49,8 +54,14 @@
   private static final long CLOCK_MARGIN_MS = 700;
   private static final int MAX_ROWS_PER_WRITE = 40;
 
+  /** Pause after the second rejected write in a row; the first one corrects what is known. */
+  private static final long REJECTED_WRITE_PAUSE_MS = 200;
+
+  private static final long NOT_RESTORED_MS = Long.MIN_VALUE / 2;
+
   private final String self;
   private final long handoverPauseMs;
+  private final long newSystemUntilMs;
   private final Map<String, HeldLease> heldLeases = new HashMap<>();
   private final Map<String, ReportedLease> reportedLeases = new HashMap<>();
   private final Map<String, ObservedRow> observedRows = new HashMap<>();
@@ -63,12 +74,22 @@
   private boolean callInProgress;
   private long nextReadMs;
   private long nextRenewalMs;
+  private long nextWriteMs = Long.MIN_VALUE;
+  private int rejectedWritesInRow;
   private boolean releasing;
+  private boolean hasSeenEra;
+  private long era;
+  private long restoredAtMs = NOT_RESTORED_MS;
 
-  private record HeldLease(long fencingNumber, long rowVersion, long renewalSentMs) {}
+  private record HeldLease(long fencingNumber, StoreVersion rowVersion, long renewalSentMs) {
+
+    boolean isValidAt(long nowMs) {
+      return nowMs < renewalSentMs + LEASE_DURATION_MS;
+    }
+  }
 
   private record ReportedLease(
-      String holder, long rowVersion, long expiresAtMs, long reportedAtMs) {
+      String holder, StoreVersion rowVersion, long expiresAtMs, long reportedAtMs) {
 
     ReportedLease withReportTime(long newReportedAtMs) {
       return new ReportedLease(holder, rowVersion, expiresAtMs, newReportedAtMs);
@@ -82,10 +103,13 @@
    *
    * @param self name of this instance
    * @param handoverPauseMs minimum time between the commands of two owners of an engine
+   * @param newSystemUntilMs time until which the first era that this instance sees is that of a new
+   *     system, where no lease can be missing; in the past if the system is not new
    */
-  public EngineLeases(String self, long handoverPauseMs) {
+  public EngineLeases(String self, long handoverPauseMs, long newSystemUntilMs) {
     this.self = self;
     this.handoverPauseMs = handoverPauseMs;
+    this.newSystemUntilMs = newSystemUntilMs;
   }
 
   /** Applies an event and returns the actions to carry out, in order. */
@@ -105,8 +129,9 @@
           ownRanks.clear();
         }
       }
+      case LeaseEvent.EraBegan(long newEra) -> applyEra(newEra, nowMs, actions);
       case LeaseEvent.RowsRead(List<LeaseRecord> rows, long requestedAtMs) ->
-          applyRowsRead(rows, requestedAtMs, nowMs);
+          applyRowsRead(rows, requestedAtMs, nowMs, actions);
       case LeaseEvent.WriteCommitted written -> applyCommittedWrite(written, actions);
       case LeaseEvent.WriteRejected rejected -> applyRejectedWrite(rejected, nowMs, actions);
       case LeaseEvent.CallFailed failed -> callInProgress = false;
@@ -182,14 +207,62 @@
     reportedLeases.keySet().retainAll(live);
   }
 
-  private void applyRowsRead(List<LeaseRecord> rows, long requestedAtMs, long nowMs) {
+  /**
+   * Applies that the table service was restored. A lease that has expired may have been taken over
+   * in the time that the service lost, so only valid ones are kept; their rows are read first.
+   */
+  private void applyEra(long newEra, long nowMs, List<LeaseAction> actions) {
+    if (hasSeenEra && newEra <= era) {
+      return;
+    }
+    boolean isOfNewSystem = !hasSeenEra && nowMs < newSystemUntilMs;
+    hasSeenEra = true;
+    era = newEra;
+    restoredAtMs = isOfNewSystem ? NOT_RESTORED_MS : nowMs;
+    observedRows.clear();
+    nextReadMs = nowMs;
+    heldLeases.entrySet().stream()
+        .filter(entry -> !entry.getValue().isValidAt(nowMs))
+        .map(Map.Entry::getKey)
+        .toList()
+        .forEach(engine -> lose(engine, "store_restored", actions));
+  }
+
+  private void lose(String engine, String reason, List<LeaseAction> actions) {
+    heldLeases.remove(engine);
+    actions.add(new LeaseAction.OwnershipLost(engine, reason));
+  }
+
+  private void applyRowsRead(
+      List<LeaseRecord> rows, long requestedAtMs, long nowMs, List<LeaseAction> actions) {
     callInProgress = false;
     Map<String, LeaseRecord> rowsByEngine = new HashMap<>();
     rows.forEach(row -> rowsByEngine.put(row.engine(), row));
     engineDomains.keySet().stream()
-        .filter(engine -> !isOwnedByOther(engine, nowMs))
-        .map(engine -> rowsByEngine.getOrDefault(engine, LeaseRecord.absent(engine)))
+        .filter(engine -> heldLeases.containsKey(engine) || !isOwnedByOther(engine, nowMs))
+        .map(engine -> rowsByEngine.getOrDefault(engine, LeaseRecord.absent(engine, era)))
         .forEach(row -> observe(row, requestedAtMs));
+    if (needsConfirmation()) {
+      nextRenewalMs = nowMs;
+      heldLeases.keySet().stream()
+          .filter(this::isTakenByOther)
+          .toList()
+          .forEach(engine -> lose(engine, takenBy(engine), actions));
+    }
+  }
+
+  /** Returns whether a lease of an earlier era is held whose row has to be written again. */
+  private boolean needsConfirmation() {
+    return heldLeases.values().stream().anyMatch(lease -> lease.rowVersion.era() < era);
+  }
+
+  private boolean isTakenByOther(String engine) {
+    ObservedRow observed = observedRows.get(engine);
+    return observed != null && observed.row.isTakenByOther(self);
+  }
+
+  private String takenBy(String engine) {
+    return "taken_by_" + observedRows.get(engine).row.holder();
   }
 
   private void applyReportedLeases(String holder, Map<String, LeaseStatus> leases, long nowMs) {
@@ -201,7 +274,7 @@
         (engine, status) -> {
           reportedLeases.put(engine, withReportedExpiry(engine, holder, status, nowMs));
           ObservedRow known = observedRows.get(engine);
-          if (known != null && known.row.rowVersion() != status.rowVersion()) {
+          if (known != null && status.rowVersion().isAfter(known.row.rowVersion())) {
             // The row has been written since it was read.
             observedRows.remove(engine);
           }
@@ -215,7 +288,7 @@
   private ReportedLease withReportedExpiry(
       String engine, String holder, LeaseStatus status, long nowMs) {
     ReportedLease before = reportedLeases.get(engine);
-    boolean sameRow = before != null && before.rowVersion == status.rowVersion();
+    boolean sameRow = before != null && before.rowVersion.equals(status.rowVersion());
     long earlierExpiryMs = sameRow ? before.expiresAtMs : Long.MAX_VALUE;
     long expiresAtMs = Math.min(earlierExpiryMs, nowMs + status.remainingMs());
     return new ReportedLease(holder, status.rowVersion(), expiresAtMs, nowMs);
@@ -233,23 +306,24 @@
 
   private void observe(LeaseRecord row, long unchangedSinceMs) {
     ObservedRow known = observedRows.get(row.engine());
-    if (known == null || known.row.rowVersion() != row.rowVersion()) {
+    if (known == null || !known.row.rowVersion().equals(row.rowVersion())) {
       observedRows.put(row.engine(), new ObservedRow(row, unchangedSinceMs));
     }
   }
 
   private void applyCommittedWrite(LeaseEvent.WriteCommitted written, List<LeaseAction> actions) {
     callInProgress = false;
+    rejectedWritesInRow = 0;
     nextRenewalMs = written.sentAtMs() + RENEWAL_PERIOD_MS;
     for (LeaseRecord row : written.rows()) {
       observedRows.remove(row.engine());
       if (row.released()) {
-        heldLeases.remove(row.engine());
-        actions.add(new LeaseAction.OwnershipLost(row.engine(), "released"));
+        lose(row.engine(), "released", actions);
         continue;
       }
       HeldLease before = heldLeases.get(row.engine());
-      long fencingNumber = before == null ? written.rowVersion() : before.fencingNumber;
+      long fencingNumber =
+          before == null ? written.rowVersion().fencingNumber() : before.fencingNumber;
       heldLeases.put(
           row.engine(), new HeldLease(fencingNumber, written.rowVersion(), written.sentAtMs()));
       if (before == null) {
@@ -261,26 +335,29 @@
   private void applyRejectedWrite(
       LeaseEvent.WriteRejected rejected, long nowMs, List<LeaseAction> actions) {
     callInProgress = false;
+    rejectedWritesInRow++;
+    nextWriteMs = rejectedWritesInRow > 1 ? nowMs + REJECTED_WRITE_PAUSE_MS : nowMs;
+    nextRenewalMs = nowMs;
     Map<String, LeaseRecord> current = new HashMap<>();
     rejected.current().forEach(row -> current.put(row.engine(), row));
     for (LeaseRecord row : rejected.written()) {
-      LeaseRecord stored = current.get(row.engine());
-      HeldLease lease = heldLeases.get(row.engine());
-      if (stored == null) {
+      String engine = row.engine();
+      LeaseRecord stored = current.getOrDefault(engine, LeaseRecord.absent(engine, era));
+      observe(stored, nowMs);
+      HeldLease lease = heldLeases.get(engine);
+      if (lease == null) {
         continue;
       }
-      if (lease != null && stored.holder().equals(self)) {
-        // An earlier renewal was committed although its answer was lost.
+      if (stored.isTakenByOther(self)) {
+        lose(engine, takenBy(engine), actions);
+      } else if (stored.rowVersion().isAbsent() && !lease.isValidAt(nowMs)) {
+        lose(engine, "row_missing", actions);
+      } else {
+        // An earlier write took effect although its answer was lost, or the row is gone.
         heldLeases.put(
-            row.engine(),
-            new HeldLease(lease.fencingNumber, stored.rowVersion(), lease.renewalSentMs));
-      } else if (lease != null && stored.rowVersion() != lease.rowVersion) {
-        heldLeases.remove(row.engine());
-        actions.add(new LeaseAction.OwnershipLost(row.engine(), "taken_by_" + stored.holder()));
+            engine, new HeldLease(lease.fencingNumber, stored.rowVersion(), lease.renewalSentMs));
       }
-      observe(stored, nowMs);
     }
-    nextRenewalMs = nowMs;
   }
 
   private void suspendLeases() {
@@ -294,18 +371,14 @@
     if (callInProgress) {
       return Optional.empty();
     }
-    List<LeaseRecord> writes = releasing ? rowsToRelease() : rowsToRenew(nowMs);
-    if (!releasing) {
-      writes.addAll(rowsToAcquire(nowMs));
-    }
+    List<LeaseRecord> writes = nowMs < nextWriteMs ? List.of() : rowsToWrite(nowMs);
     if (!writes.isEmpty()) {
       callInProgress = true;
       return Optional.of(
           new LeaseAction.WriteRows(
               writes.subList(0, Math.min(MAX_ROWS_PER_WRITE, writes.size()))));
     }
-    if (!releasing
-        && nowMs >= nextReadMs
+    if (nowMs >= nextReadMs
         && engineDomains.keySet().stream().anyMatch(engine -> needsRead(engine, nowMs))) {
       callInProgress = true;
       nextReadMs = nowMs + READ_PERIOD_MS;
@@ -314,16 +387,23 @@
     return Optional.empty();
   }
 
-  private boolean needsRead(String engine, long nowMs) {
-    return !heldLeases.containsKey(engine)
-        && ownerOf(engine, nowMs) == null
-        && !observedRows.containsKey(engine);
+  private List<LeaseRecord> rowsToWrite(long nowMs) {
+    if (releasing) {
+      return rowsOfHeldLeases(true);
+    }
+    List<LeaseRecord> writes = rowsToRenew(nowMs);
+    writes.addAll(rowsToAcquire(nowMs));
+    return writes;
   }
 
-  private List<LeaseRecord> rowsToRelease() {
-    return heldLeases.entrySet().stream()
-        .map(entry -> new LeaseRecord(entry.getKey(), self, true, entry.getValue().rowVersion))
-        .collect(Collectors.toCollection(ArrayList::new));
+  private boolean needsRead(String engine, long nowMs) {
+    if (observedRows.containsKey(engine)) {
+      return false;
+    }
+    HeldLease lease = heldLeases.get(engine);
+    return lease == null
+        ? !releasing && ownerOf(engine, nowMs) == null
+        : lease.rowVersion.era() < era;
   }
 
   private List<LeaseRecord> rowsToRenew(long nowMs) {
@@ -331,17 +411,32 @@
       return new ArrayList<>();
     }
     nextRenewalMs = nowMs + RENEWAL_PERIOD_MS;
-    return heldLeases.entrySet().stream()
-        .map(entry -> new LeaseRecord(entry.getKey(), self, false, entry.getValue().rowVersion))
-        .collect(Collectors.toCollection(ArrayList::new));
+    return rowsOfHeldLeases(false);
+  }
+
+  /** Returns the rows of all held leases whose stored version is known in this era. */
+  private List<LeaseRecord> rowsOfHeldLeases(boolean released) {
+    List<LeaseRecord> rows = new ArrayList<>();
+    heldLeases.forEach(
+        (engine, lease) ->
+            storedVersion(engine, lease)
+                .ifPresent(
+                    version -> rows.add(new LeaseRecord(engine, self, released, era, version))));
+    return rows;
+  }
+
+  private Optional<StoreVersion> storedVersion(String engine, HeldLease lease) {
+    return lease.rowVersion.era() == era
+        ? Optional.of(lease.rowVersion)
+        : Optional.ofNullable(observedRows.get(engine)).map(observed -> observed.row.rowVersion());
   }
 
   private List<LeaseRecord> rowsToAcquire(long nowMs) {
     List<LeaseRecord> rows = new ArrayList<>();
     for (String engine : engineDomains.keySet()) {
       if (!heldLeases.containsKey(engine) && mayAcquire(engine, nowMs)) {
-        long rowVersion = observedRows.get(engine).row.rowVersion();
-        rows.add(new LeaseRecord(engine, self, false, rowVersion));
+        StoreVersion rowVersion = observedRows.get(engine).row.rowVersion();
+        rows.add(new LeaseRecord(engine, self, false, era, rowVersion));
       }
     }
     return rows;
@@ -357,17 +452,28 @@
   /** Returns the time from which this instance may acquire the lease of a row. */
   private long acquirableAtMs(ObservedRow observed) {
     LeaseRecord row = observed.row;
-    if (row.rowVersion() == 0 || row.holder().equals(self)) {
+    if (row.rowVersion().isAbsent()) {
+      return Math.max(observed.unchangedSinceMs, restoredAtMs + takeoverWaitMs());
+    }
+    if (restoredAtMs != NOT_RESTORED_MS && !row.isOfCurrentEra()) {
+      return Math.max(observed.unchangedSinceMs, restoredAtMs) + takeoverWaitMs();
+    }
+    if (row.holder().equals(self)) {
       return observed.unchangedSinceMs;
     }
     long endsAtMs = row.released() ? observed.unchangedSinceMs : expiresAtMs(observed);
     return endsAtMs + handoverPauseMs + CLOCK_MARGIN_MS;
   }
 
+  /** Returns the wait for the lease of an unknown holder that renewed it just before. */
+  private long takeoverWaitMs() {
+    return LEASE_DURATION_MS + handoverPauseMs + CLOCK_MARGIN_MS;
+  }
+
   private long expiresAtMs(ObservedRow observed) {
     long latestExpiryMs = observed.unchangedSinceMs + LEASE_DURATION_MS;
     ReportedLease last = reportedLeases.get(observed.row.engine());
-    boolean sameRow = last != null && last.rowVersion == observed.row.rowVersion();
+    boolean sameRow = last != null && last.rowVersion.equals(observed.row.rowVersion());
     return sameRow ? Math.min(latestExpiryMs, last.expiresAtMs) : latestExpiryMs;
   }
 
--- a/core/src/main/java/org/apricotstand/enginelease/LeaseEvent.java
+++ b/core/src/main/java/org/apricotstand/enginelease/LeaseEvent.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.apricotstand.model.StoreVersion;
 
 /** Input of {@link EngineLeases}: an observation, or the result of a call. */
 public sealed interface LeaseEvent {
@@ -43,6 +44,12 @@
    */
   record InstancesChanged(Map<String, String> domains) implements LeaseEvent {}
 
+  /**
+   * An answer of the table service showed a later era than all before. The era of the first answer
+   * is reported too; the service may have been restored just before it.
+   */
+  record EraBegan(long era) implements LeaseEvent {}
+
   /**
    * All lease rows were read.
    *
@@ -56,7 +63,7 @@
    * @param rowVersion version that all written rows now have
    * @param sentAtMs when the write was sent
    */
-  record WriteCommitted(List<LeaseRecord> rows, long rowVersion, long sentAtMs)
+  record WriteCommitted(List<LeaseRecord> rows, StoreVersion rowVersion, long sentAtMs)
       implements LeaseEvent {}
 
   /**
--- a/core/src/main/java/org/apricotstand/tenant/ConfigurationFreshness.java
+++ b/core/src/main/java/org/apricotstand/tenant/ConfigurationFreshness.java
@@ -1,5 +1,7 @@
 package org.apricotstand.tenant;
 
+import org.apricotstand.model.StoreVersion;
+
 /**
  * Keeps the latest time at which the configuration of this instance was known to be the newest. A
  * read of the store confirms the time at which it was sent. Another instance that has read the
@@ -16,7 +18,7 @@
  */
 public final class ConfigurationFreshness {
 
-  private long rowVersion;
+  private StoreVersion rowVersion = StoreVersion.NONE;
   private long confirmedMs = FreshnessBounds.NEVER_MS;
 
   /**
@@ -24,8 +26,8 @@
    *
    * @param version version of the row in the store
    */
-  public void recordRow(long version) {
-    rowVersion = Math.max(rowVersion, version);
+  public void recordRow(StoreVersion version) {
+    rowVersion = rowVersion.max(version);
   }
 
   /**
@@ -46,8 +48,8 @@
    * @return whether the answer confirms the configuration of this instance; false if it is about a
    *     newer row, which has not arrived yet
    */
-  public boolean recordAnswer(long askedMs, long newestRowVersion, long ageMs, long nowMs) {
-    if (newestRowVersion > rowVersion || ageMs < 0 || askedMs > nowMs) {
+  public boolean recordAnswer(long askedMs, StoreVersion newestRowVersion, long ageMs, long nowMs) {
+    if (newestRowVersion.isAfter(rowVersion) || ageMs < 0 || askedMs > nowMs) {
       return false;
     }
     confirmedMs = Math.max(confirmedMs, askedMs - ageMs);
@@ -64,8 +66,8 @@
     return confirmedMs;
   }
 
-  /** Returns the version of the row that this instance applied last; 0 if there was none. */
-  public long rowVersion() {
+  /** Returns the version of the row that this instance applied last, or none. */
+  public StoreVersion rowVersion() {
     return rowVersion;
   }
 }
--- a/core/src/test/java/org/apricotstand/enginelease/EngineLeasesTest.java
+++ b/core/src/test/java/org/apricotstand/enginelease/EngineLeasesTest.java
@@ -6,13 +6,18 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.apricotstand.model.StoreVersion;
 import org.junit.jupiter.api.Test;
 
 class EngineLeasesTest {
 
   private static final long HANDOVER_PAUSE_MS = 3_000;
 
-  private final EngineLeases leases = new EngineLeases("n1", HANDOVER_PAUSE_MS);
+  private final EngineLeases leases = new EngineLeases("n1", HANDOVER_PAUSE_MS, Long.MAX_VALUE);
+
+  private static StoreVersion version(long number) {
+    return StoreVersion.withoutEra(number);
+  }
 
   private List<LeaseAction> tick(long nowMs) {
     return leases.handle(new LeaseEvent.Tick(), nowMs);
@@ -23,9 +28,9 @@
     assertThat(leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0))
         .containsExactly(new LeaseAction.ReadRows());
     List<LeaseAction> actions = leases.handle(new LeaseEvent.RowsRead(List.of(), 0), 10);
-    LeaseRecord row = new LeaseRecord("e", "n1", false, 0);
+    LeaseRecord row = new LeaseRecord("e", "n1", false, 0, version(0));
     assertThat(actions).containsExactly(new LeaseAction.WriteRows(List.of(row)));
-    leases.handle(new LeaseEvent.WriteCommitted(List.of(row), 5, 10), 20);
+    leases.handle(new LeaseEvent.WriteCommitted(List.of(row), version(5), 10), 20);
   }
 
   // Guards against commands after a lease that could not be renewed has expired.
@@ -44,9 +49,9 @@
     acquireNewLease();
     List<LeaseAction> actions = leases.handle(new LeaseEvent.ProcessPaused(), 100);
     assertThat(leases.mayCommand("e", 101)).isFalse();
-    LeaseRecord renewal = new LeaseRecord("e", "n1", false, 5);
+    LeaseRecord renewal = new LeaseRecord("e", "n1", false, 0, version(5));
     assertThat(actions).containsExactly(new LeaseAction.WriteRows(List.of(renewal)));
-    leases.handle(new LeaseEvent.WriteCommitted(List.of(renewal), 6, 101), 110);
+    leases.handle(new LeaseEvent.WriteCommitted(List.of(renewal), version(6), 101), 110);
     assertThat(leases.mayCommand("e", 111)).isTrue();
     assertThat(leases.fencingNumber("e")).isEqualTo(5);
   }
@@ -56,12 +61,13 @@
   void acquiresALeaseOnlyAfterDurationAndPauseWithoutChange() {
     leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
     leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
-    LeaseRecord other = new LeaseRecord("e", "n2", false, 7);
+    LeaseRecord other = new LeaseRecord("e", "n2", false, 0, version(7));
     leases.handle(new LeaseEvent.RowsRead(List.of(other), 0), 10);
     long soonestMs = EngineLeases.LEASE_DURATION_MS + HANDOVER_PAUSE_MS;
     assertThat(tick(soonestMs)).isEmpty();
     assertThat(tick(soonestMs + 1_000))
-        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 7))));
+        .containsExactly(
+            new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 0, version(7)))));
   }
 
   // Guards against a takeover from an owner that sent no reports for a while but is alive.
@@ -69,9 +75,11 @@
   void readsTheRowAgainWhenTheOwnerReportsARenewal() {
     leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1", "n2", "d2")), 0);
     leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
-    leases.handle(new LeaseEvent.RowsRead(List.of(new LeaseRecord("e", "n2", false, 7)), 0), 10);
     leases.handle(
-        new LeaseEvent.LeasesReported("n2", Map.of("e", new LeaseStatus(8, 9_000))), 8_000);
+        new LeaseEvent.RowsRead(List.of(new LeaseRecord("e", "n2", false, 0, version(7))), 0), 10);
+    leases.handle(
+        new LeaseEvent.LeasesReported("n2", Map.of("e", new LeaseStatus(version(8), 9_000))),
+        8_000);
     assertThat(tick(20_000)).containsExactly(new LeaseAction.ReadRows());
   }
 
@@ -80,7 +88,7 @@
   void reacquiresItsOwnRowWithoutWaiting() {
     leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
     leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
-    LeaseRecord own = new LeaseRecord("e", "n1", false, 7);
+    LeaseRecord own = new LeaseRecord("e", "n1", false, 0, version(7));
     assertThat(leases.handle(new LeaseEvent.RowsRead(List.of(own), 0), 10))
         .containsExactly(new LeaseAction.WriteRows(List.of(own)));
   }
@@ -89,28 +97,29 @@
   @Test
   void adoptsARenewalWhoseAnswerWasLost() {
     acquireNewLease();
-    LeaseRecord renewal = new LeaseRecord("e", "n1", false, 5);
+    LeaseRecord renewal = new LeaseRecord("e", "n1", false, 0, version(5));
     assertThat(tick(2_500)).containsExactly(new LeaseAction.WriteRows(List.of(renewal)));
     leases.handle(new LeaseEvent.CallFailed(), 3_700);
     tick(4_600);
     List<LeaseAction> actions =
         leases.handle(
             new LeaseEvent.WriteRejected(
-                List.of(renewal), List.of(new LeaseRecord("e", "n1", false, 6))),
+                List.of(renewal), List.of(new LeaseRecord("e", "n1", false, 0, version(6)))),
             4_610);
     assertThat(actions)
-        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 6))));
+        .containsExactly(
+            new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 0, version(6)))));
   }
 
   // Guards against commands of a former owner after another instance took over.
   @Test
   void losesALeaseThatAnotherInstanceAcquired() {
     acquireNewLease();
-    LeaseRecord renewal = new LeaseRecord("e", "n1", false, 5);
+    LeaseRecord renewal = new LeaseRecord("e", "n1", false, 0, version(5));
     List<LeaseAction> actions =
         leases.handle(
             new LeaseEvent.WriteRejected(
-                List.of(renewal), List.of(new LeaseRecord("e", "n2", false, 9))),
+                List.of(renewal), List.of(new LeaseRecord("e", "n2", false, 0, version(9)))),
             2_600);
     assertThat(actions).contains(new LeaseAction.OwnershipLost("e", "taken_by_n2"));
     assertThat(leases.mayCommand("e", 2_601)).isFalse();
@@ -121,19 +130,20 @@
   void releasesAllLeasesOnRequest() {
     acquireNewLease();
     assertThat(leases.handle(new LeaseEvent.ReleaseRequested(), 100))
-        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", true, 5))));
+        .containsExactly(
+            new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", true, 0, version(5)))));
     assertThat(leases.mayCommand("e", 101)).isFalse();
   }
 
   private void readRowHeldByOther(long rowVersion, long requestedAtMs) {
     leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
     leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
-    LeaseRecord other = new LeaseRecord("e", "n2", false, rowVersion);
+    LeaseRecord other = new LeaseRecord("e", "n2", false, 0, version(rowVersion));
     leases.handle(new LeaseEvent.RowsRead(List.of(other), requestedAtMs), requestedAtMs + 10);
   }
 
   private List<LeaseAction> reportLease(long rowVersion, long remainingMs, long nowMs) {
-    LeaseStatus status = new LeaseStatus(rowVersion, remainingMs);
+    LeaseStatus status = new LeaseStatus(version(rowVersion), remainingMs);
     return leases.handle(new LeaseEvent.LeasesReported("n2", Map.of("e", status)), nowMs);
   }
 
@@ -145,7 +155,8 @@
     readRowHeldByOther(7, 2_000);
     assertThat(tick(1_000 + HANDOVER_PAUSE_MS)).isEmpty();
     assertThat(tick(1_000 + HANDOVER_PAUSE_MS + 1_000))
-        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 7))));
+        .containsExactly(
+            new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 0, version(7)))));
   }
 
   // Guards against commands of two owners when the lease was renewed after its holder's last
@@ -167,7 +178,8 @@
       actions.addAll(reportLease(7, 0, nowMs));
     }
     assertThat(actions)
-        .contains(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 7))));
+        .contains(
+            new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 0, version(7)))));
   }
 
   // Guards against seconds without an owner while instances are restarted one after the other.
@@ -175,9 +187,10 @@
   void reacquiresARowItReleasedWithoutWaiting() {
     leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
     leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
-    LeaseRecord released = LeaseRecord.decode("e", "released n1", 7);
+    LeaseRecord released = LeaseRecord.decode("e", "released n1", version(7));
     assertThat(leases.handle(new LeaseEvent.RowsRead(List.of(released), 0), 10))
-        .containsExactly(new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 7))));
+        .containsExactly(
+            new LeaseAction.WriteRows(List.of(new LeaseRecord("e", "n1", false, 0, version(7)))));
   }
 
   // Guards against commands of a new owner right after those of an owner that released its lease.
@@ -185,7 +198,7 @@
   void waitsForThePauseAfterAnotherInstanceReleased() {
     leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1")), 0);
     leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), 0);
-    LeaseRecord released = LeaseRecord.decode("e", "released n2", 7);
+    LeaseRecord released = LeaseRecord.decode("e", "released n2", version(7));
     leases.handle(new LeaseEvent.RowsRead(List.of(released), 0), 10);
     assertThat(tick(HANDOVER_PAUSE_MS)).isEmpty();
     assertThat(tick(HANDOVER_PAUSE_MS + 1_000)).hasSize(1);
@@ -206,7 +219,8 @@
     leases.handle(new LeaseEvent.InstancesChanged(Map.of("n1", "d1", "n2", "d1")), nowMs);
     leases.handle(new LeaseEvent.EnginesChanged(Map.of("e", "d1")), nowMs);
     leases.handle(
-        new LeaseEvent.LeasesReported("n2", Map.of("e", new LeaseStatus(7, 60_000))), nowMs);
+        new LeaseEvent.LeasesReported("n2", Map.of("e", new LeaseStatus(version(7), 60_000))),
+        nowMs);
   }
 
   // Guards against an owner whose leases are sent only at changes and is forgotten in between.
@@ -225,7 +239,7 @@
     learnThatOtherOwns(0);
     leases.handle(new LeaseEvent.HolderSilent("n2"), 100);
     assertThat(leases.ownerOf("e", 100)).isNull();
-    LeaseRecord row = new LeaseRecord("e", "n2", false, 7);
+    LeaseRecord row = new LeaseRecord("e", "n2", false, 0, version(7));
     leases.handle(new LeaseEvent.CallFailed(), 110);
     leases.handle(new LeaseEvent.RowsRead(List.of(row), 120), 130);
     long soonestMs = 120 + EngineLeases.LEASE_DURATION_MS + HANDOVER_PAUSE_MS;
--- a/core/src/test/java/org/apricotstand/enginelease/LeaseSimulation.java
+++ b/core/src/test/java/org/apricotstand/enginelease/LeaseSimulation.java
@@ -1,7 +1,9 @@
 package org.apricotstand.enginelease;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -9,13 +11,15 @@
 import java.util.Random;
 import java.util.TreeMap;
 import java.util.function.LongFunction;
+import org.apricotstand.model.StoreVersion;
 
 /**
  * Simulates, in simulated time, instances that own engines by leases, and injects faults. The store
  * is slow, loses answers, carries out writes late and is unreachable for some instances. Reports
  * between instances are late or lost. Instances are suspended, killed, drained and restarted under
  * the same name. Each instance sends a command to each engine whenever its leases allow it, and all
- * commands are recorded.
+ * commands are recorded. If asked to, the store is restored from older copies of itself: it loses
+ * what was written since and gives out the same numbers again, in a new era.
  */
 final class LeaseSimulation {
 
@@ -25,11 +29,19 @@
   private static final long STEP_MS = 20;
   private static final long REPORT_PERIOD_MS = 150;
   private static final long CALL_TIMEOUT_MS = 1_200;
+  private static final long COPY_PERIOD_MS = 500;
+
+  /** Probability of a restore in a step, for about three in a simulation. */
+  private static final double RESTORE_PROBABILITY = 0.001;
+
   // Instances do not detect shorter pauses.
   private static final long DETECTED_PAUSE_MS = 1_100;
   private static final List<String> DOMAINS = List.of("d1", "d2", "d3");
 
   private final Random random;
+  private final Random restoreRandom;
+  private final boolean isRestored;
+  private final Deque<Copy> copies = new ArrayDeque<>();
   private final Map<String, LeaseRecord> rows = new TreeMap<>();
   private final List<Instance> instances = new ArrayList<>();
   private final Map<String, String> engines = new TreeMap<>();
@@ -39,15 +51,23 @@
   private final List<Command> commands = new ArrayList<>();
   private long nowMs;
   private long storeVersion;
+  private long storeEra = 1;
+  private long storeAwayUntilMs;
+  private int restoreCount;
   private long nextTaskNumber;
 
   /** A command that reached its engine. */
   record Command(long atMs, String engine, String owner, long fencingNumber) {}
 
+  /** What the store held at a time. */
+  private record Copy(long atMs, long storeVersion, Map<String, LeaseRecord> rows) {}
+
   private record ScheduledTask(long atMs, long number, Runnable task) {}
 
-  LeaseSimulation(long seed) {
+  LeaseSimulation(long seed, boolean isRestored) {
+    this.isRestored = isRestored;
     random = new Random(seed);
+    restoreRandom = new Random(~seed);
     int count = 2 + random.nextInt(4);
     for (int i = 0; i < count; i++) {
       instances.add(new Instance("n" + i, DOMAINS.get(i % DOMAINS.size())));
@@ -64,11 +84,49 @@
       while (!scheduledTasks.isEmpty() && scheduledTasks.peek().atMs <= nowMs) {
         scheduledTasks.poll().task.run();
       }
+      if (isRestored) {
+        stepStore();
+      }
       instances.forEach(Instance::step);
     }
     return commands;
   }
 
+  /** Returns how often the store was restored. */
+  int restoreCount() {
+    return restoreCount;
+  }
+
+  private void stepStore() {
+    boolean isAway = nowMs < storeAwayUntilMs;
+    if (!isAway && nowMs % COPY_PERIOD_MS == 0) {
+      copies.addLast(new Copy(nowMs, storeVersion, Map.copyOf(rows)));
+    }
+    if (!isAway && restoreRandom.nextDouble() < RESTORE_PROBABILITY) {
+      restore(nowMs - 1_000 - restoreRandom.nextLong(9_001));
+      storeAwayUntilMs = nowMs + restoreRandom.nextLong(5_001);
+    }
+  }
+
+  /** Restores the newest copy that was made by a time, or the oldest one. */
+  private void restore(long copiedMs) {
+    Copy copy = copies.isEmpty() ? new Copy(0, 0, Map.of()) : copies.getFirst();
+    while (!copies.isEmpty() && copies.getFirst().atMs <= copiedMs) {
+      copy = copies.removeFirst();
+    }
+    copies.clear();
+    restoreCount++;
+    storeEra++;
+    storeVersion = copy.storeVersion;
+    rows.clear();
+    copy.rows.forEach((engine, row) -> rows.put(engine, inCurrentEra(row)));
+  }
+
+  private LeaseRecord inCurrentEra(LeaseRecord row) {
+    StoreVersion version = new StoreVersion(storeEra, row.rowVersion().number());
+    return LeaseRecord.decode(row.engine(), row.content(), version);
+  }
+
   private void schedule(long atMs, Runnable task) {
     scheduledTasks.add(new ScheduledTask(atMs, nextTaskNumber++, task));
   }
@@ -87,6 +145,7 @@
     private final String domain;
     private EngineLeases leases;
     private long processNumber;
+    private long seenEra;
     private boolean running;
     private long suspendedUntilMs;
     private long totalSuspendedMs;
@@ -103,7 +162,9 @@
       processNumber++;
       running = true;
       draining = false;
-      leases = new EngineLeases(name, HANDOVER_PAUSE_MS);
+      seenEra = 0;
+      leases =
+          new EngineLeases(name, HANDOVER_PAUSE_MS, processNumber == 1 ? 5_000 : Long.MIN_VALUE);
       handle(new LeaseEvent.InstancesChanged(liveDomains()));
       handle(new LeaseEvent.EnginesChanged(engines));
     }
@@ -235,7 +296,8 @@
       long sentMs = localMs();
       boolean[] answered = {false};
       schedule(
-          nowMs + CALL_TIMEOUT_MS, () -> answer(caller, answered, new LeaseEvent.CallFailed()));
+          nowMs + CALL_TIMEOUT_MS,
+          () -> answer(caller, answered, () -> handle(new LeaseEvent.CallFailed())));
       if (nowMs < storeReachableAtMs || chance(0.03)) {
         return;
       }
@@ -244,23 +306,42 @@
       schedule(
           arrivalMs,
           () -> {
+            if (nowMs < storeAwayUntilMs) {
+              return;
+            }
             LeaseEvent result = call.apply(sentMs);
+            long answerEra = storeEra;
             if (!lost) {
-              schedule(nowMs + randomBetween(1, 40), () -> answer(caller, answered, result));
+              schedule(
+                  nowMs + randomBetween(1, 40), () -> answer(caller, answered, answerEra, result));
+            }
+          });
+    }
+
+    /** Delivers an answer of the store as its client does, which knows the era of each answer. */
+    private void answer(long caller, boolean[] answered, long answerEra, LeaseEvent event) {
+      answer(
+          caller,
+          answered,
+          () -> {
+            if (answerEra > seenEra) {
+              seenEra = answerEra;
+              handle(new LeaseEvent.EraBegan(answerEra));
             }
+            handle(answerEra < seenEra ? new LeaseEvent.CallFailed() : event);
           });
     }
 
-    private void answer(long caller, boolean[] answered, LeaseEvent event) {
+    private void answer(long caller, boolean[] answered, Runnable delivery) {
       if (answered[0] || processNumber != caller || !running) {
         return;
       }
       if (!isAwake()) {
-        schedule(suspendedUntilMs + 1, () -> answer(caller, answered, event));
+        schedule(suspendedUntilMs + 1, () -> answer(caller, answered, delivery));
         return;
       }
       answered[0] = true;
-      handle(event);
+      delivery.run();
     }
 
     private LeaseEvent read(long sentMs) {
@@ -270,19 +351,27 @@
     private LeaseEvent write(List<LeaseRecord> written, long sentMs) {
       List<LeaseRecord> current =
           written.stream()
-              .map(row -> rows.getOrDefault(row.engine(), LeaseRecord.absent(row.engine())))
+              .map(
+                  row ->
+                      rows.getOrDefault(row.engine(), LeaseRecord.absent(row.engine(), storeEra)))
               .toList();
+      boolean isOfEarlierEra = written.stream().anyMatch(row -> row.rowVersion().era() != storeEra);
       for (int i = 0; i < written.size(); i++) {
-        if (written.get(i).rowVersion() != current.get(i).rowVersion()) {
-          return new LeaseEvent.WriteRejected(written, current);
+        // The store compares numbers only.
+        if (written.get(i).rowVersion().number() != current.get(i).rowVersion().number()) {
+          return isOfEarlierEra
+              ? new LeaseEvent.CallFailed()
+              : new LeaseEvent.WriteRejected(written, current);
         }
       }
-      long version = ++storeVersion;
+      StoreVersion version = new StoreVersion(storeEra, ++storeVersion);
       for (LeaseRecord row : written) {
         LeaseRecord stored = LeaseRecord.decode(row.engine(), row.content(), version);
         rows.put(row.engine(), stored);
       }
-      return new LeaseEvent.WriteCommitted(written, version, sentMs);
+      return isOfEarlierEra
+          ? new LeaseEvent.CallFailed()
+          : new LeaseEvent.WriteCommitted(written, version, sentMs);
     }
   }
 }
--- a/core/src/test/java/org/apricotstand/enginelease/LeaseSimulationTest.java
+++ b/core/src/test/java/org/apricotstand/enginelease/LeaseSimulationTest.java
@@ -17,9 +17,10 @@
 
   private static final int SIMULATIONS = Integer.getInteger("apricotstand.worlds", 150);
 
-  private static void assertOneOwnerAtATime(long seed) {
+  private static void assertOneOwnerAtATime(long seed, boolean isRestored) {
     Map<String, List<LeaseSimulation.Command>> commandsByEngine =
-        new LeaseSimulation(seed).run().stream().collect(Collectors.groupingBy(c -> c.engine()));
+        new LeaseSimulation(seed, isRestored)
+            .run().stream().collect(Collectors.groupingBy(c -> c.engine()));
     commandsByEngine.forEach((engine, commands) -> assertOneOwnerAtATime(seed, commands));
   }
 
@@ -54,7 +55,32 @@
   // under faults of the store, the links and the processes.
   @Test
   void commandsOfTwoOwnersAreSeparatedByTheHandoverPause() {
-    LongStream.rangeClosed(1, SIMULATIONS).forEach(LeaseSimulationTest::assertOneOwnerAtATime);
+    LongStream.rangeClosed(1, SIMULATIONS).forEach(seed -> assertOneOwnerAtATime(seed, false));
+  }
+
+  // Guards against two owners, or a lower fencing token after a higher one, after the store was
+  // restored from an older copy and so lost leases or brought back earlier ones. Copies are 1 to
+  // 10 s old, the store is away for up to 5 s, and restores follow each other, beside all other
+  // faults.
+  @Test
+  void aRestoredStoreNeverLeadsToTwoOwners() {
+    LongStream.rangeClosed(1, SIMULATIONS).forEach(seed -> assertOneOwnerAtATime(seed, true));
+  }
+
+  // Guards against simulations of a restored store that prove nothing, because it is not restored
+  // or
+  // engines have no owner after that.
+  @Test
+  void enginesHaveOwnersAgainAfterARestore() {
+    int restores = 0;
+    int commands = 0;
+    for (long seed = 1; seed <= 20; seed++) {
+      LeaseSimulation simulation = new LeaseSimulation(seed, true);
+      commands += simulation.run().size();
+      restores += simulation.restoreCount();
+    }
+    assertWithMessage("restores").that(restores).isAtLeast(30);
+    assertWithMessage("commands").that(commands).isGreaterThan(15_000);
   }
 
   // Guards against simulations that prove nothing because no command is sent or no engine changes
@@ -64,7 +90,7 @@
     List<LeaseSimulation.Command> commands =
         LongStream.rangeClosed(1, 20)
             .boxed()
-            .flatMap(seed -> new LeaseSimulation(seed).run().stream())
+            .flatMap(seed -> new LeaseSimulation(seed, false).run().stream())
             .toList();
     assertWithMessage("commands").that(commands.size()).isGreaterThan(20_000);
     long owners = commands.stream().map(c -> c.engine() + c.owner()).distinct().count();
--- a/core/src/test/java/org/apricotstand/tenant/ConfigurationFreshnessTest.java
+++ b/core/src/test/java/org/apricotstand/tenant/ConfigurationFreshnessTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import org.apricotstand.model.StoreVersion;
 import org.junit.jupiter.api.Test;
 
 class ConfigurationFreshnessTest {
@@ -20,10 +21,10 @@
   // Guards against an age that shrinks because an older confirmation comes late.
   @Test
   void anOlderConfirmationChangesNothing() {
-    freshness.recordRow(7);
+    freshness.recordRow(StoreVersion.withoutEra(7));
     freshness.recordRead(5_000);
     freshness.recordRead(4_000);
-    assertThat(freshness.recordAnswer(5_100, 7, 600, 5_200)).isTrue();
+    assertThat(freshness.recordAnswer(5_100, StoreVersion.withoutEra(7), 600, 5_200)).isTrue();
     assertThat(freshness.confirmedMs()).isEqualTo(5_000);
   }
 
@@ -31,8 +32,8 @@
   // at the relay counts, and so does the time that question and answer took, however long.
   @Test
   void anAnswerCountsFromTheQuestionLessTheAgeAtTheRelay() {
-    freshness.recordRow(7);
-    assertThat(freshness.recordAnswer(10_000, 7, 900, 14_000)).isTrue();
+    freshness.recordRow(StoreVersion.withoutEra(7));
+    assertThat(freshness.recordAnswer(10_000, StoreVersion.withoutEra(7), 900, 14_000)).isTrue();
     assertThat(freshness.confirmedMs()).isEqualTo(9_100);
   }
 
@@ -40,21 +41,21 @@
   // a newer row, which was lost or is still on its way.
   @Test
   void anAnswerAboutANewerRowConfirmsNothing() {
-    freshness.recordRow(7);
+    freshness.recordRow(StoreVersion.withoutEra(7));
     freshness.recordRead(1_000);
-    assertThat(freshness.recordAnswer(2_000, 8, 0, 2_010)).isFalse();
+    assertThat(freshness.recordAnswer(2_000, StoreVersion.withoutEra(8), 0, 2_010)).isFalse();
     assertThat(freshness.confirmedMs()).isEqualTo(1_000);
-    freshness.recordRow(8);
-    assertThat(freshness.recordAnswer(2_500, 8, 0, 2_510)).isTrue();
+    freshness.recordRow(StoreVersion.withoutEra(8));
+    assertThat(freshness.recordAnswer(2_500, StoreVersion.withoutEra(8), 0, 2_510)).isTrue();
     assertThat(freshness.confirmedMs()).isEqualTo(2_500);
   }
 
   // Guards against a late row that replaces the version of a newer one.
   @Test
   void anOlderRowDoesNotReplaceTheVersionOfANewerOne() {
-    freshness.recordRow(8);
-    freshness.recordRow(7);
-    assertThat(freshness.rowVersion()).isEqualTo(8);
+    freshness.recordRow(StoreVersion.withoutEra(8));
+    freshness.recordRow(StoreVersion.withoutEra(7));
+    assertThat(freshness.rowVersion()).isEqualTo(StoreVersion.withoutEra(8));
   }
 
   // Guards against an answer to a question of a former process after a restart of the machine,
@@ -62,7 +63,7 @@
   // clock starts again.
   @Test
   void anAnswerToAQuestionOfTheFutureConfirmsNothing() {
-    assertThat(freshness.recordAnswer(50_000, 0, 0, 1_000)).isFalse();
+    assertThat(freshness.recordAnswer(50_000, StoreVersion.withoutEra(0), 0, 1_000)).isFalse();
     assertThat(freshness.isConfirmed()).isFalse();
   }
 
@@ -71,9 +72,9 @@
   @Test
   void aRelayThatIsCutOffDoesNotKeepItsMembersFresh() {
     ConfigurationFreshness relay = new ConfigurationFreshness();
-    relay.recordRow(7);
+    relay.recordRow(StoreVersion.withoutEra(7));
     relay.recordRead(1_000);
-    freshness.recordRow(7);
+    freshness.recordRow(StoreVersion.withoutEra(7));
     for (long askedMs = 2_000; askedMs < 20_000; askedMs += 500) {
       long answeredMs = askedMs + 20;
       long ageMs = answeredMs - relay.confirmedMs();
--- a/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
+++ b/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
@@ -16,6 +16,7 @@
 import org.apricotstand.enginelease.LeaseEvent;
 import org.apricotstand.enginelease.LeaseRecord;
 import org.apricotstand.enginelease.LeaseStatus;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.peer.PeerMessage;
@@ -48,6 +49,12 @@
   /** Maximum number of loads in progress at one engine; engines accept no more. */
   private static final int MAX_CONCURRENT_LOADS = 4;
 
+  /**
+   * Time after the start in which a new system makes its first contact with the store. Later the
+   * store may have lost the leases of instances that were faster.
+   */
+  private static final long NEW_SYSTEM_MS = 5_000;
+
   private final ControlThread control;
   private final RowStore store;
   private final EngineControl engines;
@@ -78,7 +85,10 @@
     this.metrics = metrics;
     this.usageAt = usageAt;
     this.residencyListener = residencyListener;
-    this.leases = new EngineLeases(settings.name(), settings.handoverPauseMs());
+    long newSystemUntilMs =
+        settings.isNewSystem() ? ControlThread.nowMs() + NEW_SYSTEM_MS : Long.MIN_VALUE;
+    this.leases = new EngineLeases(settings.name(), settings.handoverPauseMs(), newSystemUntilMs);
+    store.addEraListener(era -> control.execute(() -> handle(new LeaseEvent.EraBegan(era))));
   }
 
   /**
@@ -250,10 +260,10 @@
         rows.stream()
             .map(
                 row ->
-                    new RowWrite(
+                    RowWrite.ifVersion(
+                        row.rowVersion(),
                         row.engine(),
-                        row.content().getBytes(StandardCharsets.UTF_8),
-                        row.rowVersion()))
+                        row.content().getBytes(StandardCharsets.UTF_8)))
             .toList();
     store
         .commit(TABLE, writes)
@@ -262,7 +272,7 @@
 
   private void handleCommitResult(List<LeaseRecord> rows, CommitResult result, long sentMs) {
     switch (result) {
-      case CommitResult.Committed(long version) ->
+      case CommitResult.Committed(StoreVersion version) ->
           handle(new LeaseEvent.WriteCommitted(rows, version, sentMs));
       case CommitResult.Conflict(List<Row> current) ->
           handle(new LeaseEvent.WriteRejected(rows, toLeaseRecords(current)));
--- a/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetExchange.java
@@ -342,11 +342,7 @@
   }
 
   private void publishStatus(FleetState.InstanceStatus status) {
-    boolean changed =
-        publishedStatus == null
-            || publishedStatus.leaving() != status.leaving()
-            || !publishedStatus.leaseVersions().equals(status.leaseVersions());
-    if (changed) {
+    if (publishedStatus == null || status.differsFrom(publishedStatus)) {
       publishedStatus = status;
       publish("instance/" + self.name(), incarnation, status);
     }
@@ -638,7 +634,9 @@
   private void publishRow(FleetState.TableRow row) {
     String key = "row/" + row.table() + "/" + row.rowKey();
     // The version of the row orders the entry, whoever read it.
-    put(new StateEntry(key, row.version(), 0, self.domain(), row), ReplicatedEntries.OWN);
+    long era = row.version().era();
+    long number = row.version().number();
+    put(new StateEntry(key, era, number, self.domain(), row), ReplicatedEntries.OWN);
   }
 
   private void applyStatus(FleetState.InstanceStatus status) {
--- a/node/src/main/java/org/apricotstand/fleet/FleetService.java
+++ b/node/src/main/java/org/apricotstand/fleet/FleetService.java
@@ -13,6 +13,7 @@
 import org.apricotstand.enginelease.LeaseStatus;
 import org.apricotstand.kernel.Service;
 import org.apricotstand.model.InstanceId;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.observe.Metrics;
 import org.apricotstand.overlay.OverlayInstance;
@@ -242,7 +243,7 @@
   }
 
   @Override
-  public void onConfigurationRow(long rowVersion) {
+  public void onConfigurationRow(StoreVersion rowVersion) {
     exchange.configurationWatch().freshness().recordRow(rowVersion);
   }
 
--- a/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
+++ b/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apricotstand.model.InstanceId;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.overlay.OverlayInstance;
 import org.apricotstand.port.CommitResult;
@@ -54,7 +55,7 @@
   private final Executor executor;
   private final LongSupplier clock;
   private final Map<InstanceId, InstanceRecord> records = new ConcurrentHashMap<>();
-  private final Map<String, Long> rowVersions = new HashMap<>();
+  private final Map<String, StoreVersion> rowVersions = new HashMap<>();
   private Consumer<List<OverlayInstance>> listener = instances -> {};
   private TableSharing sharing;
   private long refreshPeriodMs = MIN_REFRESH_PERIOD_MS;
@@ -108,7 +109,7 @@
           }
 
           @Override
-          public boolean onSharedUpTo(long fromVersion, long version) {
+          public boolean onSharedUpTo(StoreVersion fromVersion, StoreVersion version) {
             // The relay passes on the whole table, so nothing before it is needed.
             return hasRead;
           }
@@ -129,7 +130,7 @@
     if (!registered) {
       calling = true;
       store
-          .commit(TABLE, List.of(new RowWrite(self.name(), self.encode(), RowWrite.ANY_VERSION)))
+          .commit(TABLE, List.of(RowWrite.unconditional(self.name(), self.encode())))
           .thenAccept(result -> executor.execute(() -> handleRegistration(result)));
     } else if (!hasRead || sharing.mustRead(TABLE)) {
       calling = true;
@@ -182,8 +183,10 @@
 
   /** Passes on a read, which was of the whole table, so that it tells all up to its version. */
   private void share(List<Row> rows) {
-    long version = rows.stream().mapToLong(Row::version).max().orElse(0);
-    sharing.share(TABLE, rows.stream().map(row -> new RowChange(row, false)).toList(), 0, version);
+    StoreVersion version =
+        rows.stream().map(Row::version).reduce(StoreVersion.NONE, StoreVersion::max);
+    List<RowChange> changes = rows.stream().map(row -> new RowChange(row, false)).toList();
+    sharing.share(TABLE, changes, StoreVersion.NONE, version);
   }
 
   private void applyShared(List<RowChange> changes) {
@@ -202,7 +205,7 @@
     int knownBefore = records.size();
     boolean isChanged = false;
     for (Row row : rows) {
-      if (row.version() > rowVersions.getOrDefault(row.key(), -1L)) {
+      if (row.version().isAfter(rowVersions.getOrDefault(row.key(), StoreVersion.NONE))) {
         rowVersions.put(row.key(), row.version());
         isChanged |= updateRecord(row);
       }
--- a/node/src/main/java/org/apricotstand/fleet/RefusalTable.java
+++ b/node/src/main/java/org/apricotstand/fleet/RefusalTable.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.observe.EventLog;
 import org.apricotstand.port.CommitResult;
 import org.apricotstand.port.Row;
@@ -51,6 +52,7 @@
   private final LongSupplier timeOfDayMs;
   private final BooleanSupplier isWriter;
   private final Map<String, RefusalRow> rowsByKey = new HashMap<>();
+  private long era;
 
   /**
    * A refusal that has not ended.
@@ -87,14 +89,15 @@
   /** What this instance knows of a row, and what it has to write there. */
   private static final class RefusalRow {
     private final String key;
-    private long version;
+    private StoreVersion version;
     private Optional<Content> stored = Optional.empty();
     private Optional<Content> pending = Optional.empty();
     private long writeAtMs;
     private boolean isWriting;
 
-    RefusalRow(String key) {
+    RefusalRow(String key, long era) {
       this.key = key;
+      this.version = StoreVersion.absentIn(era);
     }
   }
 
@@ -117,6 +120,7 @@
     this.clock = clock;
     this.timeOfDayMs = timeOfDayMs;
     this.isWriter = isWriter;
+    store.addEraListener(newEra -> executor.execute(() -> era = newEra));
   }
 
   /** Reads the refusals that have not ended. The future fails when the store does not answer. */
@@ -144,7 +148,7 @@
   }
 
   private RefusalRow row(String key) {
-    return rowsByKey.computeIfAbsent(key, RefusalRow::new);
+    return rowsByKey.computeIfAbsent(key, name -> new RefusalRow(name, era));
   }
 
   /** Writes a refusal over the one whose row it shares, unless it ends before it is due. */
@@ -193,7 +197,7 @@
     }
     row.isWriting = true;
     store
-        .commit(TABLE, List.of(new RowWrite(row.key, content.encode(), row.version)))
+        .commit(TABLE, List.of(RowWrite.ifVersion(row.version, row.key, content.encode())))
         .thenAcceptAsync(result -> onResult(row, content, result), executor);
   }
 
@@ -201,7 +205,7 @@
     row.isWriting = false;
     boolean isCurrent = row.pending.filter(written::equals).isPresent();
     switch (result) {
-      case CommitResult.Committed(long version) -> {
+      case CommitResult.Committed(StoreVersion version) -> {
         row.version = version;
         row.stored = Optional.of(written);
         if (isCurrent) {
@@ -219,7 +223,7 @@
   }
 
   private void onConflict(RefusalRow row, List<Row> current) {
-    row.version = 0;
+    row.version = StoreVersion.absentIn(era);
     row.stored = Optional.empty();
     current.stream()
         .filter(stored -> stored.key().equals(row.key))
--- a/node/src/main/java/org/apricotstand/fleet/SharedTables.java
+++ b/node/src/main/java/org/apricotstand/fleet/SharedTables.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.LongSupplier;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.overlay.ReadDuty;
 import org.apricotstand.peer.FleetState;
 import org.apricotstand.peer.PeerMessage;
@@ -73,7 +74,13 @@
   }
 
   @Override
-  public void share(String table, List<RowChange> rows, long fromVersion, long version) {
+  public double staggerFraction() {
+    return staggerFraction;
+  }
+
+  @Override
+  public void share(
+      String table, List<RowChange> rows, StoreVersion fromVersion, StoreVersion version) {
     if (links.isMesh()) {
       return;
     }
--- a/node/src/main/java/org/apricotstand/peer/FleetState.java
+++ b/node/src/main/java/org/apricotstand/peer/FleetState.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import org.apricotstand.dispatch.AnswerTimes;
 import org.apricotstand.enginelease.LeaseStatus;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.quota.TenantUse;
 
 /**
@@ -38,15 +39,20 @@
   record InstanceStatus(String instance, boolean leaving, Map<String, LeaseStatus> leases)
       implements FleetState {
 
-    /** Returns the version of each lease; negative once it has expired without a renewal. */
-    public Map<String, Long> leaseVersions() {
-      Map<String, Long> versions = new HashMap<>();
+    /** Returns whether another status differs in more than the time until leases expire. */
+    public boolean differsFrom(InstanceStatus other) {
+      return leaving != other.leaving || !leaseStates().equals(other.leaseStates());
+    }
+
+    private Map<String, LeaseState> leaseStates() {
+      Map<String, LeaseState> states = new HashMap<>();
       leases.forEach(
           (engine, lease) ->
-              versions.put(
-                  engine, lease.remainingMs() > 0 ? lease.rowVersion() : -lease.rowVersion()));
-      return versions;
+              states.put(engine, new LeaseState(lease.rowVersion(), lease.hasExpired())));
+      return states;
     }
+
+    private record LeaseState(StoreVersion rowVersion, boolean hasExpired) {}
   }
 
   /**
@@ -148,6 +154,6 @@
    * @param version version of the row
    * @param removed whether the row no longer exists
    */
-  record TableRow(String table, String rowKey, byte[] value, long version, boolean removed)
+  record TableRow(String table, String rowKey, byte[] value, StoreVersion version, boolean removed)
       implements FleetState {}
 }
--- a/node/src/main/java/org/apricotstand/peer/PeerCodec.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerCodec.java
@@ -1,6 +1,7 @@
 package org.apricotstand.peer;
 
 import com.fasterxml.jackson.annotation.JsonFormat;
+import com.fasterxml.jackson.annotation.JsonIgnoreProperties;
 import com.fasterxml.jackson.annotation.JsonPropertyOrder;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -13,6 +14,7 @@
 import java.io.IOException;
 import java.util.List;
 import org.apricotstand.dispatch.AnswerTimes;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.quota.TenantUse;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
@@ -22,7 +24,8 @@
   private static final ObjectMapper MAPPER =
       new ObjectMapper(new MessagePackFactory())
           .addMixIn(TenantUse.class, UseArrayForm.class)
-          .addMixIn(AnswerTimes.class, TimesArrayForm.class);
+          .addMixIn(AnswerTimes.class, TimesArrayForm.class)
+          .addMixIn(StoreVersion.class, VersionArrayForm.class);
 
   private static final ObjectReader READER = MAPPER.readerFor(PeerMessage.class);
   private static final ObjectWriter WRITER = MAPPER.writerFor(PeerMessage.class);
@@ -37,6 +40,12 @@
   @JsonPropertyOrder({"count", "totalMs"})
   private interface TimesArrayForm {}
 
+  /** Encodes {@link StoreVersion} without the names of its components. */
+  @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+  @JsonPropertyOrder({"era", "number"})
+  @JsonIgnoreProperties("absent")
+  private interface VersionArrayForm {}
+
   @Override
   protected void encode(ChannelHandlerContext context, PeerMessage message, List<Object> out)
       throws IOException {
--- a/node/src/main/java/org/apricotstand/peer/PeerMessage.java
+++ b/node/src/main/java/org/apricotstand/peer/PeerMessage.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.apricotstand.dispatch.AnswerTimes;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.quota.TenantUse;
 
 /**
@@ -52,7 +53,7 @@
 public sealed interface PeerMessage {
 
   /** Version of the protocol; connections of instances with another version are refused. */
-  int PROTOCOL_VERSION = 2;
+  int PROTOCOL_VERSION = 3;
 
   /** Identifies the sender; the first message on each connection, in both directions. */
   record Hello(int protocolVersion, String instance, long incarnation, String domain)
@@ -279,7 +280,8 @@
    * @param fromVersion version since which the relay has passed on all changes
    * @param version newest version of the table
    */
-  record TableRead(String table, long fromVersion, long version) implements PeerMessage {}
+  record TableRead(String table, StoreVersion fromVersion, StoreVersion version)
+      implements PeerMessage {}
 
   /** Tells a member that its relay can read a table again after an outage of the store. */
   record TableRegained(String table) implements PeerMessage {}
@@ -298,7 +300,8 @@
    * @param rowVersion version of the configuration's row in the store that was the newest
    * @param ageMs time since then
    */
-  record ConfigurationConfirmed(long askedMs, long rowVersion, long ageMs) implements PeerMessage {}
+  record ConfigurationConfirmed(long askedMs, StoreVersion rowVersion, long ageMs)
+      implements PeerMessage {}
 
   /**
    * Asks the relay of the sender for credit for one request.
--- a/node/src/main/java/org/apricotstand/port/CommitResult.java
+++ b/node/src/main/java/org/apricotstand/port/CommitResult.java
@@ -1,12 +1,13 @@
 package org.apricotstand.port;
 
 import java.util.List;
+import org.apricotstand.model.StoreVersion;
 
 /** The result of a transaction of the table service. */
 public sealed interface CommitResult {
 
   /** All writes took effect; {@code version} is the new version of the rows. */
-  record Committed(long version) implements CommitResult {}
+  record Committed(StoreVersion version) implements CommitResult {}
 
   /**
    * A condition did not hold and no write took effect; {@code current} holds the rows that the
--- a/node/src/main/java/org/apricotstand/port/ConfigurationListener.java
+++ b/node/src/main/java/org/apricotstand/port/ConfigurationListener.java
@@ -1,5 +1,6 @@
 package org.apricotstand.port;
 
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.residency.AdapterKey;
 import org.apricotstand.route.RoutingPlan;
 
@@ -17,7 +18,7 @@
    *
    * @param rowVersion version of the row in the store
    */
-  default void onConfigurationRow(long rowVersion) {}
+  default void onConfigurationRow(StoreVersion rowVersion) {}
 
   /**
    * Called after a read of the store has returned and everything that it returned was passed on.
--- a/node/src/main/java/org/apricotstand/port/ServingSettings.java
+++ b/node/src/main/java/org/apricotstand/port/ServingSettings.java
@@ -9,6 +9,7 @@
  *
  * @param name name of the instance; does not change over a restart
  * @param domain failure domain
+ * @param isNewSystem whether all instances start for the first time
  * @param callerAddress address that accepts the connections of callers
  * @param readyAddress address that serves the readiness check
  * @param peerAddress address that accepts the connections of other instances
@@ -30,6 +31,7 @@
 public record ServingSettings(
     String name,
     String domain,
+    boolean isNewSystem,
     InetSocketAddress callerAddress,
     InetSocketAddress readyAddress,
     InetSocketAddress peerAddress,
--- a/node/src/main/java/org/apricotstand/port/TableSharing.java
+++ b/node/src/main/java/org/apricotstand/port/TableSharing.java
@@ -1,6 +1,7 @@
 package org.apricotstand.port;
 
 import java.util.List;
+import org.apricotstand.model.StoreVersion;
 
 /**
  * Shares what one instance reads from a table with others, so that the number of reads does not
@@ -32,7 +33,7 @@
      * @return whether this instance knows all changes up to the first version, so that it needs not
      *     read itself
      */
-    boolean onSharedUpTo(long fromVersion, long version);
+    boolean onSharedUpTo(StoreVersion fromVersion, StoreVersion version);
 
     /** Called when another instance can read the table again after an outage. */
     void onSharedRecovery();
@@ -51,6 +52,12 @@
   /** Returns how this instance takes part now. */
   Role role();
 
+  /**
+   * Returns a number from 0 to 1 that is different at each instance, to spread over time what all
+   * of them do for the same reason.
+   */
+  double staggerFraction();
+
   /**
    * Passes on what this instance read.
    *
@@ -58,7 +65,7 @@
    * @param fromVersion version since which this instance has passed on all changes that it knows
    * @param version newest version of the table
    */
-  void share(String table, List<RowChange> rows, long fromVersion, long version);
+  void share(String table, List<RowChange> rows, StoreVersion fromVersion, StoreVersion version);
 
   /** Passes on that this instance can read the table again after an outage. */
   void shareRecovery(String table);
--- a/node/src/test/java/org/apricotstand/fleet/ConfigurationWatchTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/ConfigurationWatchTest.java
@@ -5,6 +5,7 @@
 
 import java.util.List;
 import java.util.Random;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.tenant.ConfigurationFreshness;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -13,7 +14,8 @@
 /** Runs fleets whose relays read the configuration for their members, in simulated time. */
 class ConfigurationWatchTest {
 
-  private static final long ROW_VERSION = 7;
+  private static final StoreVersion ROW_VERSION = StoreVersion.withoutEra(7);
+  private static final StoreVersion NEXT_ROW_VERSION = StoreVersion.withoutEra(8);
   private static final long READ_WAIT_MS = 500;
   private static final int DOMAINS = 4;
 
@@ -40,7 +42,10 @@
       fleet.run(READ_WAIT_MS);
       for (SimulatedFleet.Instance relay : relaysOf(fleet)) {
         freshness(relay).recordRead(sentMs);
-        relay.exchange.tables().share(SimulatedFleet.TABLE, List.of(), 0, ROW_VERSION);
+        relay
+            .exchange
+            .tables()
+            .share(SimulatedFleet.TABLE, List.of(), StoreVersion.NONE, ROW_VERSION);
       }
     }
   }
@@ -98,14 +103,14 @@
     SimulatedFleet fleet = startedFleet(22);
     read(fleet, 2_000);
     long beforeMs = fleet.nowMs();
-    relaysOf(fleet).forEach(relay -> freshness(relay).recordRow(ROW_VERSION + 1));
+    relaysOf(fleet).forEach(relay -> freshness(relay).recordRow(NEXT_ROW_VERSION));
     fleet.run(100);
     read(fleet, 3_000);
     List<SimulatedFleet.Instance> behind =
-        fleet.where(instance -> freshness(instance).rowVersion() == ROW_VERSION);
+        fleet.where(instance -> freshness(instance).rowVersion().equals(ROW_VERSION));
     assertThat(behind.size()).isAtLeast(40);
     behind.forEach(member -> assertThat(freshness(member).confirmedMs()).isAtMost(beforeMs));
-    behind.forEach(member -> freshness(member).recordRow(ROW_VERSION + 1));
+    behind.forEach(member -> freshness(member).recordRow(NEXT_ROW_VERSION));
     read(fleet, 1_500);
     behind.forEach(member -> assertThat(freshness(member).confirmedMs()).isGreaterThan(beforeMs));
   }
--- a/node/src/test/java/org/apricotstand/fleet/FleetExchangeTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/FleetExchangeTest.java
@@ -14,6 +14,7 @@
 import java.util.stream.Stream;
 import org.apricotstand.dispatch.TargetEntry;
 import org.apricotstand.dispatch.TargetLoad;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.overlay.ReadDuty;
 import org.apricotstand.peer.FleetState;
 import org.apricotstand.port.Row;
@@ -331,10 +332,18 @@
   }
 
   private static void shareRow(SimulatedFleet fleet, String key, long version) {
-    RowChange change = new RowChange(new Row(key, new byte[] {1}, version), false);
+    RowChange change =
+        new RowChange(new Row(key, new byte[] {1}, StoreVersion.withoutEra(version)), false);
     for (SimulatedFleet.Instance reader : readersOf(fleet)) {
       reader.onShared(List.of(change));
-      reader.exchange.tables().share(SimulatedFleet.TABLE, List.of(change), 0, version);
+      reader
+          .exchange
+          .tables()
+          .share(
+              SimulatedFleet.TABLE,
+              List.of(change),
+              StoreVersion.NONE,
+              StoreVersion.withoutEra(version));
     }
   }
 
@@ -345,7 +354,8 @@
     shareRow(fleet, "k1", 7);
     fleet.run(200);
     assertThat(readersOf(fleet)).hasSize(5);
-    List<SimulatedFleet.Instance> told = fleet.where(instance -> instance.tableVersion == 7);
+    List<SimulatedFleet.Instance> told =
+        fleet.where(instance -> instance.tableVersion.number() == 7);
     assertThat(told.size()).isAtLeast(90);
     told.forEach(instance -> assertThat(instance.rows).containsKey("k1"));
   }
@@ -366,7 +376,16 @@
   void aMemberThatIsBehindGoesOnReading() {
     SimulatedFleet fleet = startedFleet(95, 5, 13);
     readersOf(fleet)
-        .forEach(reader -> reader.exchange.tables().share(SimulatedFleet.TABLE, List.of(), 5, 7));
+        .forEach(
+            reader ->
+                reader
+                    .exchange
+                    .tables()
+                    .share(
+                        SimulatedFleet.TABLE,
+                        List.of(),
+                        StoreVersion.withoutEra(5),
+                        StoreVersion.withoutEra(7)));
     fleet.run(200);
     assertThat(readersOf(fleet)).hasSize(95);
   }
--- a/node/src/test/java/org/apricotstand/fleet/RefusalTableTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/RefusalTableTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.port.CommitResult;
 import org.apricotstand.port.Row;
 import org.apricotstand.port.RowStore;
@@ -34,7 +35,8 @@
     private boolean isDown;
     private boolean losesAnswers;
     private int callCount;
-    private long version;
+    private long era;
+    private long number;
 
     @Override
     public CompletableFuture<List<Row>> readAll(String table) {
@@ -60,15 +62,16 @@
 
     private CommitResult write(RowWrite write) {
       Row current = rows.get(write.key());
-      long currentVersion = current == null ? 0 : current.version();
+      StoreVersion currentVersion =
+          current == null ? StoreVersion.absentIn(era) : current.version();
       boolean isExpected =
-          write.expectedVersion() == RowWrite.ANY_VERSION
-              || write.expectedVersion() == currentVersion;
+          write.expectedVersion().filter(version -> !version.equals(currentVersion)).isEmpty();
       if (!isExpected) {
         return new CommitResult.Conflict(current == null ? List.of() : List.of(current));
       }
-      rows.put(write.key(), new Row(write.key(), write.value(), ++version));
-      return losesAnswers ? failed() : new CommitResult.Committed(version);
+      StoreVersion written = new StoreVersion(era, ++number);
+      rows.put(write.key(), new Row(write.key(), write.value(), written));
+      return losesAnswers ? failed() : new CommitResult.Committed(written);
     }
 
     /** Carries out the pending writes, the newest first. */
@@ -232,7 +235,7 @@
     RefusalTable table = tableWithSavedRefusal();
     String key = store.rows.keySet().iterator().next();
     byte[] value = (timeOfDayMs + 60_000 + " prompt/g").getBytes();
-    store.write(new RowWrite(key, value, RowWrite.ANY_VERSION));
+    store.write(RowWrite.unconditional(key, value));
     table.end("prompt/f");
     pass(table, 0);
     pass(table, RefusalTable.RETRY_DELAY_MS);
@@ -254,7 +257,7 @@
   // Guards against a start that fails on a row of another writer.
   @Test
   void ignoresUnreadableRows() {
-    store.rows.put("row-1", new Row("row-1", new byte[] {1, 2}, 1));
+    store.rows.put("row-1", new Row("row-1", new byte[] {1, 2}, StoreVersion.withoutEra(1)));
     assertThat(readAnew()).isEmpty();
   }
 }
--- a/node/src/test/java/org/apricotstand/fleet/SharedTablesTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/SharedTablesTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.peer.FleetState;
 import org.apricotstand.peer.PeerMessage;
 import org.apricotstand.port.RowChange;
@@ -30,7 +31,7 @@
   }
 
   private static FleetState.TableRow row(String table, String key) {
-    return new FleetState.TableRow(table, key, new byte[0], 1, false);
+    return new FleetState.TableRow(table, key, new byte[0], StoreVersion.withoutEra(1), false);
   }
 
   private final class Recorder implements TableSharing.Listener {
@@ -41,7 +42,7 @@
     }
 
     @Override
-    public boolean onSharedUpTo(long fromVersion, long version) {
+    public boolean onSharedUpTo(StoreVersion fromVersion, StoreVersion version) {
       return true;
     }
 
--- a/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
+++ b/node/src/test/java/org/apricotstand/fleet/SimulatedFleet.java
@@ -16,6 +16,7 @@
 import java.util.function.Predicate;
 import org.apricotstand.enginelease.LeaseStatus;
 import org.apricotstand.model.InstanceId;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.overlay.OverlayInstance;
 import org.apricotstand.peer.FleetState;
 import org.apricotstand.peer.PeerLinks;
@@ -100,7 +101,7 @@
     final List<FleetState.TraitRefused> refusals = new ArrayList<>();
     final List<FleetState.TargetLimit> limits = new ArrayList<>();
     final Map<String, RowChange> rows = new HashMap<>();
-    long tableVersion;
+    StoreVersion tableVersion = StoreVersion.NONE;
     int recoveries;
     final Map<String, Long> deliveryFreeMs = new HashMap<>();
     final Set<String> links = new HashSet<>();
@@ -187,7 +188,9 @@
         return;
       }
       tickListener.run();
-      exchange.tick(leaving, Map.of(identity.name(), new LeaseStatus(incarnation, 9_000)));
+      exchange.tick(
+          leaving,
+          Map.of(identity.name(), new LeaseStatus(StoreVersion.withoutEra(incarnation), 9_000)));
       long delayMs = slownessMs == 0 ? 0 : random.nextLong(slownessMs);
       at(nowMs + TICK_MS + delayMs, () -> tick(started));
     }
@@ -243,8 +246,8 @@
     }
 
     @Override
-    public boolean onSharedUpTo(long fromVersion, long version) {
-      boolean knowsAllBefore = tableVersion >= fromVersion;
+    public boolean onSharedUpTo(StoreVersion fromVersion, StoreVersion version) {
+      boolean knowsAllBefore = !fromVersion.isAfter(tableVersion);
       if (knowsAllBefore) {
         tableVersion = version;
       }
--- a/node/src/test/java/org/apricotstand/fleet/SimulatedStore.java
+++ b/node/src/test/java/org/apricotstand/fleet/SimulatedStore.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.port.CommitResult;
 import org.apricotstand.port.Row;
 import org.apricotstand.port.RowStore;
@@ -47,12 +48,12 @@
     }
 
     /** Returns the version of the store after a wait in which nothing changes. */
-    CompletableFuture<Long> feed(String table, long waitMs) {
+    CompletableFuture<StoreVersion> feed(String table, long waitMs) {
       return call("feed_" + table, waitMs);
     }
 
     /** Returns the version of the store when a table was read. */
-    CompletableFuture<Long> snapshot(String table) {
+    CompletableFuture<StoreVersion> snapshot(String table) {
       return call("read_" + table, 0);
     }
 
@@ -61,20 +62,20 @@
       return call("write_" + table, 0)
           .<CommitResult>thenApply(
               read -> {
-                version++;
+                StoreVersion written = StoreVersion.withoutEra(++version);
                 Map<String, Row> rows = tables.computeIfAbsent(table, name -> new TreeMap<>());
                 writes.forEach(
-                    write -> rows.put(write.key(), new Row(write.key(), write.value(), version)));
-                return new CommitResult.Committed(version);
+                    write -> rows.put(write.key(), new Row(write.key(), write.value(), written)));
+                return new CommitResult.Committed(written);
               })
           .exceptionally(failure -> new CommitResult.Failed(failure.toString()));
     }
 
     /** Answers with the version of the store at the end of the call, in the instance's process. */
-    private CompletableFuture<Long> call(String kind, long waitMs) {
+    private CompletableFuture<StoreVersion> call(String kind, long waitMs) {
       String name = instance.identity.name();
       callsByInstance.computeIfAbsent(name, any -> new TreeMap<>()).merge(kind, 1, Integer::sum);
-      CompletableFuture<Long> answer = new CompletableFuture<>();
+      CompletableFuture<StoreVersion> answer = new CompletableFuture<>();
       if (cutOff.contains(name)) {
         instance.runAt(
             fleet.nowMs() + waitMs + CALL_TIMEOUT_MS,
@@ -82,7 +83,7 @@
       } else {
         instance.runAt(
             fleet.nowMs() + waitMs + 1 + random.nextLong(maxAnswerMs),
-            () -> answer.complete(version));
+            () -> answer.complete(StoreVersion.withoutEra(version)));
       }
       return answer;
     }
--- a/node/src/test/java/org/apricotstand/fleet/StoreCallsOfFleetTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/StoreCallsOfFleetTest.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.apricotstand.model.InstanceId;
+import org.apricotstand.model.StoreVersion;
 import org.apricotstand.peer.FleetState;
 import org.apricotstand.port.RowChange;
 import org.apricotstand.port.TableSharing;
@@ -49,8 +50,8 @@
     private final long pauseMs;
     private final boolean isConfiguration;
     private boolean hasSnapshot;
-    private long snapshotVersion;
-    private long version;
+    private StoreVersion snapshotVersion = StoreVersion.NONE;
+    private StoreVersion version = StoreVersion.NONE;
 
     Reader(SimulatedFleet.Instance instance, String table, long waitMs, long pauseMs) {
       this.instance = instance;
@@ -83,13 +84,13 @@
           .whenComplete((read, failure) -> handle(read, failure, sentMs, urgent));
     }
 
-    private void handle(Long read, Throwable failure, long sentMs, boolean urgent) {
+    private void handle(StoreVersion read, Throwable failure, long sentMs, boolean urgent) {
       long usualPauseMs = urgent ? Math.max(pauseMs, 100) : pauseMs;
       instance.runAt(fleet.nowMs() + (failure == null ? usualPauseMs : 250), this::poll);
       if (failure != null) {
         return;
       }
-      version = Math.max(version, read);
+      version = version.max(read);
       if (hasSnapshot) {
         tables.share(table, List.of(), snapshotVersion, version);
       } else {
@@ -105,10 +106,10 @@
     public void onShared(List<RowChange> rows) {}
 
     @Override
-    public boolean onSharedUpTo(long fromVersion, long sharedVersion) {
-      boolean knowsAllBefore = hasSnapshot && version >= fromVersion;
+    public boolean onSharedUpTo(StoreVersion fromVersion, StoreVersion sharedVersion) {
+      boolean knowsAllBefore = hasSnapshot && !fromVersion.isAfter(version);
       if (knowsAllBefore) {
-        version = Math.max(version, sharedVersion);
+        version = version.max(sharedVersion);
         if (isConfiguration) {
           watch.askSoon();
         }
@@ -312,7 +313,8 @@
     InetSocketAddress address = directory.addressOf(new InstanceId("n7"));
     InstanceRecord before = new InstanceRecord("n7", "d3", "127.0.0.9", 9, 0);
     FleetState.TableRow late =
-        new FleetState.TableRow("instances", "n7", before.encode(), 1, false);
+        new FleetState.TableRow(
+            "instances", "n7", before.encode(), StoreVersion.withoutEra(1), false);
     fleet.get("n5").exchange.tables().apply(List.of(late));
     assertThat(directory.addressOf(new InstanceId("n7"))).isEqualTo(address);
   }
--- a/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterFixture.java
@@ -154,6 +154,7 @@
         new ServingSettings(
             "n",
             "d",
+            true,
             anyPort,
             anyPort,
             anyPort,
