Pass on answers without a length in chunks

Cause: an answer that a target sent with neither a length nor chunks left the same way, so that the end of the connection marked its end. The kernel ends the connections of a killed process like finished ones; only a live process can reset them.

Change: CallReply sends such answers in chunks. Callers of HTTP/1.0, which do not understand chunks, get the answer when it is complete, with its length, within the limits of held answers; before they got chunks, or an end by the connection. The other request path (NettyExchange) does the same for them; its held bytes are accounted as output. HEAD requests of streams without a length are answered; before they were reset as streams without an event.

A target that resets an answer without a length still gives the caller no last chunk.

RequestRouterTest#anAnswerWithoutLengthEndsWithItsConnection asked for the fault. It is replaced by two tests: the last chunk follows the end of the target's connection, and does not follow its reset.

--- a/node/src/main/java/org/apricotstand/front/CallReply.java
+++ b/node/src/main/java/org/apricotstand/front/CallReply.java
@@ -75,7 +75,7 @@
     if (HttpMethod.HEAD.equals(request.method())) {
       answer.content().clear();
     }
-    setConnectionHeader(answer, true);
+    setConnectionHeader(answer);
     finish(channel.writeAndFlush(answer));
   }
 
@@ -91,13 +91,12 @@
     boolean bodiless = HttpMethod.HEAD.equals(request.method()) || ResponseFraming.isBodiless(head);
     if (length != null && !HttpUtil.isTransferEncodingChunked(head)) {
       answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-    } else if (HttpUtil.isTransferEncodingChunked(head) && !bodiless) {
+    } else if (!bodiless) {
+      // The connections of a killed process end like those of a complete answer, so the end of the
+      // body must not be marked by the end of the connection, however the target framed it.
       HttpUtil.setTransferEncodingChunked(answer, true);
     }
-    // Without a length or chunks, only the close of the connection marks the end of the body. An
-    // end marker of our own would make a truncated answer look complete.
-    boolean selfDelimited = bodiless || length != null || HttpUtil.isTransferEncodingChunked(head);
-    setConnectionHeader(answer, selfDelimited);
+    setConnectionHeader(answer);
     begun = true;
     channel.write(answer, channel.voidPromise());
   }
@@ -163,8 +162,8 @@
     return channel.isWritable();
   }
 
-  private void setConnectionHeader(HttpResponse answer, boolean selfDelimited) {
-    keepsAlive = callerKeepsAlive && selfDelimited && !connection.closesAfterAnswer();
+  private void setConnectionHeader(HttpResponse answer) {
+    keepsAlive = callerKeepsAlive && !connection.closesAfterAnswer();
     if (!keepsAlive) {
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
--- a/node/src/main/java/org/apricotstand/front/CallerConnection.java
+++ b/node/src/main/java/org/apricotstand/front/CallerConnection.java
@@ -252,6 +252,7 @@
             head.uri(),
             head.headers(),
             body.takeArray(),
+            head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0,
             ((InetSocketAddress) channel.remoteAddress()).getAddress().getHostAddress(),
             firstByteMs);
     boolean keepAlive = HttpUtil.isKeepAlive(head);
--- a/node/src/main/java/org/apricotstand/front/CallerRequest.java
+++ b/node/src/main/java/org/apricotstand/front/CallerRequest.java
@@ -10,6 +10,7 @@
  * @param uri path and query
  * @param headers all headers
  * @param body complete body, may be empty
+ * @param acceptsChunks whether the caller understands a body in chunks, as of HTTP/1.1
  * @param caller IP address of the caller
  * @param arrivedMs monotonic time at which its first byte was read, in milliseconds
  */
@@ -18,5 +19,6 @@
     String uri,
     HttpHeaders headers,
     byte[] body,
+    boolean acceptsChunks,
     String caller,
     long arrivedMs) {}
--- a/node/src/main/java/org/apricotstand/front/Reply.java
+++ b/node/src/main/java/org/apricotstand/front/Reply.java
@@ -15,7 +15,10 @@
    */
   void fail(int status, String code, long retryAfterMs);
 
-  /** Writes the status and headers of a target's answer. */
+  /**
+   * Writes the status and headers of a target's answer. A body without a length leaves in chunks,
+   * which callers of HTTP/1.0 do not understand.
+   */
   void writeHead(HttpResponse head);
 
   /**
--- a/node/src/main/java/org/apricotstand/http/HttpConnection.java
+++ b/node/src/main/java/org/apricotstand/http/HttpConnection.java
@@ -207,7 +207,10 @@
 
   private long unsentBytes() {
     ChannelOutboundBuffer buffer = channelContext.channel().unsafe().outboundBuffer();
-    return buffer == null ? 0 : buffer.totalPendingWriteBytes() - buffer.currentProgress();
+    long heldBytes = currentExchange == null ? 0 : currentExchange.heldBytes();
+    return buffer == null
+        ? heldBytes
+        : heldBytes + buffer.totalPendingWriteBytes() - buffer.currentProgress();
   }
 
   @Override
--- a/node/src/main/java/org/apricotstand/http/NettyExchange.java
+++ b/node/src/main/java/org/apricotstand/http/NettyExchange.java
@@ -10,13 +10,16 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.Map;
@@ -45,6 +48,8 @@
   private final boolean http10;
   private boolean keepAlive;
   private State state = State.NOT_STARTED;
+  private HttpResponse heldHead;
+  private ByteArrayOutputStream heldBody;
   private Runnable writableListener;
   private Runnable closeListener;
   private boolean connectionClosed;
@@ -115,10 +120,15 @@
               new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
           headers.forEach(response.headers()::set);
           boolean hasLength = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-          if (http10) {
-            // HTTP/1.0 has no chunked bodies: closing the connection marks the end of the body.
-            keepAlive = keepAlive && hasLength;
-          } else if (!hasLength) {
+          if (http10 && !hasLength) {
+            // HTTP/1.0 has no chunked bodies, and the connections of a killed process end like
+            // those
+            // of a complete answer. So the body is held until its length is known.
+            heldHead = response;
+            heldBody = new ByteArrayOutputStream();
+            return;
+          }
+          if (!hasLength) {
             HttpUtil.setTransferEncodingChunked(response, true);
           }
           setConnectionHeader(response);
@@ -126,11 +136,19 @@
         });
   }
 
+  /** Returns the bytes of a body that are held until its length is known. */
+  long heldBytes() {
+    return heldBody == null ? 0 : heldBody.size();
+  }
+
   @Override
   public void write(byte[] part) {
     runOnEventLoop(
         () -> {
-          if (state == State.STREAMING) {
+          if (state == State.STREAMING && heldHead != null) {
+            heldBody.writeBytes(part);
+            finishListener.onOutputChanged();
+          } else if (state == State.STREAMING) {
             ByteBuf content = Unpooled.wrappedBuffer(part);
             send(new DefaultHttpContent(content));
           }
@@ -142,12 +160,29 @@
     runOnEventLoop(
         () -> {
           requestMemory.close();
-          if (state == State.STREAMING) {
+          if (state == State.STREAMING && heldHead != null) {
+            finish(send(takeHeldAnswer()));
+          } else if (state == State.STREAMING) {
             finish(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT));
           }
         });
   }
 
+  private FullHttpResponse takeHeldAnswer() {
+    ByteBuf body = Unpooled.wrappedBuffer(heldBody.toByteArray());
+    heldBody = null;
+    FullHttpResponse answer =
+        new DefaultFullHttpResponse(
+            heldHead.protocolVersion(),
+            heldHead.status(),
+            body,
+            heldHead.headers(),
+            EmptyHttpHeaders.INSTANCE);
+    HttpUtil.setContentLength(answer, body.readableBytes());
+    setConnectionHeader(answer);
+    return answer;
+  }
+
   @Override
   public void abort() {
     runOnEventLoop(
--- a/node/src/main/java/org/apricotstand/request/AnswerBody.java
+++ b/node/src/main/java/org/apricotstand/request/AnswerBody.java
@@ -14,6 +14,8 @@
     DISCARD,
     /** They are kept until the answer is complete. */
     BUFFER,
+    /** Like BUFFER, for a stream of events. */
+    BUFFER_EVENTS,
     /** They are passed on as they arrive, or event by event if the stream may be resumed. */
     STREAM,
     /** Like STREAM, but only as long as they form events. */
@@ -47,6 +49,11 @@
         buffered.add(part);
         yield Unpooled.EMPTY_BUFFER;
       }
+      case BUFFER_EVENTS -> {
+        eventBoundary.feed(part);
+        buffered.add(part);
+        yield Unpooled.EMPTY_BUFFER;
+      }
       case STREAM -> {
         eventBoundary.feed(part);
         yield passOn(part);
--- a/node/src/main/java/org/apricotstand/request/Attempt.java
+++ b/node/src/main/java/org/apricotstand/request/Attempt.java
@@ -192,7 +192,7 @@
     flow.onAnswerChosen(this);
     if (flow.isAnswerStarted()) {
       continueAnswer();
-    } else if (isStreamed()) {
+    } else if (isPassedOn()) {
       flow.startAnswer(answer);
     }
   }
@@ -247,6 +247,14 @@
     return flow.isStream() && head.status() == 200;
   }
 
+  /**
+   * Returns whether the answer is passed on as it arrives. A caller that does not understand chunks
+   * gets it when it is complete, with its length: otherwise nothing would show that it is cut off.
+   */
+  private boolean isPassedOn() {
+    return isStreamed() && flow.request().acceptsChunks();
+  }
+
   @Override
   public void onPart(ByteBuf part) {
     if (!firstByteReceived) {
@@ -319,6 +327,9 @@
     if (!isStreamed()) {
       return AnswerBody.Use.BUFFER;
     }
+    if (!isPassedOn()) {
+      return AnswerBody.Use.BUFFER_EVENTS;
+    }
     return head.declaresEvents() ? AnswerBody.Use.EVENTS : AnswerBody.Use.STREAM;
   }
 
@@ -361,7 +372,7 @@
     }
     flow.onAnswered(head.status());
     ByteBuf rest = body.takeRest();
-    if (!isStreamed()) {
+    if (!isPassedOn()) {
       // The whole body is buffered, so it is sent with its length, however the target framed it.
       HttpHeaders headers = head.response().headers();
       if (!head.isBodiless()) {
@@ -380,6 +391,7 @@
     return !discardAnswer
         && isStreamed()
         && head.hasEvents()
+        && !isHeadRequest()
         && body.isBrokenOff(head.endsWithConnection());
   }
 
@@ -392,13 +404,16 @@
         && !discardAnswer
         && head.isSignedSuccess()
         && head.endsWithConnection()
-        && !HttpMethod.HEAD.equals(flow.method());
+        && !isHeadRequest();
+  }
+
+  private boolean isHeadRequest() {
+    return HttpMethod.HEAD.equals(flow.request().method());
   }
 
   private String bodyLength(int receivedBytes) {
     String declared = head.response().headers().get(HttpHeaderNames.CONTENT_LENGTH);
-    boolean isHeadRequest = HttpMethod.HEAD.equals(flow.method());
-    return isHeadRequest && declared != null ? declared : Integer.toString(receivedBytes);
+    return isHeadRequest() && declared != null ? declared : Integer.toString(receivedBytes);
   }
 
   private void onDiscardedAnswer() {
--- a/node/src/main/java/org/apricotstand/request/RequestFlow.java
+++ b/node/src/main/java/org/apricotstand/request/RequestFlow.java
@@ -590,8 +590,8 @@
     }
   }
 
-  HttpMethod method() {
-    return request.method();
+  CallerRequest request() {
+    return request;
   }
 
   Reply reply() {
@@ -615,7 +615,7 @@
   /** Passes the head of a streamed answer on; from now on the request cannot be refused. */
   void startAnswer(HttpResponse head) {
     answerHead = head;
-    boolean hasBody = !HttpMethod.HEAD.equals(method());
+    boolean hasBody = !HttpMethod.HEAD.equals(request.method());
     if (eventSplitter != null && hasBody && HttpUtil.isContentLengthSet(head)) {
       // Another target may continue the stream with an answer of another length.
       HttpUtil.setTransferEncodingChunked(head, true);
--- a/node/src/test/java/org/apricotstand/http/HttpServerTest.java
+++ b/node/src/test/java/org/apricotstand/http/HttpServerTest.java
@@ -100,12 +100,16 @@
     group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
   }
 
-  /** Guards against chunked bodies to HTTP/1.0 callers, which cannot read them. */
+  /**
+   * Guards against chunked bodies to HTTP/1.0 callers, which cannot read them, and against bodies
+   * whose end is that of the connection: one that a killed process cuts off would look complete.
+   */
   @Test
-  void endsStreamedBodyOfHttp10ByClosing() throws IOException {
+  void streamedBodyOfHttp10HasItsLength() throws IOException {
     try (RawConnection caller = new RawConnection(server.address())) {
       String answer = caller.send("GET /stream HTTP/1.0\r\n\r\n").readAll();
       assertThat(answer.toLowerCase(java.util.Locale.ROOT)).doesNotContain("chunked");
+      assertThat(answer).contains("content-length: " + STREAMED_BODY.length() + "\r\n");
       assertThat(answer).endsWith("\r\n\r\n" + STREAMED_BODY);
     }
   }
--- a/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
+++ b/node/src/test/java/org/apricotstand/request/CrashWatchTest.java
@@ -380,6 +380,7 @@
             "/p/x",
             new DefaultHttpHeaders().set("Host", "h"),
             "hi".getBytes(StandardCharsets.UTF_8),
+            true,
             "127.0.0.1",
             0);
     return new RequestTraits(request, null, null);
--- a/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestRouterTest.java
@@ -474,17 +474,30 @@
     assertThat(call("")).startsWith("HTTP/1.1 502 ");
   }
 
-  // Guards against adding an end to an answer without length, whose end the target did not send.
+  // Guards against an answer without length that gets no last chunk, although its target has ended
+  // it, and against bytes around it that are not the target's.
   @Test
-  void anAnswerWithoutLengthEndsWithItsConnection() throws IOException {
+  void anAnswerWithoutLengthEndsWithTheConnectionOfItsTarget() throws IOException {
     serve(
         RequestKind.STREAM,
         1,
         false,
         target("t1", always("HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\n\r\nid: 1\n\n", false)));
     String answer = call("");
-    assertThat(answer).endsWith("\r\n\r\nid: 1\n\n");
-    assertThat(answer.toLowerCase(Locale.ROOT)).doesNotContain("transfer-encoding");
+    assertThat(answer).endsWith("\r\n\r\n" + chunk("id: 1\n\n") + "0\r\n\r\n");
+    assertThat(answer.toLowerCase(Locale.ROOT)).contains("transfer-encoding: chunked\r\n");
+  }
+
+  // Guards against adding an end to an answer without length, whose end the target did not send.
+  @Test
+  void anAnswerWithoutLengthWhoseTargetResetsItGetsNoEnd() throws IOException {
+    String head = "HTTP/1.1 200 OK\r\nX-Id: q1\r\nX-Seal: s\r\n\r\n";
+    try (ResettingTarget target = new ResettingTarget(head + "id: 1\n\n")) {
+      serve(RequestKind.STREAM, 1, false, target.entry("t1"));
+      String answer = call("");
+      assertThat(answer).doesNotContain("0\r\n\r\n");
+      assertThat(answer).endsWith("[reset]");
+    }
   }
 
   // Guards against sending a second answer into a started stream that cannot be resumed.
--- a/node/src/test/java/org/apricotstand/request/RequestTraitsTest.java
+++ b/node/src/test/java/org/apricotstand/request/RequestTraitsTest.java
@@ -17,7 +17,13 @@
       HttpMethod method, String uri, HttpHeaders headers, String body, String caller) {
     CallerRequest request =
         new CallerRequest(
-            method, uri, headers, body.getBytes(StandardCharsets.UTF_8), caller, body.length());
+            method,
+            uri,
+            headers,
+            body.getBytes(StandardCharsets.UTF_8),
+            true,
+            caller,
+            body.length());
     return new RequestTraits(request, null, null).wholeRequest();
   }
 
@@ -58,7 +64,8 @@
     assertThat(whole(HttpMethod.POST, "/p?r", host("h"), "b", "10.0.0.1")).isNotEqualTo(first);
     assertThat(whole(HttpMethod.POST, "/p?q", host("h"), "c", "10.0.0.1")).isNotEqualTo(first);
     CallerRequest request =
-        new CallerRequest(HttpMethod.POST, "/p?q", host("h"), new byte[] {'b'}, "10.0.0.1", 0);
+        new CallerRequest(
+            HttpMethod.POST, "/p?q", host("h"), new byte[] {'b'}, true, "10.0.0.1", 0);
     AdapterKey adapter = new AdapterKey("m", "a1");
     assertThat(new RequestTraits(request, adapter, null).wholeRequest()).isNotEqualTo(first);
   }
--- a/node/src/test/java/org/apricotstand/request/StreamEndTest.java
+++ b/node/src/test/java/org/apricotstand/request/StreamEndTest.java
@@ -38,9 +38,12 @@
     assertThat(stream(UNTIL_CLOSE)).endsWith("[reset]");
   }
 
+  // Guards against a stream that counts as broken off, because its target sent neither a length nor
+  // chunks.
   @Test
   void aStreamThatEndsBehindAnEventIsComplete() throws IOException {
-    assertThat(stream(UNTIL_CLOSE + "id: 1\n\nid: 2\r\n\r\n")).endsWith("id: 2\r\n\r\n");
+    assertThat(stream(UNTIL_CLOSE + "id: 1\n\nid: 2\r\n\r\n"))
+        .endsWith("id: 2\r\n\r\n\r\n0\r\n\r\n");
   }
 
   // Guards against half an event at the end of a stream that another target could have continued.
@@ -53,6 +56,8 @@
           return false;
         };
     serve(RequestKind.STREAM, 2, true, target("t1", script), target("t2", script));
-    assertThat(call("")).endsWith("id: 1\n\nid: 2\n\n");
+    String answer = call("");
+    assertThat(answer).contains("id: 1\n\n");
+    assertThat(answer).endsWith("id: 2\n\n\r\n0\r\n\r\n");
   }
 }
