Write own rows again that a restored store has lost

An instance that registered shortly before a restore of the store would not be found by others that start later. Refusals of traits that crash targets would be lost, or come back from the copy after they had ended, for instances that start later; their writes would name versions that were given out again.

Change: each instance reads the table of instances once after a restore, at a staggered time, and registers again if its row is missing or another. RefusalTable reads its rows before it writes, and the writer among the instances writes again what is missing or has come back.

--- a/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
+++ b/node/src/main/java/org/apricotstand/fleet/InstanceDirectory.java
@@ -1,6 +1,7 @@
 package org.apricotstand.fleet;
 
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,6 +36,9 @@
   private static final String TABLE = "instances";
   private static final long RETRY_DELAY_MS = 300;
 
+  /** Time over which the instances spread their reads of a restored store. */
+  private static final long RESTORED_READ_SPREAD_MS = 1_000;
+
   /** First pause between two reads; instances that start together register one after the other. */
   private static final long MIN_REFRESH_PERIOD_MS = 300;
 
@@ -63,6 +67,7 @@
   private boolean calling;
   private boolean registered;
   private boolean hasRead;
+  private boolean isRestored;
 
   /**
    * Creates an empty directory.
@@ -119,9 +124,19 @@
             // The table keeps its rows through an outage.
           }
         });
+    store.addEraListener(era -> executor.execute(this::checkRegistration));
     tick();
   }
 
+  /** Reads the table soon, because a restored store may have lost the row of this instance. */
+  private void checkRegistration() {
+    if (registered) {
+      isRestored = true;
+      long spreadMs = (long) (sharing.staggerFraction() * RESTORED_READ_SPREAD_MS);
+      nextCallMs = clock.getAsLong() + spreadMs;
+    }
+  }
+
   /** Calls the store if that is due; to be called many times a second. */
   public void tick() {
     if (sharing == null || calling || clock.getAsLong() < nextCallMs) {
@@ -132,7 +147,7 @@
       store
           .commit(TABLE, List.of(RowWrite.unconditional(self.name(), self.encode())))
           .thenAccept(result -> executor.execute(() -> handleRegistration(result)));
-    } else if (!hasRead || sharing.mustRead(TABLE)) {
+    } else if (!hasRead || isRestored || sharing.mustRead(TABLE)) {
       calling = true;
       store
           .readAll(TABLE)
@@ -160,6 +175,10 @@
     }
     // Set first, so that the table is read again even if the listener fails.
     scheduleRefresh();
+    if (isRestored) {
+      isRestored = false;
+      registered = rows.stream().anyMatch(this::isOwnRow);
+    }
     boolean isFirst = !hasRead;
     hasRead = true;
     boolean isNew = updateRecords(rows);
@@ -169,6 +188,10 @@
     }
   }
 
+  private boolean isOwnRow(Row row) {
+    return row.key().equals(self.name()) && Arrays.equals(row.value(), self.encode());
+  }
+
   private void scheduleRefresh() {
     long maxPeriodMs =
         switch (sharing.role()) {
--- a/node/src/main/java/org/apricotstand/fleet/RefusalTable.java
+++ b/node/src/main/java/org/apricotstand/fleet/RefusalTable.java
@@ -53,6 +53,9 @@
   private final BooleanSupplier isWriter;
   private final Map<String, RefusalRow> rowsByKey = new HashMap<>();
   private long era;
+  private boolean isRestored;
+  private boolean isReading;
+  private long nextReadMs;
 
   /**
    * A refusal that has not ended.
@@ -120,7 +123,12 @@
     this.clock = clock;
     this.timeOfDayMs = timeOfDayMs;
     this.isWriter = isWriter;
-    store.addEraListener(newEra -> executor.execute(() -> era = newEra));
+    store.addEraListener(newEra -> executor.execute(() -> applyEra(newEra)));
+  }
+
+  private void applyEra(long newEra) {
+    era = newEra;
+    isRestored = !rowsByKey.isEmpty();
   }
 
   /** Reads the refusals that have not ended. The future fails when the store does not answer. */
@@ -183,11 +191,56 @@
   /** Writes what is due. Every instance knows what is to be written, and one of them does it. */
   void tick() {
     long nowMs = clock.getAsLong();
+    if (isRestored) {
+      readRestored(nowMs);
+      return;
+    }
     rowsByKey.values().stream()
         .filter(row -> row.pending.isPresent() && !row.isWriting && nowMs >= row.writeAtMs)
         .forEach(this::write);
   }
 
+  /** Reads the table of a restored store, which may lack what was written last. */
+  private void readRestored(long nowMs) {
+    if (isReading || nowMs < nextReadMs) {
+      return;
+    }
+    isReading = true;
+    nextReadMs = nowMs + RETRY_DELAY_MS;
+    long readEra = era;
+    store
+        .readAll(TABLE)
+        .whenCompleteAsync((rows, failure) -> onRestoredRead(rows, failure, readEra), executor);
+  }
+
+  private void onRestoredRead(List<Row> rows, Throwable failure, long readEra) {
+    isReading = false;
+    if (failure != null) {
+      LOG.warn("refusals_not_read", "error", failure.toString());
+    } else if (readEra == era) {
+      isRestored = false;
+      Map<String, Row> storedByKey = new HashMap<>();
+      rows.forEach(row -> storedByKey.put(row.key(), row));
+      rowsByKey.values().forEach(row -> restore(row, storedByKey.get(row.key)));
+    }
+  }
+
+  /** Writes again what the store has lost of a row. */
+  private void restore(RefusalRow row, Row stored) {
+    Optional<Content> known = row.pending.or(() -> row.stored);
+    row.version = StoreVersion.absentIn(era);
+    row.stored = Optional.empty();
+    if (stored != null) {
+      recordStored(row, stored);
+    }
+    long nowMs = timeOfDayMs.getAsLong();
+    row.pending =
+        known
+            .filter(content -> content.endMs == ENDED || content.endMs > nowMs)
+            .filter(content -> isNeeded(content, row.stored));
+    row.writeAtMs = clock.getAsLong();
+  }
+
   private void write(RefusalRow row) {
     Content content = row.pending.orElseThrow();
     if (!isWriter.getAsBoolean()) {
--- a/node/src/test/java/org/apricotstand/fleet/RefusalTableTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/RefusalTableTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 import org.apricotstand.model.StoreVersion;
 import org.apricotstand.port.CommitResult;
 import org.apricotstand.port.Row;
@@ -35,6 +36,7 @@
     private boolean isDown;
     private boolean losesAnswers;
     private int callCount;
+    private LongConsumer eraListener = era -> {};
     private long era;
     private long number;
 
@@ -66,6 +68,11 @@
           current == null ? StoreVersion.absentIn(era) : current.version();
       boolean isExpected =
           write.expectedVersion().filter(version -> !version.equals(currentVersion)).isEmpty();
+      boolean isOfEarlierEra =
+          write.expectedVersion().filter(version -> version.era() != era).isPresent();
+      if (isOfEarlierEra) {
+        return failed();
+      }
       if (!isExpected) {
         return new CommitResult.Conflict(current == null ? List.of() : List.of(current));
       }
@@ -74,6 +81,23 @@
       return losesAnswers ? failed() : new CommitResult.Committed(written);
     }
 
+    @Override
+    public void addEraListener(LongConsumer listener) {
+      eraListener = listener;
+    }
+
+    /** Restores rows, whose versions are of a new era. */
+    void restore(Map<String, Row> copy) {
+      era++;
+      rows.clear();
+      copy.forEach(
+          (key, row) -> {
+            StoreVersion version = new StoreVersion(era, row.version().number());
+            rows.put(key, new Row(key, row.value(), version));
+          });
+      eraListener.accept(era);
+    }
+
     /** Carries out the pending writes, the newest first. */
     void carryOutInReverse() {
       List<Runnable> writes = List.copyOf(pendingWrites).reversed();
@@ -254,6 +278,44 @@
     assertThat(readAnew()).contains(new RefusalTable.Refusal("prompt/999", 119_000));
   }
 
+  // Guards against a refusal that no instance knows after a restart, because the store was restored
+  // from a copy of before it.
+  @Test
+  void aRefusalThatTheStoreHasLostIsWrittenAgain() {
+    RefusalTable table = tableWithSavedRefusal();
+    store.restore(Map.of());
+    pass(table, 0);
+    pass(table, 0);
+    assertThat(readAnew()).hasSize(1);
+  }
+
+  // Guards against a refusal that comes back with a copy of the store although it has ended, and
+  // that instances which start later would keep up.
+  @Test
+  void anEndedRefusalDoesNotComeBackWithACopy() {
+    RefusalTable table = tableWithSavedRefusal();
+    Map<String, Row> copy = Map.copyOf(store.rows);
+    table.end("prompt/f");
+    pass(table, 0);
+    store.restore(copy);
+    pass(table, 0);
+    pass(table, 0);
+    assertThat(readAnew()).isEmpty();
+  }
+
+  // Guards against a write whose condition names a version that the store has given out again.
+  @Test
+  void nothingIsWrittenBeforeARestoredTableWasRead() {
+    RefusalTable table = tableWithSavedRefusal();
+    store.restore(Map.of());
+    int callsBefore = store.callCount;
+    table.end("prompt/f");
+    pass(table, 0);
+    pass(table, 0);
+    assertThat(store.callCount).isEqualTo(callsBefore);
+    assertThat(readAnew()).isEmpty();
+  }
+
   // Guards against a start that fails on a row of another writer.
   @Test
   void ignoresUnreadableRows() {
