Keep the newest configuration over a restore of the store

An instance that starts right after a restore of the store, or was cut off before it, would use the configuration of the copy until the operator writes the newer one again: with keys that were removed, old routes and limits.

If the restored store has none as new, the instance passes its own on to the others, in fleets of any size; rows of an earlier era count by the version in their content, which an operator raises.

--- a/node/src/main/java/org/apricotstand/fleet/SharedTables.java
+++ b/node/src/main/java/org/apricotstand/fleet/SharedTables.java
@@ -90,6 +90,11 @@
     links.sendToMembers(new PeerMessage.TableRead(table, fromVersion, version));
   }
 
+  @Override
+  public void shareLost(String table, List<RowChange> rows) {
+    links.publish(rows.stream().map(change -> toState(table, change)).toList());
+  }
+
   private static FleetState.TableRow toState(String table, RowChange change) {
     Row row = change.row();
     return new FleetState.TableRow(table, row.key(), row.value(), row.version(), change.removed());
--- a/node/src/main/java/org/apricotstand/port/TableSharing.java
+++ b/node/src/main/java/org/apricotstand/port/TableSharing.java
@@ -67,6 +67,12 @@
    */
   void share(String table, List<RowChange> rows, StoreVersion fromVersion, StoreVersion version);
 
+  /**
+   * Passes on rows that a restored store has lost, also in a fleet in which each instance reads for
+   * itself.
+   */
+  void shareLost(String table, List<RowChange> rows);
+
   /** Passes on that this instance can read the table again after an outage. */
   void shareRecovery(String table);
 }
--- a/node/src/test/java/org/apricotstand/fleet/InstanceDirectoryTest.java
+++ b/node/src/test/java/org/apricotstand/fleet/InstanceDirectoryTest.java
@@ -84,6 +84,9 @@
     public void share(
         String table, List<RowChange> rows, StoreVersion fromVersion, StoreVersion version) {}
 
+    @Override
+    public void shareLost(String table, List<RowChange> rows) {}
+
     @Override
     public void shareRecovery(String table) {}
   }
