Trust no missing lease once one of an earlier era was reported

Now the system does not count as new once a lease of an earlier era was reported, and only for 2 s (was 5 s).

A monotonic clock never goes back; an instance is awake now only when its clock has been corrected.

--- a/core/src/main/java/org/apricotstand/enginelease/EngineLeases.java
+++ b/core/src/main/java/org/apricotstand/enginelease/EngineLeases.java
@@ -79,6 +79,8 @@
   private boolean releasing;
   private boolean hasSeenEra;
   private long era;
+  private long eraSeenMs;
+  private long lowestReportedEra = Long.MAX_VALUE;
   private long restoredAtMs = NOT_RESTORED_MS;
 
   private record HeldLease(long fencingNumber, StoreVersion rowVersion, long renewalSentMs) {
@@ -218,7 +220,8 @@
     boolean isOfNewSystem = !hasSeenEra && nowMs < newSystemUntilMs;
     hasSeenEra = true;
     era = newEra;
-    restoredAtMs = isOfNewSystem ? NOT_RESTORED_MS : nowMs;
+    eraSeenMs = nowMs;
+    restoredAtMs = isOfNewSystem && lowestReportedEra >= newEra ? NOT_RESTORED_MS : nowMs;
     observedRows.clear();
     nextReadMs = nowMs;
     heldLeases.entrySet().stream()
@@ -270,6 +273,7 @@
         .entrySet()
         .removeIf(
             entry -> entry.getValue().holder.equals(holder) && !leases.containsKey(entry.getKey()));
+    leases.values().forEach(status -> recordReportedEra(status.rowVersion().era()));
     leases.forEach(
         (engine, status) -> {
           reportedLeases.put(engine, withReportedExpiry(engine, holder, status, nowMs));
@@ -281,6 +285,14 @@
         });
   }
 
+  /** Records an era in which a lease was written; the system is not new if it is an earlier one. */
+  private void recordReportedEra(long reportedEra) {
+    lowestReportedEra = Math.min(lowestReportedEra, reportedEra);
+    if (hasSeenEra && reportedEra < era && restoredAtMs == NOT_RESTORED_MS) {
+      restoredAtMs = eraSeenMs;
+    }
+  }
+
   /**
    * Returns a lease as reported now. While the version of its row stays the same, it expires at the
    * earliest time that any report gave.
--- a/core/src/test/java/org/apricotstand/enginelease/LeaseSimulation.java
+++ b/core/src/test/java/org/apricotstand/enginelease/LeaseSimulation.java
@@ -29,6 +29,7 @@
   private static final long STEP_MS = 20;
   private static final long REPORT_PERIOD_MS = 150;
   private static final long CALL_TIMEOUT_MS = 1_200;
+  private static final long NEW_SYSTEM_MS = 2_000;
   private static final long COPY_PERIOD_MS = 500;
 
   /** Probability of a restore in a step, for about three in a simulation. */
@@ -147,6 +148,7 @@
     private long processNumber;
     private long seenEra;
     private boolean running;
+    private boolean suspended;
     private long suspendedUntilMs;
     private long totalSuspendedMs;
     private long storeReachableAtMs;
@@ -164,7 +166,8 @@
       draining = false;
       seenEra = 0;
       leases =
-          new EngineLeases(name, HANDOVER_PAUSE_MS, processNumber == 1 ? 5_000 : Long.MIN_VALUE);
+          new EngineLeases(
+              name, HANDOVER_PAUSE_MS, processNumber == 1 ? NEW_SYSTEM_MS : Long.MIN_VALUE);
       handle(new LeaseEvent.InstancesChanged(liveDomains()));
       handle(new LeaseEvent.EnginesChanged(engines));
     }
@@ -183,7 +186,7 @@
     }
 
     private boolean isAwake() {
-      return running && nowMs >= suspendedUntilMs;
+      return running && !suspended;
     }
 
     void step() {
@@ -216,11 +219,13 @@
     }
 
     private void suspend(long forMs) {
+      suspended = true;
       suspendedUntilMs = nowMs + forMs;
       long suspendedProcess = processNumber;
       schedule(
           suspendedUntilMs,
           () -> {
+            suspended = false;
             totalSuspendedMs += forMs;
             if (running && processNumber == suspendedProcess && forMs >= DETECTED_PAUSE_MS) {
               handle(new LeaseEvent.ProcessPaused());
--- a/core/src/test/java/org/apricotstand/enginelease/RestoredLeasesTest.java
+++ b/core/src/test/java/org/apricotstand/enginelease/RestoredLeasesTest.java
@@ -152,6 +152,19 @@
     assertThat(tick(leases, WAITED_MS)).isEmpty();
   }
 
+  // Guards against an instance of a new system that first reaches the store after a restore, and
+  // takes an engine whose owner has released it since or was killed.
+  @Test
+  void aNewSystemIsNotNewOnceALeaseOfAnEarlierEraWasReported() {
+    EngineLeases leases = startedLeases(RESTORED_MS + 1_000);
+    LeaseStatus lease = new LeaseStatus(new StoreVersion(1, 26), 5_000);
+    leases.handle(new LeaseEvent.LeasesReported("n2", Map.of("e", lease)), 100);
+    restore(leases);
+    leases.handle(new LeaseEvent.LeasesReported("n2", Map.of()), RESTORED_MS);
+    assertThat(read(leases)).isEmpty();
+    assertThat(tick(leases, WAITED_MS)).isEmpty();
+  }
+
   // Guards against seconds without an owner at each restart of an instance after a restore.
   @Test
   void aRowOfTheCurrentEraIsAcquiredAsBefore() {
--- a/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
+++ b/node/src/main/java/org/apricotstand/fleet/EngineOwner.java
@@ -53,7 +53,7 @@
    * Time after the start in which a new system makes its first contact with the store. Later the
    * store may have lost the leases of instances that were faster.
    */
-  private static final long NEW_SYSTEM_MS = 5_000;
+  private static final long NEW_SYSTEM_MS = 2_000;
 
   private final ControlThread control;
   private final RowStore store;
