--- a/core/src/main/java/org/apricotstand/enginelease/EngineLeases.java
+++ b/core/src/main/java/org/apricotstand/enginelease/EngineLeases.java
@@ -81,6 +81,8 @@
   private long era;
   private long eraSeenMs;
   private long lowestReportedEra = Long.MAX_VALUE;
+
+  /** First answer of the era, unless it is that of a new system. */
   private long restoredAtMs = NOT_RESTORED_MS;
 
   private record HeldLease(long fencingNumber, StoreVersion rowVersion, long renewalSentMs) {
--- a/node/src/main/java/org/apricotstand/http/NettyExchange.java
+++ b/node/src/main/java/org/apricotstand/http/NettyExchange.java
@@ -122,8 +122,7 @@
           boolean hasLength = response.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
           if (http10 && !hasLength) {
             // HTTP/1.0 has no chunked bodies, and the connections of a killed process end like
-            // those
-            // of a complete answer. So the body is held until its length is known.
+            // those of a complete answer. So the body is held until its length is known.
             heldHead = response;
             heldBody = new ByteArrayOutputStream();
             return;
